--- /dev/null
+++ b/bundle/types.go
@@ -0,0 +1,105 @@
+package bundle
+
+// Bundle is the agreed configuration. Its digest is SHA-256 over its
+// canonical JSON (RFC 8785).
+type Bundle struct {
+	// Version increases by one with each bundle, from 1.
+	Version uint64 `json:"version"`
+	// Previous is the digest of the bundle with Version-1, "" for version 1.
+	Previous      string         `json:"previous"`
+	Organisations []Organisation `json:"organisations"`
+	Services      []Service      `json:"services"`
+	Zones         []string       `json:"zones"`
+	Operators     []Key          `json:"operators"`
+	Groups        []Group        `json:"groups,omitempty"`
+}
+
+// Organisation is one customer.
+type Organisation struct {
+	Name string `json:"name"`
+	// KeyDigests are hex SHA-256 digests of the API keys of the organisation.
+	KeyDigests []string `json:"key_digests"`
+}
+
+// Service kinds.
+const (
+	KindModel = "model"
+	KindPlain = "plain"
+)
+
+// Service is one routed service.
+type Service struct {
+	Name string `json:"name"`
+	// Kind is "model" or "plain".
+	Kind string `json:"kind"`
+	// NonIdempotentPaths lists the path prefixes of calls that may not be
+	// repeated, for methods other than GET and HEAD, e.g. "/orders".
+	NonIdempotentPaths []string `json:"non_idempotent_paths,omitempty"`
+	// ColdLimit is the number of concurrent requests a cold endpoint bears.
+	ColdLimit int `json:"cold_limit"`
+	// WarmLimit is the number of concurrent requests a warm endpoint bears.
+	WarmLimit int `json:"warm_limit"`
+	// QueueLimit bounds waiting requests on one endpoint.
+	QueueLimit int `json:"queue_limit"`
+	// TimeoutMS bounds a request, in milliseconds.
+	TimeoutMS int64 `json:"timeout_ms"`
+	// Shares are weights by organisation; unused share is lent.
+	Shares map[string]float64 `json:"shares"`
+	// EnforcesFencing states whether the service's endpoints check fencing numbers.
+	EnforcesFencing bool `json:"enforces_fencing,omitempty"`
+}
+
+// Group is a group of ranks that run in lock-step on one expert map.
+type Group struct {
+	Name         string `json:"name"`
+	Service      string `json:"service"`
+	Ranks        int    `json:"ranks"`
+	Layers       int    `json:"layers"`
+	Experts      int    `json:"experts"`        // per layer
+	SlotsPerRank int    `json:"slots_per_rank"` // per layer
+	// ExpertBytes is the size of one expert's weights, in bytes.
+	ExpertBytes int64 `json:"expert_bytes"`
+}
+
+// Key names an Ed25519 public key, base64 (standard encoding).
+type Key struct {
+	Name   string `json:"name"`
+	Public string `json:"public"`
+}
+
+// Signature is a member's or operator's signature, base64 (standard encoding).
+type Signature struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// Signed is a bundle with the signatures of members over its digest.
+type Signed struct {
+	Bundle     Bundle      `json:"bundle"`
+	Signatures []Signature `json:"signatures"`
+}
+
+// Target kinds of intents.
+const (
+	TargetZone = "zone"
+	TargetVM   = "vm"
+)
+
+// Intent takes a zone or a VM out, or brings it back in.
+type Intent struct {
+	Kind   string `json:"kind"` // "zone" or "vm"
+	Target string `json:"target"`
+	Out    bool   `json:"out"`
+	// Revision orders intents of one target; at equal revisions out wins.
+	Revision  uint64    `json:"revision"`
+	Operator  string    `json:"operator"`
+	Reason    string    `json:"reason,omitempty"`
+	Signature Signature `json:"signature"`
+}
+
+// Intents is the record of all intents. Revision increases with each write to
+// the store.
+type Intents struct {
+	Revision uint64            `json:"revision"`
+	Targets  map[string]Intent `json:"targets"` // by kind + "/" + target
+}
--- /dev/null
+++ b/order/identity.go
@@ -0,0 +1,100 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// MaxIdentityBytes bounds an Idempotency-Key.
+const MaxIdentityBytes = 200
+
+// Binding names the only agent incarnation that may run an order.
+type Binding struct {
+	AgentID     string `json:"agent_id"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Identity is a parsed Idempotency-Key.
+type Identity struct {
+	// Raw is the whole key; two orders are the same if their keys are equal.
+	Raw string
+	// Issued is true for a key issued by resolve; Binding and AgentEpoch are then set.
+	Issued     bool
+	Binding    Binding
+	AgentEpoch uint64
+	// Epoch is the journal epoch of a caller's own key.
+	Epoch uint64
+}
+
+const remedy = "ask /v1/resolve for an order_identity, or prefix your own key with the order_epoch: e<epoch>.<key>"
+
+// ParseIdentity parses "o1.<agent ID>.<incarnation>.<agent epoch>.<random>" or
+// "e<epoch>.<key>". Agent IDs contain no dots.
+func ParseIdentity(raw string) (Identity, error) {
+	if len(raw) > MaxIdentityBytes {
+		return Identity{}, trace.BadParameter("Idempotency-Key has %d bytes, at most %d are allowed; %s", len(raw), MaxIdentityBytes, remedy)
+	}
+	if strings.HasPrefix(raw, "o1.") {
+		return parseIssued(raw)
+	}
+	head, key, found := strings.Cut(raw, ".")
+	if !found || key == "" || !strings.HasPrefix(head, "e") {
+		return Identity{}, trace.BadParameter("Idempotency-Key %q has no epoch; %s", raw, remedy)
+	}
+	epoch, err := parseCanonical(head[1:])
+	if err != nil {
+		return Identity{}, trace.BadParameter("Idempotency-Key %q has no valid epoch; %s", raw, remedy)
+	}
+	return Identity{Raw: raw, Epoch: epoch}, nil
+}
+
+func parseIssued(raw string) (Identity, error) {
+	parts := strings.Split(raw, ".")
+	if len(parts) != 5 || parts[1] == "" || parts[4] == "" {
+		return Identity{}, trace.BadParameter("Idempotency-Key %q is not an issued identity; %s", raw, remedy)
+	}
+	incarnation, err := parseCanonical(parts[2])
+	if err != nil {
+		return Identity{}, trace.BadParameter("Idempotency-Key %q has no valid incarnation; %s", raw, remedy)
+	}
+	epoch, err := parseCanonical(parts[3])
+	if err != nil {
+		return Identity{}, trace.BadParameter("Idempotency-Key %q has no valid agent epoch; %s", raw, remedy)
+	}
+	b := Binding{AgentID: parts[1], Incarnation: incarnation}
+	return Identity{Raw: raw, Issued: true, Binding: b, AgentEpoch: epoch}, nil
+}
+
+// parseCanonical accepts only the shortest decimal form.
+func parseCanonical(s string) (uint64, error) {
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	if strconv.FormatUint(n, 10) != s {
+		return 0, trace.BadParameter("%q is not in its shortest form", s)
+	}
+	return n, nil
+}
+
+// FormatIssued returns an issued identity; random must be unique for the binding.
+func FormatIssued(b Binding, agentEpoch uint64, random string) string {
+	return fmt.Sprintf("o1.%s.%d.%d.%s", b.AgentID, b.Incarnation, agentEpoch, random)
+}
+
+// Binder binds callers' own keys to an agent incarnation. Errors are
+// *api.Refusal.
+type Binder interface {
+	// Bind returns the binding of the key, creating it with want if there is
+	// none yet. A returned binding is recorded in the store.
+	Bind(ctx context.Context, service string, id Identity, want Binding) (Binding, error)
+	// Rebind replaces the binding old by want. It may be called only after the
+	// agent of old has answered that the order is closed and did not run.
+	Rebind(ctx context.Context, service string, id Identity, old, want Binding) (Binding, error)
+	// Epoch returns the current journal epoch of the service.
+	Epoch(service string) uint64
+}
--- /dev/null
+++ b/peer/pool.go
@@ -0,0 +1,141 @@
+package peer
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+)
+
+// Bytes on the wire between our processes, for the control traffic budget.
+var (
+	bytesIn  = expvar.NewInt("peer_bytes_in")
+	bytesOut = expvar.NewInt("peer_bytes_out")
+)
+
+// countedConn adds the bytes of a connection to the metrics.
+type countedConn struct{ net.Conn }
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	bytesIn.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	bytesOut.Add(int64(n))
+	return n, err
+}
+
+// Pool keeps one net/rpc connection per address. It is safe for concurrent use.
+type Pool struct {
+	key []byte
+
+	mu      sync.Mutex
+	clients map[string]*client
+}
+
+type client struct {
+	mu  sync.Mutex // serialises dialling
+	rpc atomic.Pointer[rpc.Client]
+}
+
+// NewPool returns an empty pool that authenticates with key.
+func NewPool(key []byte) *Pool {
+	return &Pool{key: key, clients: make(map[string]*client)}
+}
+
+// Call invokes method at addr. A call that ends with ctx or with a connection
+// error closes the connection; the call may then still run at the peer.
+func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
+	c := p.client(addr)
+	rc, err := c.connect(ctx, addr, p.key)
+	if err != nil {
+		return err
+	}
+	call := rc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		c.drop(rc)
+		return trace.ConnectionProblem(ctx.Err(), "no answer from %s to %s; check that the node is up", addr, method)
+	case <-call.Done:
+	}
+	if call.Error == nil {
+		return nil
+	}
+	if _, ok := call.Error.(rpc.ServerError); ok {
+		return trace.Wrap(call.Error)
+	}
+	c.drop(rc)
+	return trace.ConnectionProblem(call.Error, "connection to %s was lost during %s", addr, method)
+}
+
+// Forget closes and removes the connection to addr.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	c := p.clients[addr]
+	delete(p.clients, addr)
+	p.mu.Unlock()
+	if c != nil {
+		c.drop(c.rpc.Load())
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, c := range p.clients {
+		c.drop(c.rpc.Load())
+		delete(p.clients, addr)
+	}
+}
+
+func (p *Pool) client(addr string) *client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[addr]
+	if c == nil {
+		c = &client{}
+		p.clients[addr] = c
+	}
+	return c
+}
+
+func (c *client) connect(ctx context.Context, addr string, key []byte) (*rpc.Client, error) {
+	if rc := c.rpc.Load(); rc != nil {
+		return rc, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rc := c.rpc.Load(); rc != nil {
+		return rc, nil
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "cannot connect to %s; check that the node is up", addr)
+	}
+	conn = countedConn{conn}
+	if err := dialHandshake(conn, key); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	rc := rpc.NewClient(conn)
+	c.rpc.Store(rc)
+	return rc, nil
+}
+
+func (c *client) drop(rc *rpc.Client) {
+	if rc == nil {
+		return
+	}
+	if c.rpc.CompareAndSwap(rc, nil) {
+		_ = rc.Close()
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/go-logr/logr"
+)
+
+// Server serves net/rpc to authenticated peers.
+type Server struct {
+	key []byte
+	rpc *rpc.Server
+	log logr.Logger
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// NewServer returns a server; register services with Register before Serve.
+func NewServer(key []byte, log logr.Logger) *Server {
+	return &Server{key: key, rpc: rpc.NewServer(), log: log, conns: make(map[net.Conn]struct{})}
+}
+
+// Register makes the methods of receiver callable under name.
+func (s *Server) Register(name string, receiver any) error {
+	return s.rpc.RegisterName(name, receiver)
+}
+
+// Serve accepts connections until ln is closed.
+func (s *Server) Serve(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(countedConn{c})
+	}
+}
+
+// Close closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+func (s *Server) serveConn(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	if err := acceptHandshake(c, s.key); err != nil {
+		s.log.Info("refused a connection", "from", c.RemoteAddr().String(), "reason", err.Error())
+		return
+	}
+	if !s.track(c) {
+		return
+	}
+	defer s.untrack(c)
+	s.rpc.ServeConn(c)
+}
+
+func (s *Server) track(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
