Add the request pipeline, the balancer and the entry daemon

Cause: callers need one address that finds an endpoint, keeps orders at most once, and relays whole answers only.

Conclusion: resolve, plain calls, orders and streamed model requests work against a fake agent in tests run with the race detector.

--- /dev/null
+++ b/balance/state.go
@@ -0,0 +1,127 @@
+package balance
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/control"
+)
+
+// rampUp is the time over which a zone or VM that was brought back gets its
+// full load again, since all of its endpoints are cold.
+const rampUp = 10 * time.Second
+
+// state is what this entry knows about one endpoint beyond the snapshot.
+type state struct {
+	id   string
+	hash uint64
+	// own is the number of this entry's requests in flight.
+	own  atomic.Int64
+	base atomic.Pointer[base]
+}
+
+// base is the latest load figure of the agent, from a report or an answer.
+type base struct {
+	at          time.Time
+	incarnation uint64
+	seq         uint64
+	limit       int
+	load        int
+	// own is this entry's in-flight count when the figure arrived. Requests
+	// started or ended since then correct the figure.
+	own int64
+}
+
+// current returns the newest base, taking the report of ep if it is newer.
+func (s *state) current(ep *control.Endpoint) *base {
+	old := s.base.Load()
+	if old != nil && old.incarnation == ep.Node.Incarnation {
+		if old.seq >= ep.Load.Seq || !ep.HeardAt.After(old.at) {
+			return old
+		}
+	}
+	next := &base{
+		at:          ep.HeardAt,
+		incarnation: ep.Node.Incarnation,
+		seq:         ep.Load.Seq,
+		limit:       ep.Load.Limit,
+		load:        ep.Load.InFlight + ep.Load.Queued,
+		own:         s.own.Load(),
+	}
+	if s.base.CompareAndSwap(old, next) {
+		return next
+	}
+	return s.base.Load()
+}
+
+// answered records the figures in the first frame of an agent's answer.
+func (s *state) answered(now time.Time, limit, inFlight int) {
+	old := s.base.Load()
+	if old == nil || limit <= 0 {
+		return
+	}
+	next := *old
+	next.at = now
+	next.limit = limit
+	next.load = inFlight
+	next.own = s.own.Load()
+	s.base.CompareAndSwap(old, &next)
+}
+
+// estimate is the load of one endpoint as this entry supposes it to be.
+type estimate struct {
+	load  int
+	limit int
+	// crowd is the load if the other entries, which read the same late
+	// report, did as this one. It spreads entries over idle endpoints.
+	crowd int
+}
+
+func (s *state) estimate(ep *control.Endpoint, now time.Time, entries int) estimate {
+	b := s.current(ep)
+	own := int(s.own.Load())
+	since := own - int(b.own)
+	load := max(own, b.load+since, 0)
+	crowd := load
+	if since > 0 {
+		crowd += since * (entries - 1)
+	}
+	return estimate{load: load, limit: rampedLimit(b.limit, ep.InSince, now), crowd: crowd}
+}
+
+// rampedLimit is the limit of an endpoint whose zone came back at inSince.
+func rampedLimit(limit int, inSince, now time.Time) int {
+	if inSince.IsZero() || limit <= 0 {
+		return limit
+	}
+	age := now.Sub(inSince)
+	if age >= rampUp {
+		return limit
+	}
+	share := float64(max(age, 0)) / float64(rampUp)
+	return max(1, int(float64(limit)*share))
+}
+
+// score orders candidates: lower is better.
+func (e estimate) score() float64 {
+	if e.limit <= 0 {
+		return math.Inf(1)
+	}
+	return float64(e.crowd+1) / float64(e.limit)
+}
+
+// hasRoom reports whether one more request stays within the limit.
+func (e estimate) hasRoom() bool {
+	return e.load < e.limit
+}
+
+// zoneRoom is the share of the limit up to which the own zone is preferred.
+// Above it the view's lag would fill endpoints to the limit before other
+// zones are used.
+const zoneRoom = 0.75
+
+// hasZoneRoom reports whether the own zone may be preferred for this endpoint.
+func (e estimate) hasZoneRoom() bool {
+	return e.hasRoom() && (e.load == 0 || float64(e.load+1) <= zoneRoom*float64(e.limit))
+}
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/order"
+	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// fakeControl is a control loop with a fixed view.
+type fakeControl struct {
+	mu     sync.Mutex
+	snap   control.Snapshot
+	states []wire.State
+	rolled int
+}
+
+func (f *fakeControl) Snapshot() *control.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	snap := f.snap
+	return &snap
+}
+
+func (f *fakeControl) SetState(s wire.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snap.Self.State = s
+	f.states = append(f.states, s)
+}
+
+func (f *fakeControl) SetHeirs([]string) {}
+
+func (f *fakeControl) RollBundle(context.Context, *bundle.Signed) (api.AdminResult, error) {
+	f.rolled++
+	return api.AdminResult{}, api.NotRun(api.KindConflict, "another bundle was first", "read it and retry")
+}
+
+func (f *fakeControl) ApplyIntent(_ context.Context, in bundle.Intent) (api.AdminResult, error) {
+	return api.AdminResult{Accepted: true, Revision: in.Revision}, nil
+}
+
+type fakeBinder struct{ order.Binder }
+
+func (fakeBinder) Epoch(string) uint64 { return 4 }
+
+type rig struct {
+	is      *is.I
+	control *fakeControl
+	clock   *clockwork.FakeClock
+	url     string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func newRig(t *testing.T) *rig {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	is.NoErr(ln.Close())
+	clock := clockwork.NewFakeClock()
+	desk := &bundle.Service{Name: "desk", Kind: bundle.KindPlain, NonIdempotentPaths: []string{"/orders"}}
+	agent := &control.Endpoint{
+		Node:    wire.Node{ID: "agent-1", Service: "desk", Zone: "a", State: wire.StateReady, Incarnation: 9},
+		Load:    wire.Load{Limit: 4, OrderEpoch: 2},
+		HeardAt: clock.Now(),
+	}
+	c := &fakeControl{snap: control.Snapshot{
+		Self:        wire.Node{ID: "entry-1", Zone: "a", HTTPAddr: addr},
+		Bundle:      &bundle.Bundle{Version: 3},
+		Services:    map[string]*bundle.Service{"desk": desk},
+		Endpoints:   map[string][]*control.Endpoint{"desk": {agent}},
+		AgentByID:   map[string]*control.Endpoint{"agent-1": agent},
+		ConfirmedAt: clock.Now(),
+		Entries: []control.Entry{
+			{Node: wire.Node{ID: "entry-2", Zone: "b", State: wire.StateReady, HTTPAddr: "192.0.2.2:1"}, HeardAt: clock.Now()},
+			{Node: wire.Node{ID: "entry-3", Zone: "b", State: wire.StateLeaving, HTTPAddr: "192.0.2.3:1"}, HeardAt: clock.Now()},
+			{Node: wire.Node{ID: "entry-4", Zone: "b", State: wire.StateReady, HTTPAddr: "192.0.2.4:1"}, HeardAt: clock.Now().Add(-time.Minute)},
+			{Node: wire.Node{ID: "entry-5", Zone: "c", State: wire.StateReady, HTTPAddr: "192.0.2.5:1"}, HeardAt: clock.Now()},
+		},
+		ZonesOut: map[string]bool{"c": true},
+	}}
+	s := settings.Entry{Node: settings.Node{ID: "entry-1", Zone: "a", HTTPAddr: addr}, MaxBodyBytes: 1 << 10, ReadHeaderTimeoutMS: 200}
+	s.AuthKey = base64.StdEncoding.EncodeToString(make([]byte, 32))
+	e, err := NewWith(s, Deps{Control: c, Binder: fakeBinder{}, Clock: clock}, logr.Discard())
+	is.NoErr(err)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	r := &rig{is: is, control: c, clock: clock, url: "http://" + addr, stop: stop, done: make(chan error, 1)}
+	go func() { r.done <- e.Run(ctx) }()
+	for c.Snapshot().Self.State != wire.StateReady {
+		time.Sleep(time.Millisecond)
+	}
+	return r
+}
+
+func (r *rig) do(method, path, body string, into any) (int, http.Header) {
+	rq, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	r.is.NoErr(err)
+	answer, err := http.DefaultTransport.RoundTrip(rq) // follows no redirects
+	r.is.NoErr(err)
+	defer func() { _ = answer.Body.Close() }()
+	data, err := io.ReadAll(answer.Body)
+	r.is.NoErr(err)
+	r.is.NoErr(json.Unmarshal(data, into))
+	return answer.StatusCode, answer.Header
+}
+
+// Guards against callers being sent to entries that are out, leaving or
+// silent, and against order identities that name no agent incarnation.
+func TestResolve(t *testing.T) {
+	r := newRig(t)
+	var got api.Resolved
+	status, header := r.do("GET", "/v1/resolve?service=desk", "", &got)
+	r.is.Equal(status, 200)
+	r.is.True(header.Get(api.HeaderBundle) != "")
+	r.is.Equal(got.Entries, []api.ResolvedEntry{{Address: strings.TrimPrefix(r.url, "http://"), Zone: "a"}, {Address: "192.0.2.2:1", Zone: "b"}})
+	id, err := order.ParseIdentity(got.OrderIdentity)
+	r.is.NoErr(err)
+	r.is.Equal(id.Binding, order.Binding{AgentID: "agent-1", Incarnation: 9})
+	r.is.Equal(id.AgentEpoch, uint64(2))
+	r.is.Equal(got.OrderEpoch, uint64(4))
+}
+
+// Guards against untyped answers of the operator paths and of unknown or
+// unclean paths, which the router would redirect.
+func TestControlPaths(t *testing.T) {
+	r := newRig(t)
+	for _, c := range []struct {
+		method, path, body string
+		want               api.Kind
+	}{
+		{"POST", "/v1/admin/bundle", "{}", api.KindConflict},
+		{"POST", "/v1/admin/bundle", `{"unknown":1}`, api.KindBadRequest},
+		{"POST", "/v1/admin/bundle", `"` + strings.Repeat("x", maxAdminBytes) + `"`, api.KindTooLarge},
+		{"POST", "/v1/admin/intents", "{} {}", api.KindBadRequest},
+		{"GET", "/v1/admin/intents", "", api.KindBadRequest},
+		{"GET", "/v1/resolve?service=none", "", api.KindUnknownService},
+		{"POST", "/v1/call/desk//orders", "", api.KindUnauthenticated},
+		{"POST", "/v1/../v2", "", api.KindUnknownService},
+		{"GET", "/other", "", api.KindUnknownService},
+	} {
+		var got api.Refusal
+		r.do(c.method, c.path, c.body, &got)
+		r.is.Equal(got.Kind, c.want) // kind of refusal
+		r.is.Equal(got.Outcome, api.OutcomeNotRun)
+	}
+	r.is.Equal(r.control.rolled, 1)
+	var status api.Status
+	r.do("GET", "/v1/status", "", &status)
+	r.is.Equal(status.ZonesOut, []string{"c"})
+	r.is.Equal(len(status.Nodes), 6)
+	var result api.AdminResult
+	r.do("POST", "/v1/admin/intents", `{"revision":5}`, &result)
+	r.is.Equal(result.Revision, uint64(5))
+	var vars map[string]any
+	r.do("GET", "/debug/vars", "", &vars)
+	r.is.True(vars["pipeline_requests"] != nil)
+}
+
+// Guards against an entry that leaves before the addresses it gave out have
+// expired, or that stays in resolve answers meanwhile.
+func TestDrain(t *testing.T) {
+	r := newRig(t)
+	r.stop()
+	r.is.NoErr(r.clock.BlockUntilContext(context.Background(), 1))
+	var got api.Resolved
+	r.do("GET", "/v1/resolve?service=desk", "", &got)
+	r.is.Equal(got.Entries, []api.ResolvedEntry{{Address: "192.0.2.2:1", Zone: "b"}})
+	select {
+	case <-r.done:
+		t.Fatal("the entry left at once")
+	case <-time.After(50 * time.Millisecond):
+	}
+	for left := false; !left; {
+		r.clock.Advance(api.ResolveValidity)
+		select {
+		case err := <-r.done:
+			r.is.NoErr(err)
+			left = true
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	r.is.Equal(fmt.Sprint(r.control.states), "[ready leaving]")
+}
+
+// Guards against connections held by senders that never finish a header.
+func TestSlowHeader(t *testing.T) {
+	r := newRig(t)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	r.is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("GET /v1/status HTTP/1.1\r\nHost:"))
+	r.is.NoErr(err)
+	r.is.NoErr(conn.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = io.ReadAll(conn)
+	r.is.NoErr(err) // closed by the server, not by the deadline
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// status answers with this entry's view.
+func (e *Entry) status(*http.Request) (any, *api.Refusal) {
+	snap := e.deps.Control.Snapshot()
+	now := e.deps.Clock.Now()
+	s := &api.Status{
+		NodeID:       snap.Self.ID,
+		Incarnation:  snap.Self.Incarnation,
+		Zone:         snap.Self.Zone,
+		State:        string(snap.Self.State),
+		BundleDigest: snap.BundleDigest,
+		IntentsRev:   snap.Intents.Revision,
+		ZonesOut:     names(snap.ZonesOut),
+		VMsOut:       names(snap.VMsOut),
+		StoreOK:      snap.StoreOK,
+		ConfirmedAge: -1,
+		Nodes:        nodes(snap, now),
+	}
+	if snap.Bundle != nil {
+		s.BundleVersion = snap.Bundle.Version
+	}
+	if !snap.ConfirmedAt.IsZero() {
+		s.ConfirmedAge = now.Sub(snap.ConfirmedAt).Milliseconds()
+	}
+	return s, nil
+}
+
+// explain answers with the recent decisions on one request.
+func (e *Entry) explain(r *http.Request) (any, *api.Refusal) {
+	return e.pipeline.Decisions().Explain(strings.TrimPrefix(r.URL.Path, api.PathExplain)), nil
+}
+
+func names(set map[string]bool) []string {
+	list := []string{}
+	for name, out := range set {
+		if out {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// nodes lists this entry, the other entries and all agents.
+func nodes(snap *control.Snapshot, now time.Time) []api.NodeStatus {
+	list := []api.NodeStatus{nodeStatus(snap.Self, 0)}
+	for _, other := range snap.Entries {
+		if other.Node.ID != snap.Self.ID {
+			list = append(list, nodeStatus(other.Node, now.Sub(other.HeardAt)))
+		}
+	}
+	agents := slices.SortedFunc(maps.Values(snap.AgentByID), func(x, y *control.Endpoint) int {
+		return cmp.Compare(x.Node.ID, y.Node.ID)
+	})
+	for _, agent := range agents {
+		list = append(list, nodeStatus(agent.Node, now.Sub(agent.HeardAt)))
+	}
+	return list
+}
+
+func nodeStatus(n wire.Node, age time.Duration) api.NodeStatus {
+	return api.NodeStatus{
+		NodeID:        n.ID,
+		Role:          string(n.Role),
+		Zone:          n.Zone,
+		VM:            n.VM,
+		State:         string(n.State),
+		Service:       n.Service,
+		Address:       n.HTTPAddr,
+		BundleVersion: n.BundleVersion,
+		BundleDigest:  n.BundleDigest,
+		IntentsRev:    n.IntentsRev,
+		HeardAgeMS:    age.Milliseconds(),
+	}
+}
--- /dev/null
+++ b/pipeline/decisions.go
@@ -0,0 +1,60 @@
+package pipeline
+
+import (
+	"sync"
+
+	"github.com/wasabinotch/wasabinotch/api"
+)
+
+// maxDecisions bounds the memory of Decisions; at about 200 bytes each they
+// take 2 MB.
+const maxDecisions = 8192
+
+// Decisions keeps the most recent routing decisions for explain. It is safe
+// for concurrent use.
+type Decisions struct {
+	mu   sync.Mutex
+	ring []decision
+	next int
+}
+
+type decision struct {
+	requestID string
+	api.Decision
+}
+
+func (d *Decisions) add(requestID string, text api.Decision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.ring) < maxDecisions {
+		d.ring = append(d.ring, decision{requestID, text})
+		return
+	}
+	d.ring[d.next] = decision{requestID, text}
+	d.next = (d.next + 1) % maxDecisions
+}
+
+// Explain returns the decisions on a request, oldest first.
+func (d *Decisions) Explain(requestID string) []api.Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	found := []api.Decision{}
+	for i := range d.ring {
+		entry := &d.ring[(d.next+i)%len(d.ring)]
+		if entry.requestID == requestID {
+			found = append(found, entry.Decision)
+		}
+	}
+	return found
+}
+
+// decide logs one routing decision and keeps it for explain.
+func (p *Pipeline) decide(c *call, text string) {
+	p.Log.Info(text, "request", c.id, "attempt", c.attempt)
+	p.decisions.add(c.id, api.Decision{
+		At:      p.Clock.Now(),
+		Part:    "pipeline",
+		Text:    text,
+		Attempt: c.attempt,
+	})
+}
--- /dev/null
+++ b/pipeline/decoder.go
@@ -0,0 +1,78 @@
+package pipeline
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/gravitational/trace"
+
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// maxFrameBytes bounds one frame. Agents send data in smaller pieces.
+const maxFrameBytes = 4 << 20
+
+// errTruncated means that the stream ended before the end frame.
+var errTruncated = errors.New("the answer is truncated")
+
+// decoder reads the frames of one attempt. It drops frames of other requests
+// and attempts and frames that were already read; a missing frame is an error.
+type decoder struct {
+	r       *bufio.Reader
+	wireID  string
+	attempt int
+	next    int
+}
+
+func newDecoder(r io.Reader, wireID string, attempt int) *decoder {
+	return &decoder{r: bufio.NewReader(r), wireID: wireID, attempt: attempt}
+}
+
+// Next returns the next frame of the attempt.
+func (d *decoder) Next() (*wire.Frame, error) {
+	for {
+		line, err := d.line()
+		if err != nil {
+			return nil, err
+		}
+		var f wire.Frame
+		if err := json.Unmarshal(line, &f); err != nil {
+			return nil, trace.BadParameter("a frame is not valid JSON: %v", err)
+		}
+		if f.RequestID != d.wireID || f.Attempt != d.attempt || f.Seq < d.next {
+			droppedFrames.Add(1)
+			continue
+		}
+		if f.Seq > d.next {
+			return nil, trace.BadParameter("frame %d is missing", d.next)
+		}
+		d.next++
+		return &f, nil
+	}
+}
+
+// line returns the next line without its end. A line without an end is
+// truncated, even if it happens to be valid JSON.
+func (d *decoder) line() ([]byte, error) {
+	var whole []byte
+	for {
+		part, err := d.r.ReadSlice('\n')
+		if len(whole)+len(part) > maxFrameBytes {
+			return nil, trace.LimitExceeded("a frame exceeds %d bytes", maxFrameBytes)
+		}
+		if err == nil && whole == nil {
+			return part, nil
+		}
+		whole = append(whole, part...)
+		switch {
+		case err == nil:
+			return whole, nil
+		case errors.Is(err, io.EOF):
+			return nil, errTruncated
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/pipeline/identify.go
@@ -0,0 +1,138 @@
+package pipeline
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/control"
+)
+
+const (
+	// bodyTimeout bounds the time to read a request's body, against slow senders.
+	bodyTimeout = 10 * time.Second
+	maxPriority = 100
+)
+
+var (
+	validID = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
+	// singleHeaders may not be repeated: two parts could read different values.
+	singleHeaders = []string{
+		"Authorization",
+		api.HeaderRequestID,
+		api.HeaderOrganisation,
+		api.HeaderPriority,
+		api.HeaderAttempt,
+		api.HeaderIdempotency,
+	}
+)
+
+// identify checks the headers, the API key and the size of the body.
+func (p *Pipeline) identify(next handler) handler {
+	return func(c *call) *failure {
+		c.setRequestID()
+		c.guarded = len(c.r.Header[api.HeaderIdempotency]) > 0
+		c.firstAttempt = isFirstAttempt(c.r.Header)
+		if f := c.checkHeaders(); f != nil {
+			return f
+		}
+		var f *failure
+		if c.organisation, f = authenticate(c.snap, c.r.Header); f != nil {
+			return f
+		}
+		if c.body, f = p.readBody(c); f != nil {
+			return f
+		}
+		return next(c)
+	}
+}
+
+// setRequestID takes the caller's ID if it is valid, and draws one otherwise.
+func (c *call) setRequestID() {
+	c.id = c.r.Header.Get(api.HeaderRequestID)
+	if !validID.MatchString(c.id) {
+		c.id = uuid.NewString()
+	}
+	c.wireID = c.id
+	c.w.Header().Set(api.HeaderRequestID, c.id)
+}
+
+// isFirstAttempt reports whether the caller states unambiguously that this
+// is its first attempt.
+func isFirstAttempt(h http.Header) bool {
+	values := h[api.HeaderAttempt]
+	return len(values) == 1 && values[0] == "1"
+}
+
+func (c *call) checkHeaders() *failure {
+	for _, name := range singleHeaders {
+		if len(c.r.Header[http.CanonicalHeaderKey(name)]) > 1 {
+			return own(api.KindBadRequest, "header "+name+" is repeated", "send it once")
+		}
+	}
+	if id := c.r.Header.Get(api.HeaderRequestID); id != "" && id != c.id {
+		return own(api.KindBadRequest, "request ID is not valid", "use 1 to 128 letters, digits and . _ : -")
+	}
+	if a := c.r.Header.Get(api.HeaderAttempt); a != "" {
+		if n, err := strconv.Atoi(a); err != nil || n < 1 {
+			return own(api.KindBadRequest, fmt.Sprintf("%s %q is not a positive number", api.HeaderAttempt, a), "count attempts from 1")
+		}
+	}
+	if v := c.r.Header.Get(api.HeaderPriority); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < -maxPriority || n > maxPriority {
+			return own(api.KindBadRequest, fmt.Sprintf("%s %q is out of range", api.HeaderPriority, v), fmt.Sprintf("use a number from %d to %d", -maxPriority, maxPriority))
+		}
+		c.priority = n
+	}
+	return nil
+}
+
+// authenticate returns the organisation that owns the API key.
+func authenticate(snap *control.Snapshot, h http.Header) (string, *failure) {
+	if snap.Bundle == nil {
+		return "", own(api.KindNoBundle, "this entry has no bundle yet", "retry at another entry")
+	}
+	key, found := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
+	if !found || key == "" {
+		return "", own(api.KindUnauthenticated, "no API key", "send Authorization: Bearer KEY")
+	}
+	digest := sha256.Sum256([]byte(key))
+	owner, found := snap.KeyOwner[hex.EncodeToString(digest[:])]
+	if !found {
+		return "", own(api.KindUnauthenticated, "API key is not in the bundle", "use a key whose SHA-256 digest the bundle lists")
+	}
+	if stated := h.Get(api.HeaderOrganisation); stated != "" && stated != owner {
+		return "", own(api.KindWrongOrganisation, "API key belongs to another organisation than "+api.HeaderOrganisation, "send the key of the organisation you name")
+	}
+	return owner, nil
+}
+
+func (p *Pipeline) readBody(c *call) ([]byte, *failure) {
+	tooLarge := own(api.KindTooLarge, fmt.Sprintf("body exceeds %d bytes", p.MaxBodyBytes), "send a smaller body")
+	if c.r.ContentLength > p.MaxBodyBytes {
+		return nil, tooLarge
+	}
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // not supported by test recorders
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, p.MaxBodyBytes))
+	var max *http.MaxBytesError
+	if errors.As(err, &max) {
+		return nil, tooLarge
+	}
+	if err != nil {
+		return nil, own(api.KindBadRequest, "body could not be read whole", fmt.Sprintf("send the whole body within %s", bodyTimeout))
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return body, nil
+}
--- /dev/null
+++ b/pipeline/pipeline.go
@@ -0,0 +1,112 @@
+package pipeline
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/balance"
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/order"
+)
+
+// Config is what a Pipeline needs.
+type Config struct {
+	// EntryID is the node ID of this entry.
+	EntryID  string
+	View     control.View
+	Binder   order.Binder
+	Balancer *balance.Balancer
+	Clock    clockwork.Clock
+	Log      logr.Logger
+	// ExecuteToken is the bearer token that agents expect, see wire.ExecuteToken.
+	ExecuteToken string
+	// MaxBodyBytes bounds a request body, in bytes.
+	MaxBodyBytes int64
+}
+
+// Pipeline is the http.Handler of callers' requests.
+type Pipeline struct {
+	Config
+	client    *http.Client
+	budget    *balance.Budget
+	decisions *Decisions
+	running   *running
+	handle    handler
+	draining  atomic.Bool
+	closed    atomic.Bool
+}
+
+// handler processes a call; nil means that the caller got its whole answer.
+type handler func(c *call) *failure
+
+// filter wraps a handler with one step of request processing.
+type filter func(next handler) handler
+
+const (
+	// dialTimeout bounds the connection to an agent. Agents are at most a few
+	// milliseconds away, so a longer wait means a lost node.
+	dialTimeout = time.Second
+	// idleConnsPerAgent is the number of idle connections kept to each agent.
+	idleConnsPerAgent = 32
+)
+
+// New returns a pipeline.
+func New(cfg Config) *Pipeline {
+	p := &Pipeline{
+		Config:    cfg,
+		budget:    balance.NewBudget(),
+		decisions: &Decisions{},
+		running:   newRunning(),
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	p.client = &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnsPerAgent,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}
+	p.handle = compose(
+		p.account,  // counts, logs and reports the failure to the caller
+		p.identify, // who asks: headers, API key, body
+		p.classify, // what is asked: service, idempotent or not, cost
+		p.admit,    // whether this entry may take new work
+		p.choose,   // which endpoint; attempts, resumes, order bindings
+		p.dispatch, // hand-over to the agent
+		p.relay,    // checked frames to the caller
+	)
+	return p
+}
+
+// compose chains filters; the first one runs first.
+func compose(filters ...filter) handler {
+	h := handler(func(*call) *failure { return nil })
+	for i := len(filters) - 1; i >= 0; i-- {
+		h = filters[i](h)
+	}
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, api.PathRequests) {
+		p.serveCancel(w, r)
+		return
+	}
+	p.handle(&call{w: w, r: r, started: p.Clock.Now(), snap: p.View.Snapshot()})
+}
+
+// StartDrain asks callers to open no further connections to this entry.
+func (p *Pipeline) StartDrain() { p.draining.Store(true) }
+
+// Close refuses new requests. Running requests continue.
+func (p *Pipeline) Close() { p.closed.Store(true) }
+
+// Decisions returns the recent routing decisions.
+func (p *Pipeline) Decisions() *Decisions { return p.decisions }
--- /dev/null
+++ b/pipeline/pipeline_test.go
@@ -0,0 +1,240 @@
+package pipeline
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// Guards against a broken basic path of a plain call, and against the API
+// key or a header that makes Go's client repeat a POST reaching the endpoint.
+func TestPlainCall(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, "desk", callOK)
+	got := g.do("GET", "/v1/call/desk/stock/rope?n=2", "", "X-Idempotency-Key: k", "Wasabinotch-Request-Id: r1")
+	is.NoErr(got.err)
+	is.Equal(got.status, 201)
+	is.Equal(got.body, "ran /stock/rope?n=2")
+	is.Equal(got.header.Get("X-Part"), "p1")
+	is.Equal(got.header.Get(api.HeaderBundle), "3 d3")
+	is.Equal(got.header.Get(api.HeaderRequestID), "r1")
+	sent := g.agents[0].requests()[0].Call.Header
+	is.Equal(len(sent["Authorization"])+len(sent["X-Idempotency-Key"]), 0)
+	is.Equal(g.agents[0].lastHTTP.Get("Authorization"), "Bearer token")
+	is.True(len(g.Decisions().Explain("r1")) >= 2)
+}
+
+// Guards against lost, repeated or foreign tokens when frames of other
+// requests and attempts, or repeated frames, are mixed into a stream.
+func TestStreamDropsForeignFrames(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, "helper", func(rq *wire.ExecuteRequest, f *frames) {
+		f.accept()
+		f.raw(wire.Frame{RequestID: "other", Attempt: rq.Attempt, Seq: 1, Kind: wire.FrameToken, Text: "X"})
+		f.raw(wire.Frame{RequestID: rq.RequestID, Attempt: rq.Attempt + 1, Seq: 1, Kind: wire.FrameToken, Text: "X"})
+		f.tokens(2)
+		f.raw(wire.Frame{RequestID: rq.RequestID, Attempt: rq.Attempt, Seq: 1, Kind: wire.FrameToken, Text: "X"})
+		f.send(wire.Frame{Kind: wire.FrameEnd, Reason: "stop"})
+	})
+	got := g.generate(5, "Wasabinotch-Request-Id: r1")
+	is.Equal(got.body, `data: {"request_id":"r1","position":0,"text":"t0 "}
+
+data: {"request_id":"r1","position":1,"text":"t1 "}
+
+event: end
+data: {"request_id":"r1","tokens":2,"reason":"stop"}
+
+`)
+}
+
+// Guards against an incomplete stream being taken for whole, and against
+// repeated or missing tokens after a resume, for each way a stream can break.
+func TestStreamResumes(t *testing.T) {
+	breaks := map[string]func(*wire.ExecuteRequest, *frames){
+		"connection lost": func(_ *wire.ExecuteRequest, f *frames) { f.die() },
+		"truncated frame": func(_ *wire.ExecuteRequest, f *frames) {
+			_, _ = f.w.Write([]byte(`{"request_id":"r1","attempt":1,"se`))
+		},
+		"no end frame": func(*wire.ExecuteRequest, *frames) {},
+		"missing frame": func(_ *wire.ExecuteRequest, f *frames) {
+			f.seq++
+			f.send(wire.Frame{Kind: wire.FrameEnd, Reason: "stop"})
+		},
+		"missing token": func(_ *wire.ExecuteRequest, f *frames) {
+			f.send(wire.Frame{Kind: wire.FrameToken, Position: 4, Text: "X"})
+		},
+		"cancel of another attempt": func(_ *wire.ExecuteRequest, f *frames) {
+			f.send(wire.Frame{Kind: wire.FrameEnd, Reason: "cancelled"})
+		},
+	}
+	for name, broken := range breaks {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			first := true
+			script := func(rq *wire.ExecuteRequest, f *frames) {
+				if !first {
+					generateAll(rq, f)
+					return
+				}
+				first = false
+				f.accept()
+				f.tokens(3)
+				broken(rq, f)
+			}
+			g := newRig(t, "helper", script, script)
+			got := g.generate(5, "Wasabinotch-Request-Id: r1")
+			is.Equal(strings.Count(got.body, `"position"`), 5)
+			is.Equal(strings.Count(got.body, "event: end"), 1)
+			for _, a := range g.agents {
+				for _, rq := range a.requests() {
+					if rq.Attempt == 2 {
+						is.Equal(rq.Generate.ResumeFrom, 3)
+						is.Equal(rq.Generate.Prefix, "t0 t1 t2 ")
+					}
+				}
+			}
+			is.Equal(g.executed(), 2)
+		})
+	}
+}
+
+// Guards against a stream that looks whole although no endpoint finished it.
+func TestStreamFailsInBand(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, "helper", func(_ *wire.ExecuteRequest, f *frames) {
+		f.accept()
+		f.tokens(1)
+		f.die()
+	})
+	got := g.generate(5)
+	is.True(strings.Contains(got.body, "event: error"))
+	is.True(strings.Contains(got.body, `"outcome":"unknown"`))
+	is.True(!strings.Contains(got.body, "event: end"))
+}
+
+// Guards against repeated, malformed or oversized input reaching an agent.
+func TestRefusesBadInput(t *testing.T) {
+	g := newRig(t, "desk", callOK)
+	for name, c := range map[string]struct {
+		method, path, body string
+		headers            []string
+		want               api.Kind
+	}{
+		"repeated key":     {"POST", "/v1/call/desk/orders", "", []string{"Idempotency-Key: e1.a", "Idempotency-Key: e1.b", "Wasabinotch-Attempt: 1"}, api.KindBadRequest},
+		"repeated attempt": {"POST", "/v1/call/desk/x", "", []string{"Wasabinotch-Attempt: 1", "Wasabinotch-Attempt: 1"}, api.KindBadRequest},
+		"oversized body":   {"POST", "/v1/call/desk/x", strings.Repeat("x", 1<<16+1), nil, api.KindTooLarge},
+		"wrong name":       {"GET", "/v1/call/desk/x", "", []string{"Wasabinotch-Organisation: tidewrack"}, api.KindWrongOrganisation},
+		"no service":       {"GET", "/v1/call/none/x", "", nil, api.KindUnknownService},
+		"wrong kind":       {"POST", "/v1/generate/desk", "{}", nil, api.KindBadRequest},
+		"no identity":      {"POST", "/v1/call/desk/orders/1", "", nil, api.KindIdentityRequired},
+		"hidden order":     {"POST", "/v1/call/desk/x/..%2Forders", "", nil, api.KindBadRequest},
+		"bad request ID":   {"GET", "/v1/call/desk/x", "", []string{"Wasabinotch-Request-Id: a b"}, api.KindBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := g.do(c.method, c.path, c.body, c.headers...)
+			is.Equal(got.refusal.Kind, c.want)
+			is.Equal(got.refusal.Outcome, api.OutcomeNotRun)
+			is.True(got.refusal.RequestID != "")
+			is.Equal(g.executed(), 0)
+		})
+	}
+}
+
+// Guards against new work on an old view, and from an entry that is taken
+// out or has closed.
+func TestAdmit(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, "desk", callOK)
+	g.change(func(s *control.Snapshot) { s.ConfirmedAt = time.Now().Add(-4 * time.Second) })
+	is.Equal(g.do("GET", "/v1/call/desk/x", "").refusal.Kind, api.KindUnconfirmedView)
+	g.change(func(s *control.Snapshot) {
+		s.ConfirmedAt = time.Now().Add(time.Hour)
+		s.ZonesOut = map[string]bool{"a": true}
+		s.Entries = []control.Entry{{Node: wire.Node{ID: "entry-2", Zone: "b", State: wire.StateReady, HTTPAddr: "192.0.2.2:1"}, HeardAt: time.Now()}}
+	})
+	got := g.do("GET", "/v1/call/desk/x", "")
+	is.Equal(got.status, http.StatusMisdirectedRequest)
+	is.Equal(got.refusal.Entries, []api.ResolvedEntry{{Address: "192.0.2.2:1", Zone: "b"}})
+	g.change(func(s *control.Snapshot) { s.ZonesOut = nil })
+	g.Close()
+	is.Equal(g.do("GET", "/v1/call/desk/x", "").refusal.Kind, api.KindLeaving)
+	is.Equal(g.executed(), 0)
+}
+
+// Guards against "not run" for a call that an earlier attempt may have run:
+// one agent breaks off, the other refuses.
+func TestNotRunCoversAllAttempts(t *testing.T) {
+	is := is.New(t)
+	attempts := 0
+	script := func(_ *wire.ExecuteRequest, f *frames) {
+		attempts++
+		if attempts == 1 {
+			f.accept()
+			f.die()
+		}
+		f.refuse(api.NotRun(api.KindOverloaded, "full", "retry"))
+	}
+	g := newRig(t, "desk", script, script)
+	got := g.do("GET", "/v1/call/desk/x", "")
+	is.Equal(got.refusal.Kind, api.KindOverloaded)
+	is.Equal(got.refusal.Outcome, api.OutcomeUnknown)
+	is.Equal(attempts, 2)
+}
+
+// Guards against retries that multiply load: once the budget is spent, a
+// refusal goes to the caller.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	full := refuseWith(api.NotRun(api.KindOverloaded, "full", "retry"))
+	g := newRig(t, "desk", full, full, full)
+	for g.budget.Retry() {
+		continue
+	}
+	for range 10 {
+		is.Equal(g.do("GET", "/v1/call/desk/x", "").refusal.Outcome, api.OutcomeNotRun)
+	}
+	is.True(g.executed() <= 12)
+}
+
+// Guards against an endpoint that works on for a caller that cancelled or
+// went away.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{}, 2)
+	g := newRig(t, "helper", func(_ *wire.ExecuteRequest, f *frames) {
+		f.accept()
+		f.tokens(1)
+		started <- struct{}{}
+		<-f.r.Context().Done()
+	})
+	done := make(chan reply)
+	go func() { done <- g.generate(5, "Wasabinotch-Request-Id: r1") }()
+	<-started
+	is.Equal(g.do("DELETE", "/v1/requests/r1", "").status, http.StatusOK)
+	is.True(strings.Contains((<-done).body, `"reason":"cancelled"`))
+	is.True(g.agents[0].cancelled() >= 1)
+	is.Equal(g.do("DELETE", "/v1/requests/r1", "").status, http.StatusConflict)
+
+	before := g.agents[0].cancelled()
+	ctx, stop := context.WithCancel(context.Background())
+	rq, err := http.NewRequestWithContext(ctx, "POST", g.server.URL+"/v1/generate/helper", strings.NewReader(`{"prompt":"x","max_tokens":9}`))
+	is.NoErr(err)
+	rq.Header.Set("Authorization", "Bearer "+testKey)
+	answer, err := http.DefaultClient.Do(rq)
+	is.NoErr(err)
+	<-started
+	stop()
+	_ = answer.Body.Close()
+	for g.agents[0].cancelled() == before {
+		time.Sleep(time.Millisecond)
+	}
+}
