--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +37,8 @@
 	zone string
 
 	pools sync.Map // service name to *pool
+	// seen holds the last prefix hash of each bucket.
+	seen [prefixBuckets]atomic.Uint64
 
 	mu     sync.Mutex
 	states map[string]*state
@@ -72,6 +75,13 @@
 	p.st.answered(now, limit, inFlight)
 }
 
+// Failed records that the endpoint gave no answer or refuses all work. It is
+// not chosen again before its next report, so that the requests of the time
+// until the view changes do not spend the retry budget.
+func (p *Pick) Failed(now time.Time) {
+	p.st.failedAt.Store(&now)
+}
+
 // Done ends the request's count on the endpoint.
 func (p *Pick) Done() {
 	p.done.Do(func() { p.st.own.Add(-1) })
@@ -108,7 +118,7 @@
 func (b *Balancer) Choose(snap *control.Snapshot, rq Request) *Pick {
 	p := b.pool(snap, rq.Service, rq.Now)
 	c := &chooser{snap: snap, rq: &rq, entries: min(len(snap.Entries)+1, maxCrowd)}
-	if pick := c.byPrefix(p); pick != nil {
+	if pick := c.byPrefix(p, b.prefixHash(&rq)); pick != nil {
 		return pick
 	}
 	if pick := c.better(p.own, estimate.hasZoneRoom, "own zone"); pick != nil {
@@ -147,7 +157,7 @@
 // check returns the candidate for a state if it is usable and accepted.
 func (c *chooser) check(st *state, accept func(estimate) bool) (candidate, bool) {
 	ep := c.snap.AgentByID[st.id]
-	if !c.usable(ep) {
+	if !c.usable(ep) || st.failedSince(ep.HeardAt) {
 		return candidate{}, false
 	}
 	est := st.estimate(ep, c.rq.Now, c.entries)
@@ -157,16 +167,26 @@
 	return candidate{ep, st, est}, true
 }
 
+// prefixHash returns the hash of a prefix that recurs, or 0. A prefix that
+// was not seen before has no cache to return to.
+func (b *Balancer) prefixHash(rq *Request) uint64 {
+	if rq.Prefix == "" {
+		return 0
+	}
+	hash := combine(xxhash.Sum64String(rq.Service), xxhash.Sum64String(rq.Prefix))
+	if b.seen[hash%prefixBuckets].Swap(hash) != hash {
+		return 0
+	}
+	return hash
+}
+
 // byPrefix returns the preferred endpoint of the prefix unless its load
 // exceeds the bound.
-func (c *chooser) byPrefix(p *pool) *Pick {
-	if c.rq.Prefix == "" || p.limit <= 0 {
-		return nil
-	}
-	st := p.preferred(c.rq.Prefix)
-	if st == nil {
+func (c *chooser) byPrefix(p *pool, hash uint64) *Pick {
+	if hash == 0 || p.limit <= 0 || len(p.all) == 0 {
 		return nil
 	}
+	st := p.preferred(hash % prefixBuckets)
 	within := func(e estimate) bool {
 		mean := float64(p.load+1) * float64(e.limit) / float64(p.limit)
 		return e.hasRoom() && e.load+1 <= int(math.Ceil(boundedLoad*mean))
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,186 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+var now = time.Unix(1000, 0)
+
+// fleet returns a view of n endpoints, spread over the zones in turn, each
+// with a limit of 8 and 4 requests in flight.
+func fleet(n int, zones ...string) *control.Snapshot {
+	s := &control.Snapshot{Endpoints: map[string][]*control.Endpoint{}, AgentByID: map[string]*control.Endpoint{}}
+	for i := range n {
+		ep := &control.Endpoint{
+			Node:    wire.Node{ID: fmt.Sprint("agent-", i), Service: "s", State: wire.StateReady, Zone: zones[i%len(zones)]},
+			Load:    wire.Load{Seq: 1, Limit: 8, InFlight: 4},
+			HeardAt: now,
+		}
+		s.Endpoints["s"] = append(s.Endpoints["s"], ep)
+		s.AgentByID[ep.Node.ID] = ep
+	}
+	return s
+}
+
+// Guards against new work for endpoints that are out, leaving, silent or
+// excluded, and against more than the limit, over random views and sequences.
+func TestNeverChoosesUnusable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		snap := fleet(rapid.IntRange(1, 60).Draw(t, "endpoints"), "a", "b", "c")
+		snap.ZonesOut = map[string]bool{"c": rapid.Bool().Draw(t, "c out")}
+		room := 0
+		for _, ep := range snap.Endpoints["s"] {
+			ep.Load.InFlight = rapid.IntRange(0, 9).Draw(t, "load")
+			ep.HeardAt = now.Add(-rapid.SampledFrom([]time.Duration{0, time.Second, 3 * time.Second}).Draw(t, "age"))
+			ep.Node.State = rapid.SampledFrom([]wire.State{wire.StateReady, wire.StateLeaving}).Draw(t, "state")
+			if usable(snap, ep) {
+				room += max(0, ep.Load.Limit-ep.Load.InFlight)
+			}
+		}
+		b := New("entry-1", "a")
+		placed := map[string]int{}
+		for range rapid.IntRange(1, 80).Draw(t, "requests") {
+			pick := b.Choose(snap, Request{Service: "s", Exclude: []string{"agent-0"}, Now: now})
+			if pick == nil {
+				if total(placed) < room && len(snap.AgentByID) <= subsetSize {
+					t.Fatalf("refused with room for %d, %d placed", room, total(placed))
+				}
+				return
+			}
+			ep := pick.Endpoint
+			placed[ep.Node.ID]++
+			if !usable(snap, ep) || ep.Load.InFlight+placed[ep.Node.ID] > ep.Load.Limit {
+				t.Fatalf("chose %+v", *ep)
+			}
+		}
+	})
+}
+
+func usable(s *control.Snapshot, ep *control.Endpoint) bool {
+	return !s.Out(ep.Node) && ep.Node.State == wire.StateReady && now.Sub(ep.HeardAt) <= 2*time.Second && ep.Node.ID != "agent-0"
+}
+
+func total(counts map[string]int) int {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
+// Guards against all entries sending their next requests to the one endpoint
+// that a late report shows as idle.
+func TestNoHerd(t *testing.T) {
+	is := is.New(t)
+	snap := fleet(16, "a")
+	snap.Endpoints["s"][3].Load.InFlight = 0
+	snap.Entries = make([]control.Entry, 16)
+	herd := 0
+	for i := range 17 {
+		b := New(fmt.Sprint("entry-", i), "a")
+		for range 4 {
+			if b.Choose(snap, Request{Service: "s", Now: now}).Endpoint.Node.ID == "agent-3" {
+				herd++
+			}
+		}
+	}
+	is.True(herd < 25) // of 68; all 68 would be a herd, about 8 are expected
+}
+
+// Guards against a returning zone getting its full load at once.
+func TestRampUp(t *testing.T) {
+	is := is.New(t)
+	snap := fleet(6, "a", "b")
+	for i, ep := range snap.Endpoints["s"] {
+		ep.Load.InFlight = 0
+		if i%2 == 0 {
+			ep.InSince = now.Add(-rampUp / 4)
+		}
+	}
+	b := New("entry-1", "a")
+	placed := map[string]int{}
+	for pick := b.Choose(snap, Request{Service: "s", Now: now}); pick != nil; pick = b.Choose(snap, Request{Service: "s", Now: now}) {
+		placed[pick.Endpoint.Node.Zone]++
+	}
+	is.Equal(placed, map[string]int{"a": 3 * 2, "b": 3 * 8})
+}
+
+// Guards against a full own zone, and against the other zones being used
+// although the own zone has room.
+func TestOwnZoneWhileItHasRoom(t *testing.T) {
+	is := is.New(t)
+	snap := fleet(6, "a", "b")
+	b := New("entry-1", "a")
+	placed := map[string]int{}
+	for i := range 24 {
+		placed[b.Choose(snap, Request{Service: "s", Now: now}).Endpoint.Node.Zone]++
+		is.True(i >= 6 || placed["b"] == 0) // from 4 to 6 of 8 on each of three
+	}
+	is.Equal(placed, map[string]int{"a": 12, "b": 12})
+}
+
+// Guards against a popular prefix overloading its endpoint, against a
+// preferred endpoint that differs between entries, and against affinity for
+// prefixes that do not recur.
+func TestPrefixAffinity(t *testing.T) {
+	is := is.New(t)
+	snap := fleet(100, "a", "b", "c")
+	placed := map[string]int{}
+	for i := range 5 {
+		b := New(fmt.Sprint("entry-", i), "a")
+		for range 4 {
+			pick := b.Choose(snap, Request{Service: "s", Prefix: "preamble", Now: now})
+			if len(pick.Reason) > 13 && pick.Reason[:13] == "prompt prefix" {
+				placed[pick.Endpoint.Node.ID]++
+			}
+		}
+	}
+	is.Equal(len(placed), 1)     // one endpoint for all entries
+	is.Equal(total(placed), 5*2) // per entry up to 6 in flight, 1.25 times the mean of 4 rounded up
+}
+
+// Guards against requests that follow a failure going to the same endpoint
+// until the view shows it, and against its exclusion for good.
+func TestFailedUntilNextReport(t *testing.T) {
+	is := is.New(t)
+	snap := fleet(1, "a")
+	b := New("entry-1", "a")
+	pick := b.Choose(snap, Request{Service: "s", Now: now})
+	pick.Failed(now.Add(time.Millisecond))
+	pick.Done()
+	is.Equal(b.Choose(snap, Request{Service: "s", Now: now}), nil)
+	snap.AgentByID["agent-0"].HeardAt = now.Add(time.Second)
+	is.True(b.Choose(snap, Request{Service: "s", Now: now.Add(time.Second)}) != nil)
+}
+
+// The target is at most 5 µs among 1,200 endpoints, independent of fleet size.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{16, 120, 1200, 12000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			snap := fleet(n, "a", "b", "c", "d")
+			balancer := New("entry-1", "a")
+			b.ReportAllocs()
+			for b.Loop() {
+				balancer.Choose(snap, Request{Service: "s", Prefix: "preamble", Now: now}).Done()
+			}
+		})
+	}
+}
+
+// The cost of a new subset, paid at most once per poolAge and service while
+// the number of endpoints stays the same.
+func BenchmarkBuild(b *testing.B) {
+	snap := fleet(1200, "a", "b", "c", "d")
+	balancer := New("entry-1", "a")
+	for b.Loop() {
+		balancer.build(snap, "s", now, nil)
+	}
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -20,7 +20,7 @@
 	ownZoneSize = 20
 	// poolAge is how long a subset serves newer snapshots. State, load and
 	// intents are always read from the newest snapshot.
-	poolAge = 100 * time.Millisecond
+	poolAge = 250 * time.Millisecond
 	// prefixBuckets is the number of classes into which prompt prefixes are
 	// hashed; the owner of a class is computed once per membership.
 	prefixBuckets = 1024
@@ -132,13 +132,9 @@
 	return top
 }
 
-// preferred returns the rendezvous owner of the prefix among all endpoints,
-// which is the same on every entry.
-func (p *pool) preferred(prefix string) *state {
-	if len(p.all) == 0 {
-		return nil
-	}
-	bucket := xxhash.Sum64String(prefix) % prefixBuckets
+// preferred returns the rendezvous owner of the prefix bucket among all
+// endpoints, which is the same on every entry.
+func (p *pool) preferred(bucket uint64) *state {
 	if st := p.owners[bucket].Load(); st != nil {
 		return st
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -19,6 +19,8 @@
 	// own is the number of this entry's requests in flight.
 	own  atomic.Int64
 	base atomic.Pointer[base]
+	// failedAt is when an attempt last failed; nil for never.
+	failedAt atomic.Pointer[time.Time]
 }
 
 // base is the latest load figure of the agent, from a report or an answer.
@@ -37,7 +39,8 @@
 func (s *state) current(ep *control.Endpoint) *base {
 	old := s.base.Load()
 	if old != nil && old.incarnation == ep.Node.Incarnation {
-		if old.seq >= ep.Load.Seq || !ep.HeardAt.After(old.at) {
+		known := ep.Load.Seq != 0 && ep.Load.Seq <= old.seq
+		if known || !ep.HeardAt.After(old.at) {
 			return old
 		}
 	}
@@ -55,6 +58,12 @@
 	return s.base.Load()
 }
 
+// failedSince reports whether an attempt failed after the endpoint's last report.
+func (s *state) failedSince(heardAt time.Time) bool {
+	failedAt := s.failedAt.Load()
+	return failedAt != nil && !heardAt.After(*failedAt)
+}
+
 // answered records the figures in the first frame of an agent's answer.
 func (s *state) answered(now time.Time, limit, inFlight int) {
 	old := s.base.Load()
@@ -76,6 +85,8 @@
 	// crowd is the load if the other entries, which read the same late
 	// report, did as this one. It spreads entries over idle endpoints.
 	crowd int
+	// ramping is true while the endpoint's zone or VM comes back.
+	ramping bool
 }
 
 func (s *state) estimate(ep *control.Endpoint, now time.Time, entries int) estimate {
@@ -87,7 +98,8 @@
 	if since > 0 {
 		crowd += since * (entries - 1)
 	}
-	return estimate{load: load, limit: rampedLimit(b.limit, ep.InSince, now), crowd: crowd}
+	limit := rampedLimit(b.limit, ep.InSince, now)
+	return estimate{load: load, limit: limit, crowd: crowd, ramping: limit < b.limit}
 }
 
 // rampedLimit is the limit of an endpoint whose zone came back at inSince.
@@ -121,7 +133,9 @@
 // zones are used.
 const zoneRoom = 0.75
 
-// hasZoneRoom reports whether the own zone may be preferred for this endpoint.
+// hasZoneRoom reports whether the endpoint may be preferred for being in the
+// own zone. The entries of a returning zone would otherwise fill its cold
+// endpoints.
 func (e estimate) hasZoneRoom() bool {
-	return e.hasRoom() && (e.load == 0 || float64(e.load+1) <= zoneRoom*float64(e.limit))
+	return e.hasRoom() && !e.ramping && (e.load == 0 || float64(e.load+1) <= zoneRoom*float64(e.limit))
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -51,7 +51,10 @@
 	s.HandlePrefix(api.PathExplain, e.control(e.explain))
 	s.Handle(api.PathAdminBundle, e.control(e.adminBundle))
 	s.Handle(api.PathAdminIntents, e.control(e.adminIntents))
-	s.Handle("/debug/vars", expvar.Handler())
+	s.HandleFunc("/debug/vars", func(w nethttp.ResponseWriter, r *nethttp.Request) {
+		e.stamp(w)
+		expvar.Handler().ServeHTTP(w, r)
+	})
 	return s
 }
 
@@ -86,11 +89,7 @@
 // control adds the common headers and writes the answer as JSON.
 func (e *Entry) control(h controlHandler) nethttp.Handler {
 	return nethttp.HandlerFunc(func(w nethttp.ResponseWriter, r *nethttp.Request) {
-		id := uuid.NewString()
-		w.Header().Set(api.HeaderRequestID, id)
-		if snap := e.deps.Control.Snapshot(); snap.Bundle != nil {
-			w.Header().Set(api.HeaderBundle, fmt.Sprintf("%d %s", snap.Bundle.Version, snap.BundleDigest))
-		}
+		id := e.stamp(w)
 		r.Body = nethttp.MaxBytesReader(w, r.Body, maxAdminBytes)
 		v, refusal := h(r)
 		if refusal != nil {
@@ -104,6 +103,16 @@
 	})
 }
 
+// stamp sets the headers that every answer carries and returns the request ID.
+func (e *Entry) stamp(w nethttp.ResponseWriter) string {
+	id := uuid.NewString()
+	w.Header().Set(api.HeaderRequestID, id)
+	if snap := e.deps.Control.Snapshot(); snap.Bundle != nil {
+		w.Header().Set(api.HeaderBundle, fmt.Sprintf("%d %s", snap.Bundle.Version, snap.BundleDigest))
+	}
+	return id
+}
+
 // kratosLog writes kratos' own messages to the entry's log.
 type kratosLog struct{ log logr.Logger }
 
--- a/pipeline/account.go
+++ b/pipeline/account.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"fmt"
+	"time"
 
 	"github.com/wasabinotch/wasabinotch/api"
 )
@@ -18,18 +19,22 @@
 	droppedFrames = expvar.NewInt("pipeline_dropped_frames")
 )
 
+// retryAfter is the wait asked of callers after this entry's own refusals:
+// about two load reports for a free place, a liveness time for a view.
+var retryAfter = map[api.Kind]time.Duration{
+	api.KindOverloaded:       500 * time.Millisecond,
+	api.KindNoEndpoint:       2 * time.Second,
+	api.KindUnconfirmedView:  2 * time.Second,
+	api.KindNoBundle:         2 * time.Second,
+	api.KindStoreUnavailable: 2 * time.Second,
+}
+
 // account counts the call and reports its failure to the caller.
 func (p *Pipeline) account(next handler) handler {
 	return func(c *call) *failure {
 		requests.Add(1)
 		inFlight.Add(1)
 		defer inFlight.Add(-1)
-		if c.snap.Bundle != nil {
-			c.w.Header().Set(api.HeaderBundle, fmt.Sprintf("%d %s", c.snap.Bundle.Version, c.snap.BundleDigest))
-		}
-		if p.draining.Load() {
-			c.w.Header().Set("Connection", "close")
-		}
 		f := next(c)
 		took := p.Clock.Since(c.started)
 		if f == nil {
@@ -40,6 +45,9 @@
 		r := *f.refusal // the agent's refusal is not ours to change
 		r.Outcome = c.outcome(f)
 		r.RequestID = c.id
+		if r.RetryAfterMS == 0 && f.fate == fateOwn {
+			r.RetryAfterMS = retryAfter[r.Kind].Milliseconds()
+		}
 		refusals.Add(string(r.Kind), 1)
 		outcomes.Add(string(r.Outcome), 1)
 		p.decide(c, fmt.Sprintf("refused after %s: %s, %s: %s", took, r.Kind, r.Outcome, r.Message))
--- a/pipeline/call.go
+++ b/pipeline/call.go
@@ -52,7 +52,7 @@
 	attemptCtx context.Context // also ends when the agent is silent
 	frames     *decoder
 	agentAddr  atomic.Pointer[string]
-	lastFrame  atomic.Int64 // Unix nanoseconds
+	lastFrame  atomic.Int64 // time since started
 
 	// stream is the answer to a model request, reply the one to a plain call.
 	stream    *stream
@@ -118,6 +118,9 @@
 
 // stated returns the failure that an agent's refusal reports.
 func stated(r *api.Refusal) *failure {
+	if r.Outcome != api.OutcomeNotRun && r.Outcome != api.OutcomeRan {
+		r.Outcome = api.OutcomeUnknown // also if the agent named none
+	}
 	if r.Outcome == api.OutcomeNotRun {
 		return &failure{refusal: r, fate: fateClosed}
 	}
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -84,10 +84,26 @@
 	if f.fate == fateUncertain || f.fate == fateStated {
 		c.maybeRan = true
 	}
+	if endpointUnfit(c, f) {
+		pick.Failed(p.Clock.Now())
+	}
 	p.decide(c, fmt.Sprintf("no answer from %s: %s: %s", pick.Endpoint.Node.ID, f.refusal.Kind, f.refusal.Message))
 	return f
 }
 
+// endpointUnfit reports whether the failure says that the endpoint can take
+// no request at all at present.
+func endpointUnfit(c *call, f *failure) bool {
+	if c.ctx.Err() != nil {
+		return false
+	}
+	switch f.refusal.Kind {
+	case api.KindEndpointFailed, api.KindZoneOut, api.KindLeaving, api.KindNoBundle, api.KindNoEndpoint:
+		return true
+	}
+	return false
+}
+
 // noEndpoint is the failure when no endpoint can be chosen.
 func (p *Pipeline) noEndpoint(c *call, last *failure) *failure {
 	if last != nil {
--- a/pipeline/classify.go
+++ b/pipeline/classify.go
@@ -17,8 +17,9 @@
 	// maxTokens bounds max_tokens, and with it the text kept for a resume.
 	maxTokens = 131072
 	// prefixBytes is the length of the prompt prefix used for affinity. It
-	// is shorter than shared preambles and longer than common first words.
-	prefixBytes = 256
+	// must not reach beyond a shared preamble; preambles that are grouped
+	// because they begin alike are spread by the bounded load.
+	prefixBytes = 64
 )
 
 // droppedHeaders are not passed to the endpoint. Besides hop-by-hop headers
@@ -155,9 +156,17 @@
 	return path
 }
 
+// endpointHeader returns the headers that pass between caller and endpoint,
+// in either direction.
 func endpointHeader(h http.Header) http.Header {
-	out := h.Clone()
-	for _, listed := range h["Connection"] {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		name = http.CanonicalHeaderKey(name)
+		if !strings.HasPrefix(name, "Wasabinotch-") {
+			out[name] = values
+		}
+	}
+	for _, listed := range out["Connection"] {
 		for _, name := range strings.Split(listed, ",") {
 			out.Del(strings.TrimSpace(name))
 		}
@@ -165,10 +174,5 @@
 	for _, name := range droppedHeaders {
 		out.Del(name)
 	}
-	for name := range out {
-		if strings.HasPrefix(name, "Wasabinotch-") {
-			delete(out, name)
-		}
-	}
 	return out
 }
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -170,7 +170,7 @@
 // watch gives an attempt up once its agent is silent. The returned function
 // ends the watch.
 func (p *Pipeline) watch(c *call, stop context.CancelCauseFunc) func() {
-	c.lastFrame.Store(p.Clock.Now().UnixNano())
+	p.heard(c)
 	done := make(chan struct{})
 	ticker := p.Clock.NewTicker(watchInterval)
 	ep := c.pick.Endpoint
@@ -191,11 +191,16 @@
 	return func() { close(done) }
 }
 
+// heard records that a frame came from the agent.
+func (p *Pipeline) heard(c *call) {
+	c.lastFrame.Store(int64(p.Clock.Since(c.started)))
+}
+
 // silent reports whether neither frames nor reports came from the agent for
 // too long. An entry whose own view is not confirmed cannot tell.
 func (p *Pipeline) silent(c *call, ep *control.Endpoint) bool {
 	now := p.Clock.Now()
-	if now.Sub(time.Unix(0, c.lastFrame.Load())) <= silentLimit {
+	if now.Sub(c.started)-time.Duration(c.lastFrame.Load()) <= silentLimit {
 		return false
 	}
 	snap := p.View.Snapshot()
--- a/pipeline/fake_test.go
+++ b/pipeline/fake_test.go
@@ -84,7 +84,9 @@
 }
 
 func (f *frames) raw(frame wire.Frame) {
-	_ = json.NewEncoder(f.w).Encode(frame)
+	if json.NewEncoder(f.w).Encode(frame) != nil {
+		f.die()
+	}
 	f.w.(http.Flusher).Flush()
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -95,11 +96,18 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	snap := p.View.Snapshot()
+	if snap.Bundle != nil {
+		w.Header().Set(api.HeaderBundle, fmt.Sprintf("%d %s", snap.Bundle.Version, snap.BundleDigest))
+	}
+	if p.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if strings.HasPrefix(r.URL.Path, api.PathRequests) {
-		p.serveCancel(w, r)
+		p.serveCancel(w, r, snap)
 		return
 	}
-	p.handle(&call{w: w, r: r, started: p.Clock.Now(), snap: p.View.Snapshot()})
+	p.handle(&call{w: w, r: r, started: p.Clock.Now(), snap: snap})
 }
 
 // StartDrain asks callers to open no further connections to this entry.
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -1,12 +1,18 @@
 package pipeline
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/matryer/is"
 
 	"github.com/wasabinotch/wasabinotch/api"
@@ -238,3 +244,57 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a caller that does not read: its stream must wait in bounded
+// memory, and other callers must be served meanwhile.
+func TestSlowReader(t *testing.T) {
+	is := is.New(t)
+	var sent atomic.Int64
+	text := strings.Repeat("x", 4096)
+	g := newRig(t, "helper", func(rq *wire.ExecuteRequest, f *frames) {
+		if rq.Generate.MaxTokens < 10 {
+			generateAll(rq, f)
+			return
+		}
+		f.accept()
+		for i := range rq.Generate.MaxTokens {
+			f.send(wire.Frame{Kind: wire.FrameToken, Position: i, Text: text})
+			sent.Add(1)
+		}
+	})
+	body := `{"prompt":"x","max_tokens":100000}`
+	conn := g.dial(t, "POST /v1/generate/helper HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+
+		"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	defer func() { _ = conn.Close() }()
+	for before := int64(-1); before != sent.Load(); time.Sleep(300 * time.Millisecond) {
+		before = sent.Load()
+	}
+	is.True(sent.Load() < 50000) // the agent is held back; 100,000 tokens are 400 MB
+	is.True(strings.Contains(g.generate(3).body, "event: end"))
+}
+
+// The whole filter chain with a fake agent on the same machine, and the same
+// agent called directly.
+func BenchmarkChain(b *testing.B) {
+	g := newRig(b, "desk", callOK)
+	run := func(b *testing.B, url string, body []byte, key string) {
+		times := hdrhistogram.New(1, 1e10, 3)
+		for b.Loop() {
+			start := time.Now()
+			rq, _ := http.NewRequest("POST", url, bytes.NewReader(body))
+			rq.Header.Set("Authorization", "Bearer "+key)
+			answer, err := http.DefaultClient.Do(rq)
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+			_ = times.RecordValue(int64(time.Since(start)))
+		}
+		b.ReportMetric(float64(times.ValueAtQuantile(50))/1e3, "p50-µs")
+		b.ReportMetric(float64(times.ValueAtQuantile(99))/1e3, "p99-µs")
+	}
+	direct, _ := json.Marshal(wire.ExecuteRequest{RequestID: "r", Attempt: 1, Call: &wire.PlainCall{Path: "/stock"}})
+	b.Run("agent", func(b *testing.B) { run(b, g.agents[0].server.URL+wire.PathExecute, direct, "token") })
+	b.Run("entry", func(b *testing.B) { run(b, g.server.URL+"/v1/call/desk/stock", nil, testKey) })
+}
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -73,7 +73,7 @@
 func (a *plainAnswer) writeHead() {
 	h := a.c.w.Header()
 	for name, values := range endpointHeader(a.head.Header) {
-		h[http.CanonicalHeaderKey(name)] = values
+		h[name] = values
 	}
 	a.c.w.WriteHeader(a.head.Status)
 }
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -14,6 +14,8 @@
 	// frameBuffer is the number of frames that may wait for a slow caller.
 	// Beyond it, the agent is read no further (back-pressure).
 	frameBuffer = 512
+	// dataBuffer is the same for plain answers, whose frames are large.
+	dataBuffer = 8
 	// reuseWait is the time that the end of an agent's HTTP answer may take
 	// after its end frame, for the connection to be used again.
 	reuseWait = 20 * time.Millisecond
@@ -40,7 +42,11 @@
 // the chain.
 func (p *Pipeline) relay(handler) handler {
 	return func(c *call) *failure {
-		in := make(chan received, frameBuffer)
+		size := dataBuffer
+		if c.stream != nil {
+			size = frameBuffer
+		}
+		in := make(chan received, size)
 		closed := make(chan struct{})
 		go readFrames(c.attemptCtx, c.frames, in, closed)
 		f := p.relayFrames(c, in)
@@ -83,7 +89,7 @@
 		if f != nil {
 			return f
 		}
-		c.lastFrame.Store(p.Clock.Now().UnixNano())
+		p.heard(c)
 		frame := got.frame
 		switch {
 		case frame.Kind == wire.FrameRefused && frame.Refusal != nil:
--- a/pipeline/running.go
+++ b/pipeline/running.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/control"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
@@ -74,9 +75,12 @@
 }
 
 // serveCancel answers DELETE /v1/requests/{id}.
-func (p *Pipeline) serveCancel(w http.ResponseWriter, r *http.Request) {
+func (p *Pipeline) serveCancel(w http.ResponseWriter, r *http.Request, snap *control.Snapshot) {
 	id := strings.TrimPrefix(r.URL.Path, api.PathRequests)
-	organisation, f := authenticate(p.View.Snapshot(), r.Header)
+	if validID.MatchString(id) {
+		w.Header().Set(api.HeaderRequestID, id)
+	}
+	organisation, f := authenticate(snap, r.Header)
 	if f == nil && r.Method != http.MethodDelete {
 		f = own(api.KindBadRequest, "method is "+r.Method, "use DELETE")
 	}
@@ -92,7 +96,6 @@
 	for _, c := range found {
 		p.cancelCall(c)
 	}
-	w.Header().Set(api.HeaderRequestID, id)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"request_id": id, "cancelled": true})
 }
