Accept the head frame of streams; keep request IDs apart toward agents

Cause: agents send a head frame before the tokens of a model answer, which the entry took for a broken stream. Agents keep the ID of a refused request closed, so a caller that used its request ID again was refused. An order under the caller's own key stayed with an agent that had closed it for a reason other than overload. Kratos' process-wide logger was set by each entry, a data race between two entries in one test process.

Change: skip the head frame of streams; give a request ID that was used lately a suffix toward agents; bind an own key anew after any proof that it did not run; try elsewhere after an agent's unconfirmed view or older bundle; set kratos' logger in the program only. Order paths match with and without a final slash, as in the agent.

--- a/cmd/wasabinotch-entry/main.go
+++ b/cmd/wasabinotch-entry/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/wasabinotch/wasabinotch/entry"
@@ -55,7 +56,9 @@
 		<-ctx.Done()
 		stop()
 	}()
-	e, err := entry.New(s, logs.New(os.Stderr))
+	log := logs.New(os.Stderr)
+	klog.SetLogger(kratosLog{log.WithName("http")})
+	e, err := entry.New(s, log)
 	if err != nil {
 		return err
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -9,9 +9,7 @@
 	"strings"
 	"time"
 
-	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport/http"
-	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
 	"github.com/wasabinotch/wasabinotch/api"
@@ -28,7 +26,6 @@
 
 // newServer returns the HTTP server with all routes.
 func (e *Entry) newServer() *http.Server {
-	klog.SetLogger(kratosLog{e.log.WithName("http")})
 	s := http.NewServer(
 		http.Listener(e.listener),
 		http.Address(e.set.HTTPAddr),
@@ -112,12 +109,3 @@
 	}
 	return id
 }
-
-// kratosLog writes kratos' own messages to the entry's log.
-type kratosLog struct{ log logr.Logger }
-
-// Log implements the logger of kratos.
-func (k kratosLog) Log(level klog.Level, keyvals ...any) error {
-	k.log.Info("kratos", append([]any{"level", level.String()}, keyvals...)...)
-	return nil
-}
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -44,7 +44,7 @@
 		}
 		failures++
 		if c.position() > reached {
-			failures = 1
+			failures, tried = 1, nil // the others may have come back meanwhile
 		}
 		tried = append(tried, pick.Endpoint.Node.ID)
 		if failures >= maxAttempts || !p.mayRetry(c, last) {
@@ -101,7 +101,7 @@
 	case api.KindEndpointFailed, api.KindZoneOut, api.KindLeaving, api.KindNoBundle, api.KindNoEndpoint:
 		return true
 	}
-	return false
+	return f.refusal.Kind == api.KindUnconfirmedView && f.fate != fateOwn
 }
 
 // noEndpoint is the failure when no endpoint can be chosen.
@@ -120,15 +120,18 @@
 	if c.ctx.Err() != nil || c.cancelled.Load() || c.answerBegun() {
 		return false
 	}
-	return elsewhere(f.refusal.Kind)
+	return elsewhere(f)
 }
 
-// elsewhere reports whether a refusal concerns one endpoint only.
-func elsewhere(k api.Kind) bool {
-	switch k {
+// elsewhere reports whether a refusal concerns one endpoint only. This entry
+// and its agents learn of a new bundle and confirm their views on their own.
+func elsewhere(f *failure) bool {
+	switch f.refusal.Kind {
 	case api.KindOverloaded, api.KindNoEndpoint, api.KindZoneOut, api.KindLeaving,
 		api.KindNoBundle, api.KindEndpointFailed, api.KindInternal, api.KindCancelled:
 		return true
+	case api.KindUnconfirmedView, api.KindUnknownService:
+		return f.fate != fateOwn
 	}
 	return false
 }
--- a/pipeline/classify.go
+++ b/pipeline/classify.go
@@ -126,7 +126,7 @@
 		return false
 	}
 	for _, prefix := range s.NonIdempotentPaths {
-		if strings.HasPrefix(path, prefix) {
+		if strings.HasPrefix(path, prefix) || strings.HasPrefix(path+"/", prefix) {
 			return true
 		}
 	}
--- a/pipeline/fake_test.go
+++ b/pipeline/fake_test.go
@@ -106,6 +106,7 @@
 
 func generateAll(rq *wire.ExecuteRequest, f *frames) {
 	f.accept()
+	f.send(wire.Frame{Kind: wire.FrameHead, Status: 200})
 	f.tokens(rq.Generate.MaxTokens)
 	f.send(wire.Frame{Kind: wire.FrameEnd, Reason: "length"})
 }
--- a/pipeline/orders.go
+++ b/pipeline/orders.go
@@ -57,13 +57,15 @@
 	}
 }
 
-// rebindable reports whether another agent may be tried for a closed order. An
-// identity that was closed by an earlier attempt can be bound anew as well.
+// rebindable reports whether another agent may be tried for a closed order.
+// Unlike for other calls, the refusal may be the answer to an earlier attempt
+// under the same key, so it says little about the present one.
 func (p *Pipeline) rebindable(c *call, f *failure) bool {
-	if f.refusal.Kind == api.KindIdentityClosed {
-		return c.ctx.Err() == nil && !c.cancelled.Load()
+	switch f.refusal.Kind {
+	case api.KindBadRequest, api.KindTooLarge, api.KindIdentityRequired:
+		return false
 	}
-	return p.repeatable(c, f)
+	return c.ctx.Err() == nil && !c.cancelled.Load()
 }
 
 // bind binds the caller's own key to a chosen agent, or returns the agent to
--- a/pipeline/running.go
+++ b/pipeline/running.go
@@ -28,16 +28,33 @@
 type running struct {
 	mu    sync.Mutex
 	calls map[string][]*call
+	// recent and older hold the request IDs used lately.
+	recent, older map[string]struct{}
 }
 
+// maxRecent bounds each set of used request IDs. At 50 requests/s an ID is
+// remembered for 10 minutes, as long as agents keep refused IDs closed.
+const maxRecent = 30_000
+
 func newRunning() *running {
-	return &running{calls: make(map[string][]*call)}
+	return &running{calls: make(map[string][]*call), recent: make(map[string]struct{})}
+}
+
+// used remembers the ID and reports whether it was used lately.
+func (r *running) used(id string) bool {
+	_, inRecent := r.recent[id]
+	_, inOlder := r.older[id]
+	if len(r.recent) >= maxRecent {
+		r.recent, r.older = make(map[string]struct{}), r.recent
+	}
+	r.recent[id] = struct{}{}
+	return inRecent || inOlder
 }
 
 // add registers the call. A request ID that another organisation uses is
 // refused, since it could otherwise cancel that request. A repeated ID gets
-// another ID toward agents, so that the end of one attempt does not cancel
-// the other.
+// another ID toward agents: they keep the ID of a refused request closed, and
+// the end of one attempt must not cancel the other.
 func (r *running) add(c *call) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -46,7 +63,7 @@
 		return false
 	}
 	attempt := c.r.Header.Get(api.HeaderAttempt)
-	if len(same) > 0 || attempt != "" && attempt != "1" {
+	if r.used(c.id) || attempt != "" && attempt != "1" {
 		c.wireID = c.id + "." + uuid.NewString()[:8]
 	}
 	r.calls[c.id] = append(same, c)
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -32,6 +32,8 @@
 // frame implements answer.
 func (s *stream) frame(f *wire.Frame) (bool, error) {
 	switch f.Kind {
+	case wire.FrameHead:
+		return false, nil // of the endpoint's HTTP answer; callers get events
 	case wire.FrameToken:
 		return false, s.token(f)
 	case wire.FrameEnd:
