Settings: separate bind addresses and a source address; tests for settings and peer

Cause: a node behind address translation announces another address than it binds, and a fault-injecting proxy between processes needs the same. Change: http_listen, rpc_listen, source_ip; node IDs may not contain dots, which separate the parts of an order identity. Tests for strict settings and for the authenticated transport.

--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,78 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+)
+
+type echo struct{ block chan struct{} }
+
+func (e *echo) Say(in string, out *string) error {
+	*out = in
+	return nil
+}
+
+func (e *echo) Hang(string, *string) error {
+	<-e.block
+	return nil
+}
+
+func startEcho(t *testing.T, key []byte) string {
+	t.Helper()
+	is := is.New(t)
+	s := NewServer(key, logr.Discard())
+	e := &echo{block: make(chan struct{})}
+	is.NoErr(s.Register("Echo", e))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.Serve(ln)
+	t.Cleanup(func() { _ = ln.Close(); close(e.block); s.Close() })
+	return ln.Addr().String()
+}
+
+// Guards against a peer without the key reaching the control protocol.
+func TestWrongKeyIsRefused(t *testing.T) {
+	is := is.New(t)
+	addr := startEcho(t, make([]byte, 32))
+	wrong := append(make([]byte, 31), 1)
+	var out string
+	err := NewPool(wrong).Call(context.Background(), addr, "Echo.Say", "hi", &out)
+	is.True(err != nil)
+	is.NoErr(NewPool(make([]byte, 32)).Call(context.Background(), addr, "Echo.Say", "hi", &out))
+	is.Equal(out, "hi")
+}
+
+// Guards against a call to a frozen peer blocking its caller, and against the
+// pool staying unusable afterwards.
+func TestCallEndsWithContext(t *testing.T) {
+	is := is.New(t)
+	key := make([]byte, 32)
+	addr := startEcho(t, key)
+	p := NewPool(key)
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var out string
+	err := p.Call(ctx, addr, "Echo.Hang", "", &out)
+	is.True(trace.IsConnectionProblem(err))
+	is.NoErr(p.Call(context.Background(), addr, "Echo.Say", "again", &out))
+	is.Equal(out, "again")
+}
+
+// Guards against a stalled handshake blocking other callers of the address
+// beyond the handshake timeout.
+func TestSilentPeerTimesOut(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	var out string
+	err = NewPool(make([]byte, 32)).Call(context.Background(), ln.Addr().String(), "Echo.Say", "", &out)
+	is.True(err != nil)
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -34,7 +34,8 @@
 
 // Pool keeps one net/rpc connection per address. It is safe for concurrent use.
 type Pool struct {
-	key []byte
+	key  []byte
+	dial DialFunc
 
 	mu      sync.Mutex
 	clients map[string]*client
@@ -45,16 +46,34 @@
 	rpc atomic.Pointer[rpc.Client]
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// DialFrom returns a DialFunc whose connections leave from the IP number
+// source; "" lets the operating system choose.
+func DialFrom(source string) DialFunc {
+	d := &net.Dialer{}
+	if ip := net.ParseIP(source); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d.DialContext
+}
+
 // NewPool returns an empty pool that authenticates with key.
 func NewPool(key []byte) *Pool {
-	return &Pool{key: key, clients: make(map[string]*client)}
+	return NewPoolFrom(key, DialFrom(""))
+}
+
+// NewPoolFrom is NewPool with a dial function.
+func NewPoolFrom(key []byte, dial DialFunc) *Pool {
+	return &Pool{key: key, dial: dial, clients: make(map[string]*client)}
 }
 
 // Call invokes method at addr. A call that ends with ctx or with a connection
 // error closes the connection; the call may then still run at the peer.
 func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
 	c := p.client(addr)
-	rc, err := c.connect(ctx, addr, p.key)
+	rc, err := c.connect(ctx, addr, p)
 	if err != nil {
 		return err
 	}
@@ -107,7 +126,7 @@
 	return c
 }
 
-func (c *client) connect(ctx context.Context, addr string, key []byte) (*rpc.Client, error) {
+func (c *client) connect(ctx context.Context, addr string, p *Pool) (*rpc.Client, error) {
 	if rc := c.rpc.Load(); rc != nil {
 		return rc, nil
 	}
@@ -116,13 +135,12 @@
 	if rc := c.rpc.Load(); rc != nil {
 		return rc, nil
 	}
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "cannot connect to %s; check that the node is up", addr)
 	}
 	conn = countedConn{conn}
-	if err := dialHandshake(conn, key); err != nil {
+	if err := dialHandshake(conn, p.key); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/settings/load.go
+++ b/settings/load.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"strings"
 
 	"github.com/wasabinotch/wasabinotch/bundle"
 )
@@ -68,21 +69,25 @@
 	return &Error{Field: "(file)", Reason: err.Error(), Remedy: "give one JSON object with the documented fields only"}
 }
 
-// Validate checks the common settings.
+// Validate checks the common settings and fills in defaults.
 func (n *Node) Validate() error {
 	for _, f := range []struct{ name, value string }{{"id", n.ID}, {"vm", n.VM}, {"zone", n.Zone}} {
 		if f.value == "" {
 			return &Error{Field: f.name, Reason: "is missing", Remedy: "set a non-empty name"}
 		}
 	}
+	// Order identities separate the node ID from the other parts with dots.
+	if strings.ContainsAny(n.ID, ". \t\n/") {
+		return &Error{Field: "id", Reason: "contains a dot, a slash or white space", Remedy: "use letters, digits, '-' and '_'"}
+	}
 	if err := checkAddr("http_addr", n.HTTPAddr); err != nil {
 		return err
 	}
 	if err := checkAddr("rpc_addr", n.RPCAddr); err != nil {
 		return err
 	}
-	if n.HTTPAddr == n.RPCAddr {
-		return &Error{Field: "rpc_addr", Reason: "equals http_addr", Remedy: "use another port"}
+	if err := n.validateListen(); err != nil {
+		return err
 	}
 	for i, a := range n.Entries {
 		if err := checkAddr(fmt.Sprintf("entries[%d]", i), a); err != nil {
@@ -96,6 +101,32 @@
 	return err
 }
 
+// validateListen checks the bind addresses and fills in their defaults.
+func (n *Node) validateListen() error {
+	if n.HTTPListen == "" {
+		n.HTTPListen = n.HTTPAddr
+	}
+	if n.RPCListen == "" {
+		n.RPCListen = n.RPCAddr
+	}
+	if err := checkAddr("http_listen", n.HTTPListen); err != nil {
+		return err
+	}
+	if err := checkAddr("rpc_listen", n.RPCListen); err != nil {
+		return err
+	}
+	if n.HTTPAddr == n.RPCAddr || n.HTTPListen == n.RPCListen {
+		return &Error{Field: "rpc_addr", Reason: "equals http_addr", Remedy: "use another port"}
+	}
+	if n.SourceIP == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddr(n.SourceIP); err != nil {
+		return &Error{Field: "source_ip", Reason: fmt.Sprintf("%q is not an IP number", n.SourceIP), Remedy: "use an IP number of this machine, or leave it empty"}
+	}
+	return nil
+}
+
 // Key returns the decoded auth_key.
 func (n *Node) Key() ([]byte, error) {
 	key, err := base64.StdEncoding.DecodeString(n.AuthKey)
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/bundle"
+)
+
+func validAgent() Agent {
+	key := base64.StdEncoding.EncodeToString(make([]byte, 32))
+	return Agent{
+		Node: Node{
+			ID: "a1", VM: "vm1", Zone: "z1", HTTPAddr: "127.0.0.1:7001", RPCAddr: "127.0.0.1:7002",
+			Entries: []string{"127.0.0.1:7100"}, Members: []bundle.Key{{Name: "m", Public: key}}, Threshold: 1, AuthKey: key,
+		},
+		Service: "knots", EndpointAddr: "127.0.0.1:7003",
+	}
+}
+
+// Guards against a daemon starting with settings that can't work.
+func TestInvalidSettingsNameTheField(t *testing.T) {
+	cases := map[string]func(*Agent){
+		"id":            func(a *Agent) { a.ID = "a.1" },
+		"vm":            func(a *Agent) { a.VM = "" },
+		"http_addr":     func(a *Agent) { a.HTTPAddr = "localhost:1" },
+		"rpc_addr":      func(a *Agent) { a.RPCAddr = a.HTTPAddr },
+		"source_ip":     func(a *Agent) { a.SourceIP = "eth0" },
+		"entries":       func(a *Agent) { a.Entries = nil },
+		"entries[0]":    func(a *Agent) { a.Entries = []string{"x"} },
+		"threshold":     func(a *Agent) { a.Threshold = 2 },
+		"members[0]":    func(a *Agent) { a.Members[0].Public = "AA==" },
+		"auth_key":      func(a *Agent) { a.AuthKey = "short" },
+		"service":       func(a *Agent) { a.Service = "" },
+		"endpoint_addr": func(a *Agent) { a.EndpointAddr = "127.0.0.1:0" },
+		"rank":          func(a *Agent) { a.Rank = -1 },
+	}
+	for field, breakIt := range cases {
+		t.Run(field, func(t *testing.T) {
+			is := is.New(t)
+			a := validAgent()
+			breakIt(&a)
+			data, err := json.Marshal(a)
+			is.NoErr(err)
+			err = Load(data, &Agent{})
+			var e *Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Field, field)
+			is.True(e.Remedy != "")
+		})
+	}
+}
+
+// Guards against misspelled and superfluous settings being ignored.
+func TestStrictDecoding(t *testing.T) {
+	is := is.New(t)
+	data, err := json.Marshal(validAgent())
+	is.NoErr(err)
+	is.NoErr(Load(data, &Agent{}))
+	is.True(Load(append(data, '{'), &Agent{}) != nil)
+	is.True(Load([]byte(`{"servise":"knots"}`), &Agent{}) != nil)
+	is.True(Load([]byte(`{"rank":"one"}`), &Agent{}) != nil)
+}
+
+// Guards against an address in use surfacing as an untyped error.
+func TestListenReportsAddressInUse(t *testing.T) {
+	is := is.New(t)
+	ln, err := Listen("http_listen", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	_, err = Listen("rpc_listen", ln.Addr().String())
+	var e *Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Field, "rpc_listen")
+}
+
+func FuzzLoad(f *testing.F) {
+	data, _ := json.Marshal(validAgent())
+	f.Add(data)
+	f.Add([]byte(`{"rank":1e99}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var a Agent
+		if err := Load(in, &a); err == nil && a.Service == "" {
+			t.Fatal("accepted settings without a service")
+		}
+		_ = Load(in, &Entry{})
+	})
+}
--- a/settings/types.go
+++ b/settings/types.go
@@ -14,6 +14,14 @@
 	HTTPAddr string `json:"http_addr"`
 	// RPCAddr is the IP:port on which net/rpc is served.
 	RPCAddr string `json:"rpc_addr"`
+	// HTTPListen and RPCListen are the IP:port to bind when they differ from
+	// the announced http_addr and rpc_addr, e.g. behind address translation.
+	// Default: the announced addresses.
+	HTTPListen string `json:"http_listen"`
+	RPCListen  string `json:"rpc_listen"`
+	// SourceIP is the local IP number of outgoing connections. Default "": the
+	// operating system chooses.
+	SourceIP string `json:"source_ip"`
 	// Entries are RPC addresses (IP:port) of some entries to contact at start.
 	Entries []string `json:"entries"`
 	// Members are the trusted Ed25519 keys that sign bundles.
