--- /dev/null
+++ b/lab/enginesim/faults.go
@@ -0,0 +1,67 @@
+package enginesim
+
+import "time"
+
+// TurnCold makes the engine cold under the same boot ID. For grace it keeps
+// requests beyond its capacity waiting instead of crashing, since nobody can
+// know of the change before the next load report.
+func (e *Engine) TurnCold(grace time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.warmth = 0
+	e.graceEnd = time.Now().Add(grace)
+	e.cache = newPrefixCache(e.opt.CacheBytes)
+	e.record()
+}
+
+// Freeze stops all progress and all answers; connections stay open.
+func (e *Engine) Freeze() { e.setFrozen(true) }
+
+// Unfreeze ends Freeze.
+func (e *Engine) Unfreeze() { e.setFrozen(false) }
+
+func (e *Engine) setFrozen(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.frozen = on
+	e.wake.Broadcast()
+}
+
+// waitThawed blocks while the engine is frozen.
+func (e *Engine) waitThawed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for e.frozen && !e.closed {
+		e.wake.Wait()
+	}
+}
+
+// Die drops every stream and refuses connections until Restart.
+func (e *Engine) Die() {
+	e.mu.Lock()
+	e.dead, e.frozen = true, false
+	e.dropAll()
+	e.wake.Broadcast()
+	e.mu.Unlock()
+	e.http.Down()
+}
+
+// Restart starts a dead engine, cold and with a new boot ID.
+func (e *Engine) Restart() error {
+	e.mu.Lock()
+	if e.dead && !e.closed {
+		e.boot()
+	}
+	e.mu.Unlock()
+	return e.http.Up()
+}
+
+// crash records a crash and restarts the engine after RestartDelay. The caller
+// holds mu.
+func (e *Engine) crash(given, capacity int) {
+	e.crashes = append(e.crashes, Crash{At: time.Now(), BootID: e.bootID, Requests: given, Capacity: capacity})
+	e.dead = true
+	e.dropAll()
+	e.restarter = time.AfterFunc(e.opt.RestartDelay, func() { _ = e.Restart() })
+	go e.http.Down() // waits for no handler, but needs mu to be free
+}
--- /dev/null
+++ b/lab/kvsim/faults.go
@@ -0,0 +1,111 @@
+package kvsim
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Outage is a way of being unavailable.
+type Outage string
+
+// The kinds of outage.
+const (
+	OutageNone   Outage = ""
+	OutageRefuse Outage = "refuse" // connections are refused, open ones are closed
+	OutageError  Outage = "error"  // every call is answered with status 500 and has no effect
+)
+
+// Faults are the faults in force.
+type Faults struct {
+	Outage Outage `json:"outage"`
+	// DelayMS is added to every call before it takes effect, in milliseconds.
+	DelayMS int64 `json:"delay_ms"`
+	// LoseProbability is the probability, 0 to 1, that a write takes effect
+	// and its connection is closed without an answer.
+	LoseProbability float64 `json:"lose_probability"`
+	// LoseNext is the number of next writes whose answers are lost.
+	LoseNext int `json:"lose_next"`
+}
+
+// Counters count calls since the start. A watch that waits counts as one call.
+type Counters struct {
+	Reads       int64 `json:"reads"`        // reads that do not wait
+	Watches     int64 `json:"watches"`      // blocking queries
+	Writes      int64 `json:"writes"`       // PUT, DELETE and session calls
+	Waiting     int64 `json:"waiting"`      // blocking queries waiting now
+	LostAnswers int64 `json:"lost_answers"` // writes that took effect without an answer
+	Failed      int64 `json:"failed"`       // calls answered with 500 during an outage
+}
+
+func (f Faults) check() error {
+	switch f.Outage {
+	case OutageNone, OutageRefuse, OutageError:
+	default:
+		return trace.BadParameter("outage %q is unknown; use \"\", \"refuse\" or \"error\"", f.Outage)
+	}
+	if f.DelayMS < 0 || f.LoseNext < 0 || f.LoseProbability < 0 || f.LoseProbability > 1 {
+		return trace.BadParameter("a fault value is out of range; use non-negative numbers and a probability from 0 to 1")
+	}
+	return nil
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	s.table.wake()
+	if f.Outage == OutageRefuse {
+		s.http.Down()
+		return nil
+	}
+	return s.http.Up()
+}
+
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counters returns the counters.
+func (s *Server) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters
+}
+
+func (s *Server) count(add func(c *Counters)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	add(&s.counters)
+}
+
+// loseAnswer decides whether the answer of a write that took effect is lost.
+func (s *Server) loseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lose := rand.Float64() < s.faults.LoseProbability
+	if s.faults.LoseNext > 0 {
+		s.faults.LoseNext--
+		lose = true
+	}
+	if lose {
+		s.counters.LostAnswers++
+	}
+	return lose
+}
+
+func (s *Server) delay() {
+	if d := s.Faults().DelayMS; d > 0 {
+		time.Sleep(time.Duration(d) * time.Millisecond)
+	}
+}
+
+func (s *Server) failing() bool { return s.Faults().Outage == OutageError }
--- /dev/null
+++ b/lab/kvsim/table.go
@@ -0,0 +1,175 @@
+package kvsim
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Pair is one key as Consul's KV protocol shows it; Value is encoded in base64.
+type Pair struct {
+	LockIndex   uint64
+	Key         string
+	Flags       uint64
+	Value       []byte
+	CreateIndex uint64
+	ModifyIndex uint64
+	Session     string `json:",omitempty"`
+}
+
+// table holds the keys, the sessions and the raft-like index.
+type table struct {
+	mu       sync.Mutex
+	index    uint64
+	pairs    map[string]*Pair
+	graves   map[string]uint64 // deleted key: index of the deletion
+	sessions map[string]*session
+	delayed  map[string]time.Time // key: end of its lock delay
+	changed  chan struct{}        // closed at each change
+}
+
+func newTable() *table {
+	return &table{
+		index:    1,
+		pairs:    make(map[string]*Pair),
+		graves:   make(map[string]uint64),
+		sessions: make(map[string]*session),
+		delayed:  make(map[string]time.Time),
+		changed:  make(chan struct{}),
+	}
+}
+
+// notify wakes every waiting watch. The caller holds mu.
+func (t *table) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// wake makes waiting watches look at the faults again.
+func (t *table) wake() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.notify()
+}
+
+// view is the result of a read.
+type view struct {
+	pairs []Pair
+	// index is the index to report; own is the index of the last change below
+	// the key or prefix, 0 if there was none.
+	index, own uint64
+	changed    <-chan struct{}
+}
+
+func (t *table) read(key string, recurse bool) view {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := view{changed: t.changed}
+	if recurse {
+		t.readPrefix(key, &v)
+	} else {
+		t.readKey(key, &v)
+	}
+	v.index = v.own
+	if v.own == 0 {
+		v.index = t.index
+	}
+	return v
+}
+
+func (t *table) readKey(key string, v *view) {
+	v.own = t.graves[key]
+	if p := t.pairs[key]; p != nil {
+		v.pairs = []Pair{*p}
+		v.own = p.ModifyIndex
+	}
+}
+
+func (t *table) readPrefix(prefix string, v *view) {
+	for k, p := range t.pairs {
+		if strings.HasPrefix(k, prefix) {
+			v.pairs = append(v.pairs, *p)
+			v.own = max(v.own, p.ModifyIndex)
+		}
+	}
+	for k, index := range t.graves {
+		if strings.HasPrefix(k, prefix) {
+			v.own = max(v.own, index)
+		}
+	}
+	sort.Slice(v.pairs, func(i, j int) bool { return v.pairs[i].Key < v.pairs[j].Key })
+}
+
+// write is one PUT.
+type write struct {
+	key              string
+	value            []byte
+	flags            uint64
+	cas              *uint64
+	acquire, release string
+}
+
+// put applies w and reports whether it took effect. A missing session is an error.
+func (t *table) put(w write) (bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.pairs[w.key]
+	if w.cas != nil && *w.cas != modifyIndex(old) {
+		return false, nil
+	}
+	next := Pair{Key: w.key, Flags: w.flags, Value: w.value}
+	if old != nil {
+		next.LockIndex, next.CreateIndex, next.Session = old.LockIndex, old.CreateIndex, old.Session
+	}
+	ok, err := t.lock(w, &next)
+	if !ok || err != nil {
+		return false, err
+	}
+	t.index++
+	next.ModifyIndex = t.index
+	if old == nil {
+		next.CreateIndex = t.index
+	}
+	t.pairs[w.key] = &next
+	delete(t.graves, w.key)
+	t.notify()
+	return true, nil
+}
+
+func modifyIndex(p *Pair) uint64 {
+	if p == nil {
+		return 0
+	}
+	return p.ModifyIndex
+}
+
+// remove deletes a key or prefix. A cas of 0 deletes nothing, as in Consul.
+func (t *table) remove(key string, recurse bool, cas *uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if cas != nil && (*cas == 0 || *cas != modifyIndex(t.pairs[key])) {
+		return false
+	}
+	var keys []string
+	for k := range t.pairs {
+		if k == key || recurse && strings.HasPrefix(k, key) {
+			keys = append(keys, k)
+		}
+	}
+	t.bury(keys)
+	return true
+}
+
+// bury removes keys under one new index. The caller holds mu.
+func (t *table) bury(keys []string) {
+	if len(keys) == 0 {
+		return
+	}
+	t.index++
+	for _, k := range keys {
+		delete(t.pairs, k)
+		t.graves[k] = t.index
+	}
+	t.notify()
+}
