Add the load generator and checker

Cause: the guarantees need a caller that checks each answer and compares orders placed with orders that ran. Not measured: no run against an entry yet.

--- /dev/null
+++ b/lab/loadgen/generator.go
@@ -0,0 +1,199 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// defaultPhase is the phase before the first SetPhase.
+const defaultPhase = "all"
+
+// Generator sends the load of one Config.
+type Generator struct {
+	cfg       Config
+	http      *http.Client
+	callers   [][]*caller // by organisation
+	preambles []string
+	orders    *orderLog
+	inFlight  atomic.Int64
+	group     sync.WaitGroup
+
+	mu     sync.Mutex
+	phases []*phase
+}
+
+// phase is a part of the run that is summed up separately.
+type phase struct {
+	name  string
+	stats [classes]*stats
+}
+
+// New returns a generator.
+func New(cfg Config) (*Generator, error) {
+	cfg.Organisations = append([]Organisation(nil), cfg.Organisations...)
+	if err := cfg.fillDefaults(); err != nil {
+		return nil, err
+	}
+	g := &Generator{
+		cfg:    cfg,
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, IdleConnTimeout: time.Minute}},
+		orders: &orderLog{states: make(map[string]orderState)},
+	}
+	g.SetPhase(defaultPhase)
+	g.addCallers()
+	g.addPreambles()
+	return g, nil
+}
+
+func (g *Generator) addCallers() {
+	n := 0
+	for _, org := range g.cfg.Organisations {
+		callers := make([]*caller, g.cfg.CallersPerOrganisation)
+		for i := range callers {
+			callers[i] = &caller{org: org, cache: make(map[string]*cached)}
+			if len(g.cfg.Zones) > 0 {
+				callers[i].zone = g.cfg.Zones[n%len(g.cfg.Zones)]
+			}
+			n++
+		}
+		g.callers = append(g.callers, callers)
+	}
+}
+
+func (g *Generator) addPreambles() {
+	for i := range g.cfg.Preambles {
+		line := fmt.Sprintf("Preamble %d of the workshop's repair notes. ", i)
+		text := strings.Repeat(line, g.cfg.PreambleBytes/len(line)+1)
+		g.preambles = append(g.preambles, text[:g.cfg.PreambleBytes])
+	}
+}
+
+// SetPhase starts a phase: requests scheduled from now on are counted under name.
+func (g *Generator) SetPhase(name string) {
+	p := &phase{name: name}
+	for c := range p.stats {
+		p.stats[c] = newStats()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.phases = append(g.phases, p)
+}
+
+func (g *Generator) current(c class) *stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.phases[len(g.phases)-1].stats[c]
+}
+
+// Run schedules requests for the configured duration, or until ctx has ended,
+// and returns once all of them have ended. Requests in flight are not cut off
+// when ctx ends.
+func (g *Generator) Run(ctx context.Context) {
+	schedule, cancel := context.WithTimeout(ctx, g.cfg.Duration)
+	defer cancel()
+	var schedulers sync.WaitGroup
+	for c, rate := range []float64{g.cfg.ModelRate, g.cfg.StockRate, g.cfg.OrderRate} {
+		if rate > 0 {
+			schedulers.Go(func() { g.schedule(schedule, context.WithoutCancel(ctx), class(c), rate) })
+		}
+	}
+	schedulers.Wait()
+	g.group.Wait()
+	g.http.CloseIdleConnections()
+}
+
+// schedule sends requests of one class with exponentially distributed gaps.
+func (g *Generator) schedule(ctx, requests context.Context, c class, rate float64) {
+	random := rand.New(rand.NewPCG(g.cfg.Seed, uint64(c)))
+	at := time.Now()
+	for n := 0; c != classOrder || g.cfg.Orders == 0 || n < g.cfg.Orders; n++ {
+		at = at.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		select {
+		case <-time.After(time.Until(at)):
+		case <-ctx.Done():
+			return
+		}
+		g.launch(requests, g.newJob(random, c, at, n))
+	}
+}
+
+func (g *Generator) newJob(random *rand.Rand, c class, at time.Time, n int) job {
+	j := job{caller: g.pick(random), at: at, stats: g.current(c), class: c}
+	switch c {
+	case classModel:
+		j.text = fmt.Sprintf("%sBench log %d-%d.", g.preambles[random.IntN(len(g.preambles))], n, random.Uint64())
+	case classStock:
+		const kits = 1000
+		j.text = fmt.Sprintf("kit-%d", random.IntN(kits))
+	case classOrder:
+		// The order number is unique across runs that share a ledger.
+		j.text = fmt.Sprintf("order-%d-%s", n, newID())
+		j.ownKey = random.Float64() < g.cfg.OwnKeyShare
+	}
+	return j
+}
+
+// pick chooses a caller of an organisation chosen by weight.
+func (g *Generator) pick(random *rand.Rand) *caller {
+	total := 0.0
+	for _, org := range g.cfg.Organisations {
+		total += org.Weight
+	}
+	x := random.Float64() * total
+	last := len(g.callers) - 1
+	for i, org := range g.cfg.Organisations {
+		x -= org.Weight
+		if x < 0 || i == last {
+			last = i
+			break
+		}
+	}
+	return g.callers[last][random.IntN(len(g.callers[last]))]
+}
+
+func (g *Generator) launch(ctx context.Context, j job) {
+	if g.inFlight.Load() >= int64(g.cfg.MaxInFlight) {
+		j.stats.skipped()
+		return
+	}
+	j.stats.started()
+	g.inFlight.Add(1)
+	g.group.Go(func() {
+		defer g.inFlight.Add(-1)
+		switch j.class {
+		case classModel:
+			g.model(ctx, j)
+		case classStock:
+			g.stock(ctx, j)
+		case classOrder:
+			g.order(ctx, j)
+		}
+	})
+}
+
+// Summary sums up the run so far. ledger holds the runs by order number; nil
+// leaves the orders out.
+func (g *Generator) Summary(ledger map[string]int) Summary {
+	g.mu.Lock()
+	phases := append([]*phase(nil), g.phases...)
+	g.mu.Unlock()
+	var s Summary
+	for _, p := range phases {
+		for c, stats := range p.stats {
+			if sum := stats.summary(p.name, class(c)); sum.Sent+sum.Skipped > 0 {
+				s.Classes = append(s.Classes, sum)
+			}
+		}
+	}
+	if ledger != nil {
+		orders := g.orders.compare(ledger)
+		s.Orders = &orders
+	}
+	return s
+}
