Add wasabinotch-lab and planned deployments

Cause: tests and operators need the stand-ins and the load generator as processes, and settings files that fit together. Change: lab/deploy plans a deployment on loopback addresses (settings, a version 1 bundle, keys, stand-in addresses); cmd/wasabinotch-lab has kv, vms, engine, orders, load and settings.

--- /dev/null
+++ b/cmd/wasabinotch-lab/main.go
@@ -0,0 +1,53 @@
+// Command wasabinotch-lab runs the stand-ins for the platform and for
+// endpoints, the load generator, and writes settings of small deployments.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() {
+	parser := flags.NewNamedParser("wasabinotch-lab", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range []struct {
+		name, short string
+		command     any
+	}{
+		{"kv", "run the stand-in for the key-value service", &kvCommand{}},
+		{"vms", "run the stand-in for the VM list", &vmsCommand{}},
+		{"engine", "run the stand-in for a model engine", &engineCommand{}},
+		{"orders", "run the stand-in for a plain service with orders", &ordersCommand{}},
+		{"load", "send load to entries and check the answers", &loadCommand{}},
+		{"settings", "write settings, bundle and keys of a deployment", &settingsCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
+			fail(err)
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		fail(err)
+	}
+}
+
+func fail(err error) {
+	var usage *flags.Error
+	if !errors.As(err, &usage) {
+		fmt.Fprintln(os.Stderr, "wasabinotch-lab:", err)
+		os.Exit(exitFailure)
+	}
+	if usage.Type == flags.ErrHelp {
+		fmt.Println(usage.Message)
+		os.Exit(0)
+	}
+	fmt.Fprintln(os.Stderr, usage.Message)
+	os.Exit(exitUsage)
+}
--- /dev/null
+++ b/lab/deploy/bundle.go
@@ -0,0 +1,57 @@
+package deploy
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/wasabinotch/wasabinotch/bundle"
+)
+
+// bundle builds version 1 of the bundle.
+func (b *builder) bundle() {
+	v := bundle.Bundle{Version: 1, Zones: b.plan.Zones}
+	shares := make(map[string]float64)
+	for i, c := range b.d.Callers {
+		digest := sha256.Sum256([]byte(c.Key))
+		v.Organisations = append(v.Organisations, bundle.Organisation{Name: c.Name, KeyDigests: []string{hex.EncodeToString(digest[:])}})
+		shares[c.Name] = b.share(i)
+	}
+	if b.plan.ModelAgents > 0 {
+		v.Services = append(v.Services, modelService(b.plan.ModelService, shares))
+	}
+	if b.plan.OrderAgents > 0 {
+		v.Services = append(v.Services, plainService(b.plan.PlainService, shares))
+	}
+	for _, o := range b.d.Operators {
+		v.Operators = append(v.Operators, o.Public())
+	}
+	if b.plan.Group != nil {
+		v.Groups = []bundle.Group{*b.plan.Group}
+	}
+	b.d.Bundle = v
+}
+
+func modelService(name string, shares map[string]float64) bundle.Service {
+	return bundle.Service{
+		Name:       name,
+		Kind:       bundle.KindModel,
+		ColdLimit:  modelColdLimit,
+		WarmLimit:  modelWarmLimit,
+		QueueLimit: modelQueueLimit,
+		TimeoutMS:  modelTimeoutMS,
+		Shares:     shares,
+	}
+}
+
+func plainService(name string, shares map[string]float64) bundle.Service {
+	return bundle.Service{
+		Name:               name,
+		Kind:               bundle.KindPlain,
+		NonIdempotentPaths: []string{"/orders"},
+		ColdLimit:          plainColdLimit,
+		WarmLimit:          plainWarmLimit,
+		QueueLimit:         plainQueueLimit,
+		TimeoutMS:          plainTimeoutMS,
+		Shares:             shares,
+	}
+}
