Add the demo behind function parameters

Cause: a reader wants to see the guarantees on a small system in one command. Change: lab/demo assembles three zones on loopback addresses, rolls a bundle, sends load, takes a zone out and back and prints a table; entries, agents and signing are parameters until those packages are merged. Not run with real daemons.

--- /dev/null
+++ b/lab/demo/system.go
@@ -0,0 +1,206 @@
+package demo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/wasabinotch/wasabinotch/lab/deploy"
+	"github.com/wasabinotch/wasabinotch/lab/enginesim"
+	"github.com/wasabinotch/wasabinotch/lab/kvsim"
+	"github.com/wasabinotch/wasabinotch/lab/ordersim"
+	"github.com/wasabinotch/wasabinotch/lab/vmlist"
+)
+
+// endpoint is a stand-in behind an agent.
+type endpoint interface {
+	LastWork() time.Time
+	Close()
+}
+
+// system is the running deployment.
+type system struct {
+	deployment *deploy.Deployment
+	store      *kvsim.Server
+	vms        *vmlist.Server
+	engines    []*enginesim.Engine
+	ledger     *ordersim.Ledger
+	endpoints  map[string][]endpoint // by zone
+
+	entries, agents *daemons
+}
+
+// daemons are the running daemons of one role.
+type daemons struct {
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu     sync.Mutex
+	failed []error
+}
+
+func plan() deploy.Plan {
+	return deploy.Plan{
+		Name:          "demo",
+		Zones:         []string{"zone-a", "zone-b", "zone-c"},
+		Entries:       3,
+		ModelAgents:   3,
+		OrderAgents:   3,
+		Organisations: []string{"batinah", "tidewrack"},
+		Members:       []string{"batinah", "tidewrack", "third"},
+		Threshold:     2,
+		Operators:     []string{"operator"},
+		ModelService:  "notes",
+		PlainService:  "desk",
+		Addr:          deploy.Free("127.0.0.1"),
+	}
+}
+
+// start starts the stand-ins and the daemons. A system that failed to start is
+// stopped again.
+func start(parts Parts, opt Options) (*system, error) {
+	d, err := plan().Build()
+	if err != nil {
+		return nil, err
+	}
+	s := &system{deployment: d, ledger: ordersim.NewLedger(), endpoints: make(map[string][]endpoint)}
+	for _, step := range []func() error{
+		s.startPlatform,
+		s.startEndpoints,
+		func() error { return s.startEntries(parts, opt) },
+		func() error { return s.startAgents(parts, opt) },
+	} {
+		if err := step(); err != nil {
+			_ = s.stop(opt.Drain)
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *system) startPlatform() (err error) {
+	if s.store, err = kvsim.Listen(s.deployment.StandIns.Store.Addr); err != nil {
+		return err
+	}
+	const lag = 2 * time.Second
+	if s.vms, err = vmlist.Listen(s.deployment.StandIns.VMList.Addr, lag); err != nil {
+		return err
+	}
+	for _, e := range s.deployment.Entries {
+		s.vms.Put(vmlist.VM{Name: e.VM, Zone: e.Zone, State: vmlist.StateLive})
+	}
+	for _, a := range s.deployment.Agents {
+		s.vms.Put(vmlist.VM{Name: a.VM, Zone: a.Zone, State: vmlist.StateLive})
+	}
+	return nil
+}
+
+func (s *system) startEndpoints() error {
+	for _, place := range s.deployment.StandIns.Engines {
+		e, err := enginesim.Listen(place.Addr, enginesim.DefaultOptions())
+		if err != nil {
+			return err
+		}
+		s.engines = append(s.engines, e)
+		s.endpoints[place.Zone] = append(s.endpoints[place.Zone], e)
+	}
+	for _, place := range s.deployment.StandIns.Orders {
+		const serviceTime = 5 * time.Millisecond
+		o, err := ordersim.Listen(place.Addr, ordersim.Options{ServiceTime: serviceTime, Ledger: s.ledger})
+		if err != nil {
+			return err
+		}
+		s.endpoints[place.Zone] = append(s.endpoints[place.Zone], o)
+	}
+	return nil
+}
+
+func (s *system) startEntries(parts Parts, opt Options) error {
+	var runners []Runner
+	for _, settings := range s.deployment.Entries {
+		r, err := parts.NewEntry(settings, opt.Log.WithName(settings.ID))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		runners = append(runners, r)
+	}
+	s.entries = run(runners)
+	return nil
+}
+
+func (s *system) startAgents(parts Parts, opt Options) error {
+	var runners []Runner
+	for _, settings := range s.deployment.Agents {
+		r, err := parts.NewAgent(settings, opt.Log.WithName(settings.ID))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		runners = append(runners, r)
+	}
+	s.agents = run(runners)
+	return nil
+}
+
+func run(runners []Runner) *daemons {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &daemons{cancel: cancel}
+	for _, r := range runners {
+		d.group.Go(func() {
+			if err := r.Run(ctx); err != nil && ctx.Err() == nil {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				d.failed = append(d.failed, err)
+			}
+		})
+	}
+	return d
+}
+
+// stop ends the daemons, all agents before the entries that they report to,
+// and then the stand-ins.
+func (s *system) stop(drain time.Duration) error {
+	err := trace.NewAggregate(s.agents.stop(drain), s.entries.stop(drain))
+	for _, endpoints := range s.endpoints {
+		for _, e := range endpoints {
+			e.Close()
+		}
+	}
+	if s.store != nil {
+		s.store.Close()
+	}
+	if s.vms != nil {
+		s.vms.Close()
+	}
+	return err
+}
+
+func (d *daemons) stop(drain time.Duration) error {
+	if d == nil {
+		return nil
+	}
+	d.cancel()
+	done := make(chan struct{})
+	go func() {
+		d.group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(drain):
+		return trace.LimitExceeded("daemons have not stopped within %v; see their logs", drain)
+	}
+	return trace.NewAggregate(d.failed...)
+}
+
+// lastWork returns when an endpoint of the zone last got new work.
+func (s *system) lastWork(zone string) time.Time {
+	var last time.Time
+	for _, e := range s.endpoints[zone] {
+		if at := e.LastWork(); at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
--- a/lab/enginesim/batch.go
+++ b/lab/enginesim/batch.go
@@ -12,6 +12,7 @@
 	maxTokens int
 	position  int // of the next token
 	length    int
+	handed    time.Time
 	readyAt   time.Time     // end of the prefill
 	out       chan int      // positions; closed when the answer is finished
 	dropped   chan struct{} // closed when the engine ends the request without an answer
@@ -64,6 +65,8 @@
 	if e.dead || e.closed {
 		return unavailable
 	}
+	e.lastWork = time.Now()
+	r.handed = e.lastWork
 	given, capacity := len(e.running)+len(e.waiting)+1, e.capacity()
 	switch {
 	case given <= capacity:
@@ -86,9 +89,10 @@
 func (e *Engine) start(r *request) {
 	uncached := len(r.prompt) - e.cache.use(r.prompt)
 	prefill := float64(e.opt.PrefillPerKB) * float64(uncached) / 1024 * e.slowdown()
-	r.readyAt = time.Now().Add(time.Duration(prefill))
+	now := time.Now()
+	r.readyAt = now.Add(time.Duration(prefill))
 	e.running = append(e.running, r)
-	e.runs = append(e.runs, Run{RequestID: r.id, ResumeFrom: r.position, BootID: e.bootID})
+	e.runs = append(e.runs, Run{RequestID: r.id, ResumeFrom: r.position, BootID: e.bootID, At: now, Handed: r.handed})
 }
 
 // batch runs decoding steps until the engine is closed.
--- a/lab/enginesim/engine.go
+++ b/lab/enginesim/engine.go
@@ -34,14 +34,18 @@
 	runs      []Run
 	crashes   []Crash
 	overload  int
+	lastWork  time.Time
 	restarter *time.Timer
 }
 
 // Run is one execution of a request.
 type Run struct {
-	RequestID  string `json:"request_id"`
-	ResumeFrom int    `json:"resume_from"`
-	BootID     string `json:"boot_id"`
+	RequestID  string    `json:"request_id"`
+	ResumeFrom int       `json:"resume_from"`
+	BootID     string    `json:"boot_id"`
+	At         time.Time `json:"at"`
+	// Handed is when the request reached the engine; it may then have waited.
+	Handed time.Time `json:"handed"`
 }
 
 // Crash is one crash by overload.
@@ -107,6 +111,13 @@
 	}
 }
 
+// LastWork returns when the engine last got new work; zero if never.
+func (e *Engine) LastWork() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastWork
+}
+
 // boot resets the state to that of a cold start.
 func (e *Engine) boot() {
 	e.bootID = uuid.NewString()
--- a/lab/loadgen/summary.go
+++ b/lab/loadgen/summary.go
@@ -87,7 +87,7 @@
 		write("\norders placed\tran\tduplicated\tconfirmed\tnot run\tunknown\tunknown, ran\tlost\tfalse not run\n")
 		write("%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", o.Placed, o.Ran, o.Duplicated, o.Confirmed, o.NotRun, o.Unknown, o.UnknownRan, o.Lost, o.FalseNot)
 	}
-	write("\nrefused attempts\n")
+	write("\nrefused attempts of phase\tclass\tkind\toutcome\tcount\n")
 	for _, c := range s.Classes {
 		for _, k := range sortedKeys(c.Refusals) {
 			write("%s\t%s\t%s\t%s\t%d\n", c.Phase, c.Class, k.Kind, k.Outcome, c.Refusals[k])
--- a/lab/ordersim/service.go
+++ b/lab/ordersim/service.go
@@ -61,10 +61,11 @@
 	http  *simhttp.Server
 	slots chan struct{}
 
-	mu     sync.Mutex
-	thawed *sync.Cond
-	frozen bool
-	life   int // counts deaths; calls of an earlier life do not run
+	mu       sync.Mutex
+	thawed   *sync.Cond
+	frozen   bool
+	life     int // counts deaths; calls of an earlier life do not run
+	lastWork time.Time
 }
 
 // Listen starts a service on addr (IP:port).
@@ -131,6 +132,21 @@
 	s.thawed.Broadcast()
 }
 
+// LastWork returns when the service last got a call; zero if never.
+func (s *Service) LastWork() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastWork
+}
+
+// begin notes a new call and returns the current life.
+func (s *Service) begin() int {
+	s.mu.Lock()
+	s.lastWork = time.Now()
+	s.mu.Unlock()
+	return s.waitThawed()
+}
+
 // waitThawed blocks while the service is frozen and returns the current life.
 func (s *Service) waitThawed() int {
 	s.mu.Lock()
@@ -142,7 +158,7 @@
 }
 
 func (s *Service) stock(w http.ResponseWriter, r *http.Request) {
-	life := s.waitThawed()
+	life := s.begin()
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
 	time.Sleep(s.opt.ServiceTime)
@@ -156,7 +172,7 @@
 // order runs an order half way through the service time, so that a death can
 // fall before or after the effect. It runs even if the caller has gone.
 func (s *Service) order(w http.ResponseWriter, r *http.Request) {
-	life := s.waitThawed()
+	life := s.begin()
 	var o Order
 	if !simhttp.ReadJSON(w, r, &o) {
 		return
