--- a/lab/kvsim/faults.go
+++ b/lab/kvsim/faults.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
 )
 
 // Outage is a way of being unavailable.
@@ -27,6 +28,10 @@
 	LoseProbability float64 `json:"lose_probability"`
 	// LoseNext is the number of next writes whose answers are lost.
 	LoseNext int `json:"lose_next"`
+	// ReadsPerSecond and WritesPerSecond bound the service's throughput; calls
+	// beyond it wait. 0 for no bound. Blocking queries are not bounded.
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+	WritesPerSecond float64 `json:"writes_per_second"`
 }
 
 // Counters count calls since the start. A watch that waits counts as one call.
@@ -45,7 +50,7 @@
 	default:
 		return trace.BadParameter("outage %q is unknown; use \"\", \"refuse\" or \"error\"", f.Outage)
 	}
-	if f.DelayMS < 0 || f.LoseNext < 0 || f.LoseProbability < 0 || f.LoseProbability > 1 {
+	if f.ReadsPerSecond < 0 || f.WritesPerSecond < 0 || f.DelayMS < 0 || f.LoseNext < 0 || f.LoseProbability < 0 || f.LoseProbability > 1 {
 		return trace.BadParameter("a fault value is out of range; use non-negative numbers and a probability from 0 to 1")
 	}
 	return nil
@@ -58,6 +63,8 @@
 	}
 	s.mu.Lock()
 	s.faults = f
+	s.reads.SetLimit(limit(f.ReadsPerSecond))
+	s.writes.SetLimit(limit(f.WritesPerSecond))
 	s.mu.Unlock()
 	s.table.wake()
 	if f.Outage == OutageRefuse {
@@ -67,6 +74,13 @@
 	return s.http.Up()
 }
 
+func limit(perSecond float64) rate.Limit {
+	if perSecond == 0 {
+		return rate.Inf
+	}
+	return rate.Limit(perSecond)
+}
+
 // Faults returns the faults in force.
 func (s *Server) Faults() Faults {
 	s.mu.Lock()
--- a/lab/kvsim/kvsim_test.go
+++ b/lab/kvsim/kvsim_test.go
@@ -1,6 +1,7 @@
 package kvsim
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -127,3 +128,22 @@
 	_, body, _ = call(t, "PUT", base+"/v1/kv/lock?acquire="+b, "b")
 	is.Equal(body, "true")
 }
+
+// Guards against a throughput bound without effect, or one that stays after its end.
+func TestThroughputBound(t *testing.T) {
+	is := is.New(t)
+	s, base := start(t)
+	is.NoErr(s.SetFaults(Faults{WritesPerSecond: 0.001}))
+	call(t, "PUT", base+"/v1/kv/k", "one")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, "PUT", base+"/v1/kv/k", strings.NewReader("two"))
+	is.NoErr(err)
+	_, err = http.DefaultClient.Do(r)
+	is.True(err != nil)
+	is.Equal(s.Counters().Writes, int64(1))
+	is.NoErr(s.SetFaults(Faults{}))
+	_, body, err := call(t, "PUT", base+"/v1/kv/k", "three")
+	is.NoErr(err)
+	is.Equal(body, "true")
+}
--- a/lab/kvsim/server.go
+++ b/lab/kvsim/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
 
 	"github.com/wasabinotch/wasabinotch/lab/simhttp"
 )
@@ -25,6 +26,9 @@
 type Server struct {
 	http  *simhttp.Server
 	table *table
+	// reads and writes bound the throughput.
+	reads  *rate.Limiter
+	writes *rate.Limiter
 
 	mu       sync.Mutex
 	faults   Faults
@@ -33,7 +37,7 @@
 
 // Listen starts a key-value service on addr (IP:port).
 func Listen(addr string) (*Server, error) {
-	s := &Server{table: newTable()}
+	s := &Server{table: newTable(), reads: rate.NewLimiter(rate.Inf, 1), writes: rate.NewLimiter(rate.Inf, 1)}
 	mux := http.NewServeMux()
 	mux.HandleFunc(kvPath, s.serveKV)
 	mux.HandleFunc("PUT "+sessionPath+"create", s.createSession)
@@ -60,6 +64,9 @@
 func (s *Server) withFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.delay()
+		if s.limiter(r).Wait(r.Context()) != nil {
+			return // the caller is gone
+		}
 		if s.failing() {
 			s.fail(w)
 			return
@@ -68,6 +75,17 @@
 	})
 }
 
+// limiter returns the bound that applies to a request.
+func (s *Server) limiter(r *http.Request) *rate.Limiter {
+	switch {
+	case r.Method != http.MethodGet:
+		return s.writes
+	case r.URL.Query().Get("index") == "":
+		return s.reads
+	}
+	return rate.NewLimiter(rate.Inf, 1)
+}
+
 func (s *Server) fail(w http.ResponseWriter) {
 	s.count(func(c *Counters) { c.Failed++ })
 	http.Error(w, "No cluster leader", http.StatusInternalServerError)
--- a/lab/loadgen/summary.go
+++ b/lab/loadgen/summary.go
@@ -93,6 +93,11 @@
 			write("%s\t%s\t%s\t%s\t%d\n", c.Phase, c.Class, k.Kind, k.Outcome, c.Refusals[k])
 		}
 	}
+	for _, c := range s.Classes {
+		for _, example := range c.Examples {
+			write("wrong answer in phase %s: %s\n", c.Phase, example)
+		}
+	}
 	return t.Flush()
 }
 
