Compute expected tokens from one hash of the prompt

Cause: hashing the whole prompt for each token made engine and checker pay for the prompt's length with each token.

--- a/lab/deploy/deploy_test.go
+++ b/lab/deploy/deploy_test.go
@@ -1,8 +1,10 @@
 package deploy
 
 import (
+	"bytes"
 	"crypto/ed25519"
 	"encoding/base64"
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/settings"
 )
 
@@ -83,3 +86,26 @@
 	is.NoErr(err)
 	is.True(ed25519.Verify(public, []byte("x"), signature))
 }
+
+// Guards against committed examples that the daemons no longer accept.
+func TestExamplesLoad(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("../../examples/*/*.json")
+	is.NoErr(err)
+	is.Equal(len(files), 8)
+	for _, f := range files {
+		base := filepath.Base(f)
+		switch {
+		case base == "entry.json":
+			is.NoErr(settings.LoadFile(f, &settings.Entry{}))
+		case strings.HasPrefix(base, "agent-"):
+			is.NoErr(settings.LoadFile(f, &settings.Agent{}))
+		default:
+			data, err := os.ReadFile(f)
+			is.NoErr(err)
+			d := json.NewDecoder(bytes.NewReader(data))
+			d.DisallowUnknownFields()
+			is.NoErr(d.Decode(&bundle.Bundle{}))
+		}
+	}
+}
--- a/lab/enginesim/http.go
+++ b/lab/enginesim/http.go
@@ -70,7 +70,7 @@
 }
 
 func (e *Engine) answer(w http.ResponseWriter, r *http.Request, q completionRequest, req *request) {
-	a := &answerer{w: w, flush: http.NewResponseController(w), q: q, model: e.opt.Name, created: time.Now().Unix()}
+	a := &answerer{w: w, flush: http.NewResponseController(w), q: q, whole: AnswerTo(q.Prompt), model: e.opt.Name, created: time.Now().Unix()}
 	if q.Stream {
 		a.startStream()
 	}
@@ -98,6 +98,7 @@
 	w       http.ResponseWriter
 	flush   *http.ResponseController
 	q       completionRequest
+	whole   Answer
 	model   string
 	created int64
 	text    strings.Builder // of an answer that is not streamed
@@ -110,7 +111,7 @@
 }
 
 func (a *answerer) token(position int) {
-	text := Token(a.q.Prompt, position)
+	text := a.whole.Token(position)
 	if !a.q.Stream {
 		a.text.WriteString(text)
 		return
--- a/lab/loadgen/model.go
+++ b/lab/loadgen/model.go
@@ -60,7 +60,7 @@
 	if answerID := resp.Header.Get(api.HeaderRequestID); answerID != "" {
 		id = answerID
 	}
-	check := &streamCheck{job: j, id: id, maxTokens: g.cfg.MaxTokens}
+	check := &streamCheck{job: j, id: id, expected: enginesim.AnswerTo(j.text), maxTokens: g.cfg.MaxTokens}
 	return check.run(resp.Body)
 }
 
@@ -68,6 +68,7 @@
 type streamCheck struct {
 	job       job
 	id        string
+	expected  enginesim.Answer
 	maxTokens int
 	next      int // position of the next token
 	last      time.Time
@@ -127,7 +128,7 @@
 		s.deviate("token of request " + t.RequestID + " in the answer to " + s.id)
 	case t.Position != s.next:
 		s.deviate("token out of sequence in the answer to " + s.id)
-	case t.Text != enginesim.Token(s.job.text, t.Position):
+	case t.Text != s.expected.Token(t.Position):
 		s.deviate("token of another prompt in the answer to " + s.id)
 	}
 	s.next++
@@ -140,7 +141,7 @@
 		return
 	}
 	s.ended = true
-	want := enginesim.Length(s.job.text, s.maxTokens)
+	want := s.expected.Length(s.maxTokens)
 	if e.RequestID != s.id || e.Tokens != s.next || s.next != want {
 		s.deviate("end event does not match the answer to " + s.id)
 	}
