--- /dev/null
+++ b/agent/deps.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/peer"
+	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// Control is the part of the control loop that an agent uses.
+type Control interface {
+	control.View
+	control.Lifecycle
+	Run(ctx context.Context) error
+	HandleNotify(args wire.NotifyArgs) wire.NotifyReply
+}
+
+// Rank passes expert maps to the rank at the endpoint.
+type Rank interface {
+	Map(args wire.MapArgs) wire.MapReply
+}
+
+// ControlConfig is what an agent's control loop is built from.
+type ControlConfig struct {
+	Self     wire.Node
+	Settings settings.Agent
+	Pool     *peer.Pool
+	Clock    clockwork.Clock
+	Log      logr.Logger
+	Load     control.LoadSource
+}
+
+// Deps are the constructors of the parts that an agent connects.
+type Deps struct {
+	NewControl func(ControlConfig) (Control, error)
+	// NewRank returns the rank; nil for an agent outside a rank group.
+	NewRank func(settings.Agent, logr.Logger) Rank
+	Clock   clockwork.Clock
+}
+
+// defaultDeps returns the constructors of the daemon.
+func defaultDeps() Deps {
+	return Deps{
+		NewControl: func(ControlConfig) (Control, error) {
+			return nil, trace.NotImplemented("the control loop is not connected in this build")
+		},
+		NewRank: func(settings.Agent, logr.Logger) Rank { return nil },
+		Clock:   clockwork.NewRealClock(),
+	}
+}
--- /dev/null
+++ b/agent/drain.go
@@ -0,0 +1,119 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+const (
+	// wantedHeirs is the number of agents that get the order outcomes.
+	wantedHeirs = 2
+	// handOverBytes bounds one HandOver call.
+	handOverBytes   = 512 << 10
+	handOverTimeout = 5 * time.Second
+)
+
+// drain announces that the agent leaves, finishes its work and hands the
+// order outcomes over.
+func (a *Agent) drain(ctx context.Context) {
+	a.log.Info("leaving", "reason", "stop requested")
+	a.gate.Leave()
+	a.control.SetState(wire.StateLeaving)
+	if err := a.gate.Drain(ctx); err != nil {
+		a.log.Error(err, "drain ended early")
+		return
+	}
+	a.handOver(ctx)
+	select {
+	case <-a.deps.Clock.After(linger):
+	case <-ctx.Done():
+	}
+}
+
+// handOver gives the order outcomes to two other agents of the service.
+func (a *Agent) handOver(ctx context.Context) {
+	outcomes := a.orders.Outcomes()
+	if len(outcomes) == 0 {
+		return
+	}
+	snap := a.control.Snapshot()
+	var heirs []string
+	for _, e := range heirCandidates(snap) {
+		if len(heirs) == wantedHeirs {
+			break
+		}
+		if err := a.sendOutcomes(ctx, snap.Self, e.Node.RPCAddr, outcomes); err != nil {
+			a.log.Info("hand-over failed", "heir", e.Node.ID, "reason", err.Error())
+			continue
+		}
+		heirs = append(heirs, e.Node.ID)
+	}
+	a.control.SetHeirs(heirs)
+	a.log.Info("order outcomes handed over", "outcomes", len(outcomes), "heirs", heirs)
+}
+
+// heirCandidates lists other agents of the service, best first: in service
+// before taken out, then another zone before the own, since a zone may be
+// stopped as a whole. The first two are in different zones if possible.
+func heirCandidates(snap *control.Snapshot) []*control.Endpoint {
+	var list []*control.Endpoint
+	for _, e := range snap.Endpoints[snap.Self.Service] {
+		if e.Node.ID != snap.Self.ID && e.Node.State != wire.StateLeaving {
+			list = append(list, e)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	rank := func(e *control.Endpoint) int {
+		switch {
+		case snap.Out(e.Node):
+			return 2
+		case e.Node.Zone == snap.Self.Zone:
+			return 1
+		}
+		return 0
+	}
+	sort.SliceStable(list, func(i, j int) bool { return rank(list[i]) < rank(list[j]) })
+	for i := 1; i < len(list); i++ {
+		if list[i].Node.Zone != list[0].Node.Zone && !snap.Out(list[i].Node) {
+			list[1], list[i] = list[i], list[1]
+			break
+		}
+	}
+	return list
+}
+
+// sendOutcomes sends all outcomes to one heir in bounded calls.
+func (a *Agent) sendOutcomes(ctx context.Context, self wire.Node, addr string, outcomes []wire.OrderOutcome) error {
+	for len(outcomes) > 0 {
+		n, size := 0, 0
+		for n < len(outcomes) && (n == 0 || size < handOverBytes) {
+			size += len(outcomes[n].Identity) + len(outcomes[n].Body)
+			n++
+		}
+		if err := a.sendPart(ctx, addr, wire.HandOverArgs{From: self, Outcomes: outcomes[:n]}); err != nil {
+			return err
+		}
+		outcomes = outcomes[n:]
+	}
+	return nil
+}
+
+func (a *Agent) sendPart(ctx context.Context, addr string, args wire.HandOverArgs) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	var reply wire.HandOverReply
+	if err := a.pool.Call(ctx, addr, wire.AgentService+".HandOver", args, &reply); err != nil {
+		return err
+	}
+	if reply.Stored < len(args.Outcomes) {
+		return trace.LimitExceeded("the heir stored %d of %d outcomes; choose another", reply.Stored, len(args.Outcomes))
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/rpc.go
@@ -0,0 +1,29 @@
+package agent
+
+import "github.com/wasabinotch/wasabinotch/wire"
+
+// rpcService is the net/rpc service Agent.
+type rpcService struct{ agent *Agent }
+
+// Notify passes a configuration change to the control loop.
+func (s *rpcService) Notify(args wire.NotifyArgs, reply *wire.NotifyReply) error {
+	*reply = s.agent.control.HandleNotify(args)
+	return nil
+}
+
+// HandOver stores order outcomes of a leaving agent.
+func (s *rpcService) HandOver(args wire.HandOverArgs, reply *wire.HandOverReply) error {
+	reply.Stored = s.agent.orders.Inherit(args.Outcomes)
+	s.agent.log.Info("inherited order outcomes", "from", args.From.ID, "sent", len(args.Outcomes), "stored", reply.Stored)
+	return nil
+}
+
+// Map passes an expert map to the rank.
+func (s *rpcService) Map(args wire.MapArgs, reply *wire.MapReply) error {
+	if s.agent.rank == nil {
+		reply.Refused = true
+		return nil
+	}
+	*reply = s.agent.rank.Map(args)
+	return nil
+}
--- /dev/null
+++ b/gate/admission_test.go
@@ -0,0 +1,266 @@
+package gate
+
+import (
+	"context"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/order"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// waitQueued waits until n requests are queued.
+func (h *harness) waitQueued(t *testing.T, n int) {
+	t.Helper()
+	for range 2000 {
+		if h.Load().Queued == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d requests are queued, not %d", h.Load().Queued, n)
+}
+
+// Guards against full load on an endpoint that has just started, and against
+// a limit that stays up when the endpoint restarts or turns cold.
+func TestLimitStartsColdAndGrowsWithService(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.poll(t.Context())
+	want := []int{2, 3, 3, 3, 5, 5, 5, 5, 5, 8} // grows after 2, 3 and 5 good completions
+	for i := range 10 {
+		h.frames(t.Context(), stock(string(rune('a'+i))))
+		is.Equal(h.Load().Limit, append([]int{2}, want...)[i+1])
+	}
+	h.ep.report.BootID = "b2"
+	h.poll(t.Context())
+	is.Equal(h.Load().Limit, 2) // boot ID changed
+	h.limit.set(8)
+	h.ep.report.Cold = true
+	h.poll(t.Context())
+	is.Equal(h.Load().Limit, 2) // reported cold
+	for i := range 5 {
+		h.frames(t.Context(), stock(string(rune('A'+i))))
+	}
+	is.Equal(h.Load().Limit, 2) // no growth while it reports cold
+}
+
+// Guards against an endpoint that slowed down and keeps its full load.
+func TestSlowFirstTokenTurnsCold(t *testing.T) {
+	is := is.New(t)
+	l := limit{}
+	l.configure(2, 8)
+	l.set(8)
+	for range 2 * baselineSamples {
+		is.Equal(l.completed(l.generation, 20*time.Millisecond), "")
+	}
+	is.Equal(l.completed(l.generation, 200*time.Millisecond), "") // one slow answer is not enough
+	for range 20 {
+		l.completed(l.generation, 200*time.Millisecond)
+	}
+	is.Equal(l.current, 2)
+}
+
+// Guards against new work beside work that a dead agent left running, and
+// against trust in a report made before this agent started.
+func TestWorkFromBeforeTheStartCounts(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	start := h.clock.Now()
+	h.ep.report.ReportedAt = start
+	h.poll(t.Context())
+	is.Equal(h.Load().Limit, 0)
+	is.Equal(last(h.frames(t.Context(), stock("r1"))).Refusal.Kind, api.KindNoEndpoint)
+
+	h.ep.report.ReportedAt, h.ep.report.Running = start.Add(time.Second), 2
+	h.poll(t.Context())
+	is.Equal(h.Load().InFlight, 2)
+	done := make(chan []wire.Frame)
+	go func() { done <- h.frames(context.Background(), stock("r2")) }()
+	h.waitQueued(t, 1)
+	h.ep.mu.Lock()
+	h.ep.report.ReportedAt, h.ep.report.Running = start.Add(2*time.Second), 1
+	h.ep.mu.Unlock()
+	h.poll(t.Context())
+	is.Equal(kinds(<-done), "accepted head data end")
+}
+
+// Guards against an endpoint without load reports that never gets work.
+func TestEndpointWithoutLoadReports(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.ep.noLoad = true
+	h.poll(t.Context())
+	h.poll(t.Context()) // reuses the connection
+	is.Equal(kinds(h.frames(t.Context(), stock("r1"))), "accepted head data end")
+	h.limit.set(8)
+	h.ep.CloseClientConnections() // as a restart does
+	h.poll(t.Context())
+	h.poll(t.Context())
+	is.Equal(h.Load().Limit, 2)
+}
+
+// Guards against work that is handed over after its zone was taken out, its
+// view expired or its bundle is missing, although it was queued before.
+func TestZoneGateAppliesAfterQueueing(t *testing.T) {
+	cases := []struct {
+		kind   api.Kind
+		change func(*harness)
+	}{
+		{api.KindZoneOut, func(h *harness) {
+			h.view.change(func(s *control.Snapshot) { s.ZonesOut = map[string]bool{"z1": true} })
+		}},
+		{api.KindZoneOut, func(h *harness) {
+			h.view.change(func(s *control.Snapshot) { s.VMsOut = map[string]bool{"vm1": true} })
+		}},
+		{api.KindNoBundle, func(h *harness) { h.view.change(func(s *control.Snapshot) { s.Bundle = nil }) }},
+		{api.KindUnconfirmedView, func(h *harness) { h.clock.Advance(control.ConfirmWithin + time.Millisecond) }},
+	}
+	for _, c := range cases {
+		t.Run(string(c.kind), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			h.poll(t.Context())
+			h.ep.hold = make(chan struct{})
+			for _, id := range []string{"r1", "r2"} {
+				go h.frames(context.Background(), model(id, 1))
+			}
+			for h.ep.arrivals.Load() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			queued, identity := make(chan []wire.Frame, 2), order.FormatIssued(order.Binding{AgentID: "a1", Incarnation: 7}, 1, "x")
+			go func() { queued <- h.frames(context.Background(), model("r3", 1)) }()
+			go func() { queued <- h.frames(context.Background(), orderOf("r4", identity)) }()
+			h.waitQueued(t, 2)
+			c.change(h)
+			close(h.ep.hold)
+			for range 2 {
+				r := last(<-queued).Refusal
+				is.Equal(r.Kind, c.kind)
+				is.Equal(r.Outcome, api.OutcomeNotRun)
+			}
+			is.Equal(h.ep.arrivals.Load(), int64(2))
+			h.view.Store(newView(h.clock.Now()).Load()) // back in, confirmed
+			is.Equal(last(h.frames(t.Context(), model("r3", 1))).Refusal.Kind, api.KindConflict)
+			is.Equal(last(h.frames(t.Context(), orderOf("r4", identity))).Refusal.Outcome, api.OutcomeNotRun)
+			is.Equal(h.ep.arrivals.Load(), int64(2)) // refused IDs stay closed
+		})
+	}
+}
+
+// Guards against queued requests that outlive their deadline or their caller,
+// and against a cancelled stream that goes on at the endpoint.
+func TestDeadlineAndCancellation(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.poll(t.Context())
+	h.ep.hold = make(chan struct{})
+	running := make(chan []wire.Frame, 2)
+	for _, id := range []string{"r1", "r2"} {
+		req := model(id, 1)
+		req.DeadlineMS = 60_000
+		go func() { running <- h.frames(context.Background(), req) }()
+	}
+	for h.ep.arrivals.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	queued := make(chan []wire.Frame)
+	go func() { queued <- h.frames(context.Background(), model("r3", 1)) }()
+	h.waitQueued(t, 1)
+	is.True(h.Cancel("r3"))
+	is.Equal(last(<-queued).Refusal.Kind, api.KindCancelled)
+	go func() { queued <- h.frames(context.Background(), model("r4", 1)) }()
+	h.waitQueued(t, 1)
+	h.clock.Advance(5001 * time.Millisecond)
+	is.Equal(last(<-queued).Refusal.Kind, api.KindTimeout)
+	is.True(h.Cancel("r1"))
+	is.Equal(last(<-running).Reason, "cancelled")
+	is.Equal(h.ep.cancels, []string{"r1"})
+	is.True(!h.Cancel("r9"))
+	close(h.ep.hold)
+}
+
+// Guards against a drain that interrupts or drops running work.
+func TestDrainFinishesRunningWork(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.poll(t.Context())
+	h.ep.hold = make(chan struct{})
+	running := make(chan []wire.Frame)
+	go func() { running <- h.frames(context.Background(), model("r1", 1)) }()
+	for h.ep.arrivals.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	h.Leave()
+	is.Equal(last(h.frames(t.Context(), model("r2", 1))).Refusal.Kind, api.KindLeaving)
+	is.True(!h.idle())
+	close(h.ep.hold)
+	is.Equal(last(<-running).Kind, wire.FrameEnd)
+	is.True(h.idle())
+}
+
+// Guards against a large organisation that takes more than its agreed share,
+// fills the queue, or starves a small one. Each organisation but small offers
+// more than its share, big ten times as much; small offers half of its share.
+func TestSharesUnderTenfoldOverload(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.poll(t.Context())
+	h.limit.set(8)
+	const meanCost, steps = 50.0, 60_000 // one token of each running request per step
+	offered := map[string]float64{"big": 5, "mid": 0.45, "small": 0.1}
+	rng := rand.New(rand.NewSource(1))
+	queued := map[*waiter]int{}
+	runs := map[*waiter]float64{}
+	asked, served, refused, longest := map[string]float64{}, map[string]float64{}, map[string]int{}, map[string]int{}
+	for step := range steps {
+		for _, org := range []string{"big", "mid", "small"} {
+			if rng.Float64() < 8*offered[org]/meanCost {
+				w := &waiter{org: org, cost: 1 + float64(rng.Intn(2*meanCost-1)), ready: make(chan struct{})}
+				asked[org] += w.cost
+				if h.enqueue(w) != nil {
+					refused[org]++
+					continue
+				}
+				queued[w] = step
+			}
+		}
+		for w := range runs {
+			if runs[w]--; runs[w] <= 0 {
+				delete(runs, w)
+				served[w.org] += w.cost
+				h.release(w.slot, result{served: w.cost})
+			}
+		}
+		for w, since := range queued {
+			select {
+			case <-w.ready:
+				delete(queued, w)
+				if w.refusal != nil {
+					refused[w.org]++
+					continue
+				}
+				runs[w] = w.cost
+				longest[w.org] = max(longest[w.org], step-since)
+			default:
+			}
+		}
+	}
+	total := served["big"] + served["mid"] + served["small"]
+	// small is to get what it asks for; the lent rest is split 5 to 3.
+	rest := 1 - asked["small"]/(8*steps)
+	agreed := map[string]float64{"big": rest * 5 / 8, "mid": rest * 3 / 8, "small": 1 - rest}
+	for org, share := range agreed {
+		got := served[org] / total
+		t.Logf("%s: agreed %.4f, served %.4f, error %+.2f%%, refused %d, longest wait %d steps", org, share, got, 100*(got/share-1), refused[org], longest[org])
+		is.True(got/share > 0.98 && got/share < 1.02)
+	}
+	is.True(total > 0.98*8*steps)                  // unused share is lent
+	is.Equal(refused["small"], 0)                  // a full queue does not keep small out
+	is.True(served["small"] > 0.99*asked["small"]) // small gets all it asks for
+}
--- a/order/identity.go
+++ b/order/identity.go
@@ -20,8 +20,11 @@
 
 // Identity is a parsed Idempotency-Key.
 type Identity struct {
-	// Raw is the whole key; two orders are the same if their keys are equal.
+	// Raw is the whole key; two orders are the same if their organisations and keys are equal.
 	Raw string
+	// Organisation scopes the key. ParseIdentity leaves it empty; entries and
+	// agents set it, so that equal keys of two organisations stay apart.
+	Organisation string
 	// Issued is true for a key issued by resolve; Binding and AgentEpoch are then set.
 	Issued     bool
 	Binding    Binding
@@ -81,6 +84,11 @@
 	return n, nil
 }
 
+// Scoped returns the key together with its organisation.
+func (id Identity) Scoped() string {
+	return id.Organisation + "/" + id.Raw
+}
+
 // FormatIssued returns an issued identity; random must be unique for the binding.
 func FormatIssued(b Binding, agentEpoch uint64, random string) string {
 	return fmt.Sprintf("o1.%s.%d.%d.%s", b.AgentID, b.Incarnation, agentEpoch, random)
--- /dev/null
+++ b/order/outcomes.go
@@ -0,0 +1,130 @@
+package order
+
+import (
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+const (
+	// inheritedFor is how long outcomes of other agents are kept; after it
+	// the identities' epochs would be closed at their own agent as well.
+	inheritedFor = (OpenAgentEpochs + 1) * AgentEpochLength
+	// maxInheritedBytes bounds the outcomes kept for other agents.
+	maxInheritedBytes = 12 << 20
+)
+
+type inheritedKey struct {
+	scoped      string
+	incarnation uint64
+}
+
+type inheritedOutcome struct {
+	outcome wire.OrderOutcome
+	at      time.Time
+	bytes   int
+}
+
+// Outcomes returns the outcomes to hand over at a planned stop: those of this
+// incarnation's ended orders and those inherited from others.
+func (t *Table) Outcomes() []wire.OrderOutcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]wire.OrderOutcome, 0, len(t.orders)+len(t.inherited))
+	for _, o := range t.orders {
+		out = append(out, o.outcome())
+	}
+	for _, h := range t.inherited {
+		out = append(out, h.outcome)
+	}
+	return out
+}
+
+// outcome describes the order; one that has not ended is unknown to others.
+func (o *Order) outcome() wire.OrderOutcome {
+	w := wire.OrderOutcome{
+		Identity:     o.id.Raw,
+		Organisation: o.id.Organisation,
+		Incarnation:  o.incarnation,
+		Fingerprint:  o.fingerprint,
+		Closed:       o.state == StateClosed,
+		Unknown:      o.state == StateUnknown || o.busy(),
+	}
+	if o.state != StateDone {
+		return w
+	}
+	w.Oversize = o.oversize
+	if o.answer != nil && !o.oversize {
+		w.Status, w.Header, w.Body = o.answer.Status, o.answer.Header, o.answer.Body
+	}
+	return w
+}
+
+// Inherit stores outcomes of another agent and returns how many of them are
+// held. It stores none beyond its memory bound, so that the sender can pick
+// another heir.
+func (t *Table) Inherit(outcomes []wire.OrderOutcome) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pruneInherited()
+	stored := 0
+	for _, w := range outcomes {
+		if t.inherit(w) {
+			stored++
+		}
+	}
+	return stored
+}
+
+func (t *Table) inherit(w wire.OrderOutcome) bool {
+	id := Identity{Raw: w.Identity, Organisation: w.Organisation}
+	key := inheritedKey{scoped: id.Scoped(), incarnation: w.Incarnation}
+	if _, ok := t.inherited[key]; ok {
+		return true
+	}
+	answer := Answer{Header: w.Header, Body: w.Body}
+	bytes := recordBytes + len(key.scoped) + answer.size()
+	if t.heirBytes+bytes > maxInheritedBytes {
+		return false
+	}
+	t.heirBytes += bytes
+	t.inherited[key] = &inheritedOutcome{outcome: w, at: t.cfg.Clock.Now(), bytes: bytes}
+	return true
+}
+
+func (t *Table) pruneInherited() {
+	for key, h := range t.inherited {
+		if t.cfg.Clock.Since(h.at) > inheritedFor {
+			t.heirBytes -= h.bytes
+			delete(t.inherited, key)
+		}
+	}
+}
+
+// fromInherited answers a claim of another incarnation. Such an order never
+// runs here.
+func (t *Table) fromInherited(c Claim) (*Order, *api.Refusal) {
+	h := t.inherited[inheritedKey{scoped: c.Identity.Scoped(), incarnation: c.incarnation()}]
+	if h == nil {
+		return nil, api.Unknown(api.KindIdentityClosed,
+			"the identity is bound to another agent incarnation, whose outcomes are not held here",
+			"check with the service whether the order took effect; a new order needs a new identity from /v1/resolve")
+	}
+	w := h.outcome
+	switch {
+	case w.Fingerprint != c.Fingerprint:
+		return nil, otherContent()
+	case w.Closed:
+		return nil, api.NotRun(api.KindIdentityClosed, "the order was refused by its agent and did not run", "send the order with a new identity from /v1/resolve")
+	case w.Unknown:
+		return nil, api.Unknown(api.KindEndpointFailed, "the order was handed to its endpoint and its answer was lost", "check with the service whether the order took effect")
+	case w.Oversize:
+		return nil, oversizeRefusal()
+	}
+	o := &Order{table: t, id: c.Identity, started: make(chan struct{}), finished: make(chan struct{}), state: StateDone}
+	o.answer = &Answer{Status: w.Status, Header: w.Header, Body: w.Body}
+	close(o.started)
+	close(o.finished)
+	return o, nil
+}
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -78,10 +78,14 @@
 
 // OrderOutcome is the recorded result of one order.
 type OrderOutcome struct {
-	Identity    string
-	Incarnation uint64
-	Closed      bool // refused for good: it did not run and never will
-	Unknown     bool // handed to the endpoint, answer not known
+	Identity     string
+	Organisation string
+	Incarnation  uint64
+	Closed       bool // refused for good: it did not run and never will
+	Unknown      bool // handed to the endpoint, answer not known
+	Oversize     bool // ran with Status; the body was too large to keep
+	// Fingerprint identifies the content of the order.
+	Fingerprint uint64
 	Status      int
 	Header      map[string][]string
 	Body        []byte
