--- /dev/null
+++ b/lab/rankgroup/drift.go
@@ -0,0 +1,84 @@
+package rankgroup
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// Drift describes how the popularity of experts changes.
+type Drift struct {
+	// Spread is the standard deviation of log-popularity at the start.
+	Spread float64
+	// Walk is the standard deviation of the change of log-popularity per interval.
+	Walk float64
+	// HotChance is the chance per layer and interval that an expert becomes hot.
+	HotChance float64
+	// HotFactor multiplies the popularity of a hot expert.
+	HotFactor float64
+	// HotRamp and HotHold are lengths in intervals.
+	HotRamp, HotHold int
+}
+
+// DefaultDrift walks by 2% per interval (76% over a day of 60 s intervals) and
+// makes an expert of a layer four times as popular every 20 intervals.
+var DefaultDrift = Drift{Spread: 0.5, Walk: 0.02, HotChance: 0.05, HotFactor: 4, HotRamp: 10, HotHold: 20}
+
+// popularity is the drifting log-popularity of the experts of one layer.
+type popularity struct {
+	drift Drift
+	rng   *rand.Rand
+	walk  []float64
+	hot   []int // age of the hot episode in intervals, 0 for none
+}
+
+func newPopularity(drift Drift, experts int, rng *rand.Rand) *popularity {
+	p := &popularity{drift: drift, rng: rng, walk: make([]float64, experts), hot: make([]int, experts)}
+	for e := range p.walk {
+		p.walk[e] = drift.Spread * rng.NormFloat64()
+	}
+	return p
+}
+
+// next advances by one interval.
+func (p *popularity) next() {
+	length := 2*p.drift.HotRamp + p.drift.HotHold
+	for e := range p.walk {
+		p.walk[e] += p.drift.Walk * p.rng.NormFloat64()
+		if p.hot[e] > 0 {
+			p.hot[e] = (p.hot[e] + 1) % length
+		}
+	}
+	if p.rng.Float64() < p.drift.HotChance {
+		e := p.rng.IntN(len(p.hot))
+		if p.hot[e] == 0 {
+			p.hot[e] = 1
+		}
+	}
+}
+
+// logs returns the log-popularity of each expert now.
+func (p *popularity) logs() []float64 {
+	out := make([]float64, len(p.walk))
+	ramp, hold := float64(p.drift.HotRamp), float64(p.drift.HotHold)
+	for e, x := range p.walk {
+		age := float64(p.hot[e])
+		level := min(1, age/ramp, max(0, (2*ramp+hold-age)/ramp))
+		out[e] = x + level*math.Log(p.drift.HotFactor)
+	}
+	return out
+}
+
+// loads normalises popularity, at the fraction f between two intervals, to a
+// sum of one per layer.
+func loads(from, to []float64, f float64) []float64 {
+	out := make([]float64, len(from))
+	sum := 0.0
+	for e := range from {
+		out[e] = math.Exp(from[e] + f*(to[e]-from[e]))
+		sum += out[e]
+	}
+	for e := range out {
+		out[e] /= sum
+	}
+	return out
+}
