Add map switching: coordinator, agent side, and a simulated rank group

Change: expertmap.Coordinator records maps by compare-and-swap and sends only maps that it has read from the store; expertmap.Rank refuses lower numbers and reloads maps after a rank restart without coordinator or store; lab/rankgroup runs ranks with HTTP control, a rate-limited weight store, the step exchange and a checker, under 15 faults, and the named switch step for comparison. wire.MapArgs gets WantLoads, wire.MapReply gets Loading and LoadsOf.

--- /dev/null
+++ b/expertmap/choose.go
@@ -0,0 +1,54 @@
+package expertmap
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// Choose returns the ID of the entry that coordinates the group, by rendezvous
+// hash over the live entries. Two entries with different views may both think
+// they are chosen; that costs messages but mixes no maps.
+func Choose(group string, snap *control.Snapshot) string {
+	best, bestHash := "", uint64(0)
+	consider := func(n wire.Node) {
+		if n.State != wire.StateReady || snap.Out(n) {
+			return
+		}
+		h := xxhash.Sum64String(n.ID + "\x00" + group)
+		if best == "" || h > bestHash || (h == bestHash && n.ID > best) {
+			best, bestHash = n.ID, h
+		}
+	}
+	consider(snap.Self)
+	for _, e := range snap.Entries {
+		if e.Node.ID != snap.Self.ID {
+			consider(e.Node)
+		}
+	}
+	return best
+}
+
+// agents returns the newest known agent of each rank; ok is false if a rank has
+// none. Leaving agents are included, because their ranks still take part.
+func agents(group string, ranks int, snap *control.Snapshot) (nodes []wire.Node, ok bool) {
+	nodes = make([]wire.Node, ranks)
+	heard := make([]time.Time, ranks)
+	found := 0
+	for _, ep := range snap.AgentByID {
+		n := ep.Node
+		if n.Group != group || n.Rank < 0 || n.Rank >= ranks {
+			continue
+		}
+		if nodes[n.Rank].ID == "" {
+			found++
+		} else if !ep.HeardAt.After(heard[n.Rank]) {
+			continue
+		}
+		nodes[n.Rank], heard[n.Rank] = n, ep.HeardAt
+	}
+	return nodes, found == ranks
+}
--- /dev/null
+++ b/expertmap/group.go
@@ -0,0 +1,248 @@
+package expertmap
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/store"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// groupCoordinator coordinates one group. It is used by one goroutine at a time.
+type groupCoordinator struct {
+	cfg   *CoordinatorConfig
+	group bundle.Group
+	log   logr.Logger
+
+	record    Record
+	current   *Map // decoded record
+	revision  uint64
+	estimator *Estimator
+	nodes     []wire.Node
+	settled   bool
+	polledAt  time.Time
+	plannedAt time.Time
+}
+
+// tick does one round: read the record, create it if there is none, poll the
+// ranks, send the recorded map to ranks that lack it, and plan when due.
+func (g *groupCoordinator) tick(ctx context.Context, snap *control.Snapshot) {
+	if !g.record.Fresh() && !g.read(ctx) && g.current == nil {
+		return
+	}
+	if g.current == nil {
+		g.createFirst(ctx, snap)
+		return
+	}
+	nodes, complete := agents(g.group.Name, g.group.Ranks, snap)
+	now := g.cfg.Clock.Now()
+	due := now.Sub(g.plannedAt) >= g.cfg.Interval
+	if g.settled && sameNodes(nodes, g.nodes) && !due && now.Sub(g.polledAt) < g.cfg.SettledPoll {
+		return
+	}
+	g.nodes, g.polledAt = nodes, now
+	replies := g.poll(ctx, snap.Self, nodes, due)
+	g.settled = complete && g.record.InUse(replies)
+	g.send(ctx, snap, replies)
+	if g.settled && due && g.record.Fresh() {
+		g.plannedAt = now
+		g.plan(ctx, replies)
+	}
+}
+
+func sameNodes(a, b []wire.Node) bool {
+	return slices.EqualFunc(a, b, func(x, y wire.Node) bool {
+		return x.ID == y.ID && x.Incarnation == y.Incarnation
+	})
+}
+
+func (g *groupCoordinator) key() string { return store.PrefixGroups + g.group.Name }
+
+// read takes the record from the store. It returns false on an error.
+func (g *groupCoordinator) read(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := g.cfg.Store.Get(ctx, g.key())
+	if err != nil {
+		g.log.V(1).Info("cannot read the record", "reason", err.Error())
+		return false
+	}
+	if e.Revision == 0 {
+		g.record.Observe(Packed{}, 0)
+		g.current = nil
+		return true
+	}
+	if e.Revision == g.revision && g.current != nil {
+		g.record.Observe(g.record.packed, e.Revision)
+		return true
+	}
+	m, p, err := Unpack(e.Value)
+	if err != nil {
+		g.log.Error(err, "the record is not a valid map; delete the store key to start again", "key", g.key())
+		return false
+	}
+	g.record.Observe(p, e.Revision)
+	if p.Number < g.record.packed.Number {
+		return true // a stale read
+	}
+	g.current, g.revision = m, e.Revision
+	g.log.Info("read the record", "map", p.Number, "digest", p.Digest)
+	return true
+}
+
+// createFirst records the first map of a group, spread evenly. If ranks have
+// seen maps of a record that is gone, its number is above theirs, since a
+// number must not name two contents.
+func (g *groupCoordinator) createFirst(ctx context.Context, snap *control.Snapshot) {
+	nodes, _ := agents(g.group.Name, g.group.Ranks, snap)
+	highest := uint64(0)
+	for _, reply := range g.poll(ctx, snap.Self, nodes, false) {
+		highest = max(highest, reply.Highest)
+	}
+	if !g.record.Fresh() && (!g.read(ctx) || g.current != nil) {
+		return
+	}
+	m, err := First(g.group.Name, g.group.Ranks, g.group.Layers, g.group.Experts, g.group.SlotsPerRank)
+	if err != nil {
+		g.log.Error(err, "cannot create the first map")
+		return
+	}
+	m.Number = highest + 1
+	g.log.Info("record the first map", "map", m.Number)
+	g.write(ctx, m)
+}
+
+// write records a map by compare-and-swap and reads the record back, whatever
+// the outcome was.
+func (g *groupCoordinator) write(ctx context.Context, m *Map) {
+	p, err := Pack(m)
+	if err != nil {
+		g.log.Error(err, "cannot pack a map")
+		return
+	}
+	revision, ok := g.record.Begin(p)
+	if !ok || !g.confirmed() {
+		return
+	}
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = g.cfg.Store.CompareAndSwap(cctx, g.key(), p.Bytes, revision)
+	switch {
+	case err == nil:
+		g.log.Info("recorded a map", "map", p.Number, "digest", p.Digest, "bytes", len(p.Bytes))
+	case errors.Is(err, store.ErrConflict):
+		g.log.Info("another entry recorded a map", "map", p.Number)
+	default:
+		g.log.Info("recording a map failed or is unknown", "map", p.Number, "reason", err.Error())
+	}
+	g.settled = false
+	g.read(ctx)
+}
+
+// confirmed reports whether the view is still confirmed.
+func (g *groupCoordinator) confirmed() bool {
+	return g.cfg.View.Snapshot().Confirmed(g.cfg.Clock.Now())
+}
+
+// poll asks all agents for the state of their ranks.
+func (g *groupCoordinator) poll(ctx context.Context, self wire.Node, nodes []wire.Node, loads bool) []wire.MapReply {
+	replies := make([]wire.MapReply, len(nodes))
+	args := wire.MapArgs{From: self, Group: g.group.Name, WantLoads: loads}
+	var eg errgroup.Group
+	eg.SetLimit(parallelCalls)
+	for r, n := range nodes {
+		replies[r].NotReady = true
+		if n.ID == "" {
+			continue
+		}
+		eg.Go(func() error {
+			replies[r] = g.call(ctx, n, args)
+			return nil
+		})
+	}
+	_ = eg.Wait() // failed calls yield NotReady
+	for _, reply := range replies {
+		if reply.Highest > g.record.packed.Number {
+			g.record.Expire() // another entry has recorded a newer map
+		}
+	}
+	return replies
+}
+
+func (g *groupCoordinator) call(ctx context.Context, n wire.Node, args wire.MapArgs) wire.MapReply {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply wire.MapReply
+	if err := g.cfg.Pool.Call(ctx, n.RPCAddr, wire.AgentService+".Map", args, &reply); err != nil {
+		g.log.V(1).Info("agent did not answer", "agent", n.ID, "reason", err.Error())
+		return wire.MapReply{NotReady: true}
+	}
+	return reply
+}
+
+// send gives the recorded map to the ranks that lack it.
+func (g *groupCoordinator) send(ctx context.Context, snap *control.Snapshot, replies []wire.MapReply) {
+	p, ok := g.record.Recorded()
+	if !ok || !g.confirmed() {
+		return
+	}
+	args := wire.MapArgs{From: snap.Self, Group: g.group.Name, Number: p.Number, Digest: p.Digest, Content: p.Bytes}
+	var eg errgroup.Group
+	eg.SetLimit(parallelCalls)
+	for r, reply := range replies {
+		n := g.nodes[r]
+		if n.ID == "" || !g.record.Needs(reply) {
+			continue
+		}
+		g.log.Info("send the map", "map", p.Number, "rank", r, "agent", n.ID)
+		eg.Go(func() error {
+			g.call(ctx, n, args)
+			return nil
+		})
+	}
+	_ = eg.Wait() // the next poll shows which ranks hold the map
+}
+
+// plan records a better map if there is one. The record is read first, because
+// another entry may have written since.
+func (g *groupCoordinator) plan(ctx context.Context, replies []wire.MapReply) {
+	if !g.observe(replies) {
+		return
+	}
+	number := g.current.Number
+	g.record.Expire()
+	if !g.read(ctx) || g.current == nil || g.current.Number != number {
+		return
+	}
+	stepTime := g.stepTime(replies)
+	res, err := Plan(Input{
+		Current: g.current, Loads: g.estimator.Loads(), Speeds: g.estimator.Speeds(),
+		Cost: Cost{ExpertBytes: g.group.ExpertBytes, StoreRate: g.cfg.StoreRate, StepTime: stepTime, Horizon: g.cfg.Horizon.Seconds()},
+	})
+	if err != nil {
+		g.log.Error(err, "cannot plan")
+		return
+	}
+	if res.After > res.Before*(1-g.cfg.MinGain) {
+		g.log.Info("keep the map", "map", number, "step_s", res.Before, "planned_step_s", res.After)
+		return
+	}
+	g.log.Info("planned a map", "map", res.Map.Number, "step_s", res.Before, "planned_step_s", res.After, "moves", len(res.Moves), "bytes", res.Bytes)
+	g.write(ctx, res.Map)
+}
+
+// stepTime is the longest work time of a rank, in seconds.
+func (g *groupCoordinator) stepTime(replies []wire.MapReply) float64 {
+	longest := 0.001 // engines that report no time
+	for _, reply := range replies {
+		longest = max(longest, reply.StepMS/1000)
+	}
+	return longest
+}
--- /dev/null
+++ b/expertmap/observe.go
@@ -0,0 +1,75 @@
+package expertmap
+
+import (
+	"slices"
+
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// observe adds the reports of all ranks to the estimate. It returns false if
+// the reports are incomplete or belong to another map.
+func (g *groupCoordinator) observe(replies []wire.MapReply) bool {
+	loads, work, ok := SumLoads(g.current, replies)
+	if !ok {
+		return false
+	}
+	if g.estimator == nil {
+		g.estimator = NewEstimator(DefaultGains)
+	}
+	g.estimator.AddLoads(loads)
+	g.estimator.AddSpeeds(Speeds(work, replies))
+	return true
+}
+
+// SumLoads adds the loads of all slots up by layer and expert, and by rank.
+func SumLoads(m *Map, replies []wire.MapReply) (loads [][]float64, work []float64, ok bool) {
+	work = make([]float64, m.Ranks)
+	loads = make([][]float64, len(m.Layers))
+	for l := range loads {
+		loads[l] = make([]float64, m.Experts)
+	}
+	if len(replies) != m.Ranks {
+		return nil, nil, false
+	}
+	for r, reply := range replies {
+		if reply.LoadsOf != m.Number || len(reply.Loads) != len(m.Layers) {
+			return nil, nil, false
+		}
+		for l, row := range reply.Loads {
+			if len(row) != m.Slots {
+				return nil, nil, false
+			}
+			for k, x := range row {
+				e := m.Layers[l].Experts[r*m.Slots+k]
+				if e == NoExpert || !(x >= 0) {
+					continue
+				}
+				loads[l][e] += x
+				work[r] += x
+			}
+		}
+	}
+	return loads, work, true
+}
+
+// Speeds returns the work per time of each rank relative to the median rank, 0
+// for ranks without a measurement.
+func Speeds(work []float64, replies []wire.MapReply) []float64 {
+	speeds := make([]float64, len(work))
+	var known []float64
+	for r, reply := range replies {
+		if reply.StepMS > 0 && work[r] > 0 {
+			speeds[r] = work[r] / reply.StepMS
+			known = append(known, speeds[r])
+		}
+	}
+	if len(known) == 0 {
+		return speeds
+	}
+	slices.Sort(known)
+	median := known[len(known)/2]
+	for r := range speeds {
+		speeds[r] /= median
+	}
+	return speeds
+}
--- /dev/null
+++ b/lab/rankgroup/faults.go
@@ -0,0 +1,249 @@
+package rankgroup
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/expertmap"
+	"github.com/wasabinotch/wasabinotch/store"
+)
+
+// Fault is a named sequence of events during map switches.
+type Fault struct {
+	Name string
+	// IgnoreFencing makes rank 0 ignore fencing tokens.
+	IgnoreFencing bool
+	// Running is set if the fault must not stop the group: no rank is away or
+	// stalled.
+	Running bool
+	run     func(b *Bench) error
+}
+
+// Faults are the sequences that the tests run. Each starts on a group that
+// switches maps regularly under entry 0.
+var Faults = []Fault{
+	{Name: "none", Running: true, run: func(b *Bench) error { return b.advance(4) }},
+	{Name: "coordinator dies between record and sending", Running: true, run: func(b *Bench) error { return b.dieAfter(0) }},
+	{Name: "coordinator dies after sending to half of the ranks", Running: true, run: func(b *Bench) error { return b.dieAfter(benchRanks / 2) }},
+	{Name: "paused old coordinator wakes and resends", Running: true, run: (*Bench).pausedCoordinator},
+	{Name: "paused old coordinator wakes, agents restarted", Running: true, run: (*Bench).pausedAndAgentsRestarted},
+	{Name: "store down", run: (*Bench).storeDown},
+	{Name: "lost answers of compare-and-swap", Running: true, run: (*Bench).lostAnswers},
+	{Name: "two coordinators at once", Running: true, run: (*Bench).twoCoordinators},
+	{Name: "old map posted to a rank that ignores fencing", Running: true, IgnoreFencing: true, run: (*Bench).stalePost},
+	{Name: "old map posted to a rank that enforces fencing", Running: true, run: (*Bench).stalePost},
+	{Name: "rank restarts in mid-switch", run: (*Bench).rankRestart},
+	{Name: "rank and agent restart in mid-switch", run: (*Bench).rankAndAgentRestart},
+	{Name: "agent restarts", Running: true, run: (*Bench).agentRestart},
+	{Name: "rank stalls for 300 ms", run: (*Bench).stalledRank},
+	{Name: "rank is 500 ms slow to load", Running: true, run: (*Bench).slowLoad},
+}
+
+// FaultResult is what was seen while a fault ran.
+type FaultResult struct {
+	Verdict
+	Recorded int
+	Refused  int64
+}
+
+// Run executes the fault on a new bench. Figures count from the start of the
+// fault, when the group has switched maps at least twice.
+func (f Fault) Run(log logr.Logger) (FaultResult, error) {
+	b, err := NewBench(f.IgnoreFencing, log)
+	if err != nil {
+		return FaultResult{}, err
+	}
+	defer b.Close()
+	b.entry[0].alone.Store(true)
+	b.entry[1].alone.Store(true)
+	b.StartEntry(0)
+	if err := b.advance(2); err != nil {
+		return FaultResult{}, err
+	}
+	began := time.Now()
+	if err := f.run(b); err != nil {
+		return FaultResult{}, fmt.Errorf("%s: %w", f.Name, err)
+	}
+	return FaultResult{Verdict: b.Group.Checker.Verdict(began), Recorded: b.recorded(), Refused: b.Refused.Load()}, nil
+}
+
+// Report writes one line of figures.
+func (r FaultResult) Report(w io.Writer, name string) {
+	_, _ = fmt.Fprintf(w, "%-52s steps %5d mixed %d back %d maps %2d refused %2d stood still %4d ms; longest other gap %3d ms\n",
+		name, r.Steps, len(r.Mixed), r.Back, r.Recorded, r.Refused, r.Standstill.Milliseconds(), r.Jitter.Milliseconds())
+}
+
+func (b *Bench) recorded() int {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	return b.store.writes
+}
+
+// waitTime bounds the wait for an expected event.
+const waitTime = 20 * time.Second
+
+func (b *Bench) wait(what string, cond func() bool) error {
+	end := time.Now().Add(waitTime)
+	for !cond() {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s did not happen within %v", what, waitTime)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+func (b *Bench) latest() uint64 {
+	return b.Group.Checker.Verdict(time.Now()).Latest
+}
+
+// advance waits until the group uses a map n numbers higher.
+func (b *Bench) advance(n uint64) error {
+	want := b.latest() + n
+	return b.wait(fmt.Sprintf("use of map %d", want), func() bool { return b.latest() >= want })
+}
+
+// inSwitch waits until a map is recorded that the group does not use yet.
+func (b *Bench) inSwitch() error {
+	before := b.recorded()
+	return b.wait("a new record", func() bool { return b.recorded() > before })
+}
+
+func (b *Bench) dieAfter(sends int64) error {
+	if err := b.inSwitch(); err != nil {
+		return err
+	}
+	if err := b.advance(1); err != nil {
+		return err
+	}
+	b.entry[0].sends.Store(sends)
+	if err := b.wait("death of the coordinator", b.entry[0].dead.Load); err != nil {
+		return err
+	}
+	time.Sleep(TakeOver)
+	b.StartEntry(1)
+	return b.advance(3)
+}
+
+func (b *Bench) pausedCoordinator() error {
+	b.entry[0].pause()
+	if err := b.wait("a blocked send", func() bool { return b.entry[0].blocked.Load() > 0 }); err != nil {
+		return err
+	}
+	b.StartEntry(1)
+	if err := b.advance(3); err != nil {
+		return err
+	}
+	b.entry[0].resume()
+	return b.advance(3)
+}
+
+func (b *Bench) pausedAndAgentsRestarted() error {
+	b.entry[0].pause()
+	if err := b.wait("a blocked send", func() bool { return b.entry[0].blocked.Load() > 0 }); err != nil {
+		return err
+	}
+	b.StartEntry(1)
+	if err := b.advance(3); err != nil {
+		return err
+	}
+	for r := range benchRanks {
+		b.RestartAgent(r)
+	}
+	b.entry[0].resume()
+	return b.advance(3)
+}
+
+func (b *Bench) storeDown() error {
+	b.store.setDown(true)
+	time.Sleep(time.Second)
+	b.Group.Restart(1) // recovers without the store
+	time.Sleep(time.Second)
+	b.store.setDown(false)
+	return b.advance(2)
+}
+
+func (b *Bench) lostAnswers() error {
+	b.store.loseAnswers(4)
+	return b.advance(5)
+}
+
+func (b *Bench) twoCoordinators() error {
+	b.StartEntry(1)
+	return b.advance(8)
+}
+
+// stalePost sends an old recorded map to rank 0 past its agent.
+func (b *Bench) stalePost() error {
+	e, err := b.store.Get(context.Background(), store.PrefixGroups+"bench")
+	if err != nil {
+		return err
+	}
+	m, p, err := expertmap.Unpack(e.Value)
+	if err != nil {
+		return err
+	}
+	if err := b.advance(3); err != nil {
+		return err
+	}
+	canonical, err := m.Canonical()
+	if err != nil {
+		return err
+	}
+	body := fmt.Sprintf(`{"number":%d,"fencing_token":%d,"digest":%q,"content":%s}`, m.Number, m.Number, p.Digest, canonical)
+	res, err := http.Post("http://"+b.Group.Address(0)+expertmap.PathRankMap, "application/json", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	if err := res.Body.Close(); err != nil {
+		return err
+	}
+	ignores := b.Group.engines[0].opt.IgnoreFencing
+	if (res.StatusCode == http.StatusConflict) == ignores {
+		return fmt.Errorf("rank answered %s to an old map", res.Status)
+	}
+	return b.advance(3)
+}
+
+func (b *Bench) rankRestart() error {
+	if err := b.inSwitch(); err != nil {
+		return err
+	}
+	b.Group.Restart(2)
+	return b.advance(3)
+}
+
+func (b *Bench) rankAndAgentRestart() error {
+	if err := b.inSwitch(); err != nil {
+		return err
+	}
+	b.Group.Restart(2)
+	b.RestartAgent(2)
+	return b.advance(3)
+}
+
+func (b *Bench) agentRestart() error {
+	if err := b.inSwitch(); err != nil {
+		return err
+	}
+	for r := range benchRanks {
+		b.RestartAgent(r)
+	}
+	return b.advance(3)
+}
+
+func (b *Bench) stalledRank() error {
+	b.Group.Stall(3, 300*time.Millisecond)
+	return b.advance(3)
+}
+
+func (b *Bench) slowLoad() error {
+	b.Group.SetLoadDelay(3, 500*time.Millisecond)
+	return b.advance(2)
+}
--- /dev/null
+++ b/lab/rankgroup/group.go
@@ -0,0 +1,144 @@
+package rankgroup
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/expertmap"
+)
+
+// GroupConfig holds the parameters of a Group.
+type GroupConfig struct {
+	Ranks int
+	// WeightRate is the rate of the weight store, in bytes/s.
+	WeightRate float64
+	Options    func(rank int) EngineOptions
+	// Popularity returns the load by expert of a layer.
+	Popularity func(layer int) []float64
+}
+
+// Group is a group of simulated ranks that execute steps together.
+type Group struct {
+	Checker *Checker
+	engines []*engine
+	x       *exchange
+}
+
+// NewGroup starts the HTTP interfaces of the ranks.
+func NewGroup(cfg GroupConfig) (*Group, error) {
+	g := &Group{Checker: newChecker(cfg.Ranks), x: newExchange(cfg.Ranks)}
+	store := NewWeightStore(cfg.WeightRate)
+	for r := range cfg.Ranks {
+		e, err := newEngine(r, cfg.Options(r), store, cfg.Popularity)
+		if err != nil {
+			g.Close()
+			return nil, err
+		}
+		g.engines = append(g.engines, e)
+	}
+	return g, nil
+}
+
+// Address returns the HTTP address of a rank.
+func (g *Group) Address(rank int) string { return g.engines[rank].addr }
+
+// Restart restarts a rank; it then holds nothing.
+func (g *Group) Restart(rank int) { g.engines[rank].restart() }
+
+// Stall delays the next step of a rank.
+func (g *Group) Stall(rank int, d time.Duration) { g.engines[rank].stall(d) }
+
+// SetLoadDelay makes a rank slow to load.
+func (g *Group) SetLoadDelay(rank int, d time.Duration) { g.engines[rank].loadDelay.Store(int64(d)) }
+
+// Close stops the HTTP interfaces.
+func (g *Group) Close() {
+	for _, e := range g.engines {
+		e.close()
+	}
+}
+
+// Run executes steps until ctx ends.
+func (g *Group) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, e := range g.engines {
+		wg.Go(func() { g.runRank(ctx, e) })
+	}
+	wg.Wait()
+}
+
+// idlePause is the pause of a rank before it contributes again when the group
+// has no common map.
+const idlePause = time.Millisecond
+
+func (g *Group) runRank(ctx context.Context, e *engine) {
+	for ctx.Err() == nil {
+		boot, c, err := e.ready(ctx, g.Checker.hold)
+		if err != nil {
+			return
+		}
+		round, sets, err := g.x.contribute(ctx, e.rank, c)
+		if err != nil {
+			return
+		}
+		number := expertmap.Agree(sets)
+		if u, ok := e.enter(boot, round, number); ok {
+			g.Checker.record(round, e.rank, u)
+			if sleep(ctx, e.opt.StepTime) != nil {
+				return
+			}
+			continue
+		}
+		if number == 0 {
+			g.Checker.hold()
+		}
+		if sleep(ctx, idlePause) != nil {
+			return
+		}
+	}
+}
+
+// ready waits out a restart, a stall or an undecided switch and returns what
+// the rank contributes.
+func (e *engine) ready(ctx context.Context, hold func()) (string, contribution, error) {
+	for {
+		e.mu.Lock()
+		wait := time.Until(e.downTill)
+		if e.stallFor > 0 {
+			wait = max(wait, e.stallFor)
+			e.stallFor = 0
+		}
+		if wait <= 0 && !e.undecided() {
+			defer e.mu.Unlock()
+			return e.boot, contribution{held: e.offered()}, nil
+		}
+		e.mu.Unlock()
+		hold()
+		if err := sleep(ctx, max(wait, idlePause)); err != nil {
+			return "", contribution{}, err
+		}
+	}
+}
+
+// enter begins a step under the agreed map. A rank that restarted after it
+// contributed does not take part. Maps below the agreed one are freed: the
+// agreement shows that all ranks hold it, and lower ones are not used again.
+func (e *engine) enter(boot string, round, number uint64) (use, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.step = round
+	h, ok := e.held[number]
+	if e.boot != boot || !ok {
+		return use{}, false
+	}
+	// The previous step ended on all ranks before this exchange did, so a
+	// number that was active then is in use by the whole group.
+	for n := range e.held {
+		if n < e.active {
+			delete(e.held, n)
+		}
+	}
+	e.active = number
+	return h.use, true
+}
--- /dev/null
+++ b/lab/rankgroup/memstore.go
@@ -0,0 +1,89 @@
+package rankgroup
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/store"
+)
+
+// memStore is a store in memory with faults.
+type memStore struct {
+	mu       sync.Mutex
+	entries  map[string]store.Entry
+	revision uint64
+	down     bool
+	lose     int // answers of writes to lose; every second lost write has no effect
+	writes   int
+}
+
+func newMemStore() *memStore {
+	return &memStore{entries: make(map[string]store.Entry)}
+}
+
+func (s *memStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *memStore) loseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Get implements store.Store.
+func (s *memStore) Get(_ context.Context, key string) (store.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return s.entries[key], nil
+}
+
+// CompareAndSwap implements store.Store.
+func (s *memStore) CompareAndSwap(_ context.Context, key string, value []byte, revision uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.ErrUnavailable
+	}
+	if s.lose > 0 {
+		s.lose--
+		if s.lose%2 == 1 {
+			return store.ErrUnknown
+		}
+		_ = s.swap(key, value, revision) // the caller learns nothing
+		return store.ErrUnknown
+	}
+	return s.swap(key, value, revision)
+}
+
+func (s *memStore) swap(key string, value []byte, revision uint64) error {
+	if s.entries[key].Revision != revision {
+		return store.ErrConflict
+	}
+	s.revision++
+	s.writes++
+	s.entries[key] = store.Entry{Key: key, Value: value, Revision: s.revision}
+	return nil
+}
+
+// Delete implements store.Store.
+func (s *memStore) Delete(_ context.Context, key string, revision uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].Revision != revision {
+		return store.ErrConflict
+	}
+	delete(s.entries, key)
+	return nil
+}
+
+// Watch implements store.Store; coordinators do not use it.
+func (s *memStore) Watch(context.Context, string, uint64, time.Duration) ([]store.Entry, uint64, error) {
+	return nil, 0, store.ErrUnavailable
+}
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -98,23 +98,30 @@
 	Stored int
 }
 
-// MapArgs asks an agent to have its rank load an expert map.
+// MapArgs asks an agent to have its rank load an expert map. Without Content
+// it only asks for the state of the rank.
 type MapArgs struct {
 	From    Node
 	Group   string
 	Number  uint64 // map number, also the fencing token
 	Digest  string
-	Content []byte // JSON of an expertmap.Map
+	Content []byte // packed expertmap.Map
+	// WantLoads asks for Loads, which are large.
+	WantLoads bool
 }
 
 // MapReply reports which maps the rank holds.
 type MapReply struct {
-	Held     []uint64
-	Active   uint64
-	Step     uint64
-	StepMS   float64 // mean step time of this rank over the last report interval
+	Held    []uint64
+	Active  uint64
+	Loading uint64 // map number that the rank loads now, 0 for none
+	Step    uint64
+	StepMS  float64 // mean time of this rank's own work per step over the last report interval
+	// Loads is the load by layer and slot of this rank per step over the last
+	// report interval, counted under map LoadsOf.
 	Loads    [][]float64
+	LoadsOf  uint64
 	Refused  bool
 	Highest  uint64 // highest map number this agent has seen
-	NotReady bool
+	NotReady bool   // the endpoint did not answer
 }
