Add operator commands and the cluster harness of the integration tests

Cause: operators need a command line; the guarantees need tests with real processes behind a fault-injecting proxy.

--- /dev/null
+++ b/cli/bundle.go
@@ -0,0 +1,133 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/bundle"
+)
+
+type fileArg struct {
+	File string `positional-arg-name:"FILE"`
+}
+
+// readBundle reads a bundle file: a signed bundle, or a bundle without signatures.
+func readBundle(path string) (*bundle.Signed, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.BadParameter("bundle file: %v; name a readable JSON file", err)
+	}
+	var probe struct {
+		Bundle json.RawMessage `json:"bundle"`
+	}
+	if err := json.Unmarshal(data, &probe); err == nil && probe.Bundle == nil {
+		data = fmt.Appendf(nil, `{"bundle":%s,"signatures":[]}`, data)
+	}
+	s, err := bundle.Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	return s, s.Bundle.Validate()
+}
+
+// BundleCheck checks a bundle file.
+type BundleCheck struct {
+	Args fileArg `positional-args:"yes" required:"yes"`
+	env  *Env
+}
+
+// Execute implements flags.Commander.
+func (b *BundleCheck) Execute([]string) error {
+	s, err := readBundle(b.Args.File)
+	if err != nil {
+		return err
+	}
+	digest, err := s.Bundle.Digest()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(b.env.Out, "bundle %d is valid, digest %s, signatures %d\n", s.Bundle.Version, digest, len(s.Signatures))
+	return trace.Wrap(err)
+}
+
+// BundleSign adds a signature.
+type BundleSign struct {
+	Key  string  `long:"key" required:"yes" description:"member's key file"`
+	Out  string  `long:"out" description:"file to write; default: the bundle file itself"`
+	Args fileArg `positional-args:"yes" required:"yes"`
+	env  *Env
+}
+
+const bundleFileMode = 0o644
+
+// Execute implements flags.Commander.
+func (b *BundleSign) Execute([]string) error {
+	s, err := readBundle(b.Args.File)
+	if err != nil {
+		return err
+	}
+	name, key, err := ReadKey(b.Key)
+	if err != nil {
+		return err
+	}
+	sig, err := s.Bundle.Sign(name, key)
+	if err != nil {
+		return err
+	}
+	s.Signatures = slices.DeleteFunc(s.Signatures, func(old bundle.Signature) bool { return old.Name == name })
+	s.Signatures = append(s.Signatures, sig)
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	out := b.Out
+	if out == "" {
+		out = b.Args.File
+	}
+	if err := os.WriteFile(out, append(data, '\n'), bundleFileMode); err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = fmt.Fprintf(b.env.Out, "bundle %d signed by %s, signatures %d\n", s.Bundle.Version, name, len(s.Signatures))
+	return trace.Wrap(err)
+}
+
+// BundleRoll rolls out a signed bundle.
+type BundleRoll struct {
+	Args fileArg `positional-args:"yes" required:"yes"`
+	env  *Env
+}
+
+// Execute implements flags.Commander.
+func (b *BundleRoll) Execute([]string) error {
+	s, err := readBundle(b.Args.File)
+	if err != nil {
+		return err
+	}
+	c, err := b.env.client()
+	if err != nil {
+		return err
+	}
+	var result api.AdminResult
+	if err := c.do(http.MethodPost, api.PathAdminBundle, s, &result); err != nil {
+		return err
+	}
+	return b.env.printJSON(result)
+}
+
+// BundleStatus shows the bundle in force on each node.
+type BundleStatus struct{ env *Env }
+
+// Execute implements flags.Commander.
+func (b *BundleStatus) Execute([]string) error {
+	var s api.Status
+	if err := b.env.get(api.PathStatus, &s); err != nil {
+		return err
+	}
+	return printNodes(b.env.Out, s.Nodes)
+}
--- /dev/null
+++ b/cli/env.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+)
+
+// Env is what the commands share: the output and the global options.
+type Env struct {
+	Out     io.Writer
+	Entries []string `long:"entry" env:"WASABINOTCH_ENTRIES" env-delim:"," description:"HTTP address IP:port of an entry; may be given several times"`
+	APIKey  string   `long:"api-key" env:"WASABINOTCH_API_KEY" description:"API key of an organisation, for shares and explain"`
+}
+
+func (e *Env) client() (*client, error) {
+	if len(e.Entries) == 0 {
+		return nil, trace.BadParameter("no entry is named; give --entry IP:port")
+	}
+	return &client{entries: e.Entries, apiKey: e.APIKey, http: &http.Client{}}, nil
+}
+
+// get reads one JSON answer and prints it.
+func (e *Env) get(path string, answer any) error {
+	c, err := e.client()
+	if err != nil {
+		return err
+	}
+	return c.do(http.MethodGet, path, nil, answer)
+}
+
+func (e *Env) printJSON(v any) error {
+	enc := json.NewEncoder(e.Out)
+	enc.SetIndent("", "  ")
+	return trace.Wrap(enc.Encode(v))
+}
+
+// command is a named node of the command tree.
+type command struct {
+	name, help string
+	run        any
+	sub        []command
+}
+
+// NewParser returns the command line parser of the wasabinotch program.
+func NewParser(out io.Writer) (*flags.Parser, error) {
+	env := &Env{Out: out}
+	p := flags.NewNamedParser("wasabinotch", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Options", "", env); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return p, addCommands(p.Command, tree(env))
+}
+
+func tree(env *Env) []command {
+	return []command{
+		{name: "bundle", help: "check, sign, roll out and show bundles", sub: []command{
+			{name: "check", help: "check a bundle file and print its digest", run: &BundleCheck{env: env}},
+			{name: "sign", help: "add a member's signature to a bundle file", run: &BundleSign{env: env}},
+			{name: "roll", help: "roll out a signed bundle", run: &BundleRoll{env: env}},
+			{name: "status", help: "show the bundle in force on each node", run: &BundleStatus{env: env}},
+		}},
+		{name: "zone", help: "take an availability zone out, or bring it back", sub: moveCommands(env, "zone")},
+		{name: "vm", help: "take a VM out, or bring it back", sub: moveCommands(env, "vm")},
+		{name: "shares", help: "show agreed and served shares", run: &SharesCommand{env: env}},
+		{name: "explain", help: "show the decisions on a request", run: &ExplainCommand{env: env}},
+		{name: "status", help: "show the state of an entry and of the nodes it knows", run: &StatusCommand{env: env}},
+		{name: "keys", help: "create keys", sub: []command{
+			{name: "member", help: "create a member's signing key", run: &KeysSigner{env: env}},
+			{name: "operator", help: "create an operator's signing key", run: &KeysSigner{env: env}},
+			{name: "auth", help: "create the key of the settings field auth_key", run: &KeysAuth{env: env}},
+			{name: "organisation", help: "create an organisation's API key and its digest", run: &KeysOrganisation{env: env}},
+		}},
+	}
+}
+
+func addCommands(parent *flags.Command, commands []command) error {
+	for _, c := range commands {
+		run := c.run
+		if run == nil {
+			run = &struct{}{}
+		}
+		added, err := parent.AddCommand(c.name, c.help, "", run)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if err := addCommands(added, c.sub); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/proof/answer_test.go
@@ -0,0 +1,113 @@
+package proof
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/lab/enginesim"
+	"github.com/wasabinotch/wasabinotch/lab/kvsim"
+	"github.com/wasabinotch/wasabinotch/lab/ordersim"
+)
+
+// Guards against a truncated answer that looks whole, and against an answer
+// that belongs to another request, while engines die in mid-stream, agents are
+// killed, and messages are late.
+func TestOwnWholeAnswer(t *testing.T) {
+	s := defaultShape()
+	s.modelsPerZone = 2
+	s.engine = enginesim.Options{StepBase: 20 * time.Millisecond}
+	c := newCluster(t, s)
+	cfg := c.load()
+	cfg.MaxTokens = 48
+	load := c.startLoad(cfg)
+	time.Sleep(2 * time.Second)
+	late := c.net.add(func(source netip.Addr, _ string) (link, bool) {
+		return link{delay: 30 * time.Millisecond}, source == c.nodes["entry-z2-1"].ip
+	})
+	c.engines["model-z1-1"].Die()
+	time.Sleep(time.Second)
+	c.kill("model-z2-1")
+	time.Sleep(time.Second)
+	c.must(c.engines["model-z1-1"].Restart())
+	c.start("model-z2-1")
+	c.engines["model-z3-1"].Freeze()
+	time.Sleep(time.Second)
+	c.engines["model-z3-1"].Unfreeze()
+	late()
+	time.Sleep(2 * time.Second)
+	summary := load.stop(c)
+	for _, v := range summary.Violations() {
+		t.Error(v)
+	}
+	c.logSummary(t, summary)
+}
+
+// orderFaults brings about the faults under which orders must stay safe.
+func (c *cluster) orderFaults(t *testing.T) {
+	t.Helper()
+	pause := func() { time.Sleep(1500 * time.Millisecond) }
+	t.Log("kill an agent and an endpoint")
+	c.kill("desk-z1-1")
+	pause()
+	c.start("desk-z1-1")
+	c.desks["desk-z2-1"].Die()
+	pause()
+	c.must(c.desks["desk-z2-1"].Restart())
+	t.Log("freeze an agent, an entry and an endpoint")
+	c.freeze("desk-z3-1")
+	c.freeze("entry-z1-1")
+	pause()
+	c.thaw("desk-z3-1")
+	c.desks["desk-z1-1"].Freeze()
+	pause()
+	c.desks["desk-z1-1"].Unfreeze()
+	c.thaw("entry-z1-1")
+	t.Log("store outage and lost answers")
+	c.must(c.kv.SetFaults(kvsim.Faults{LoseProbability: 0.3}))
+	pause()
+	c.must(c.kv.SetFaults(kvsim.Faults{Outage: kvsim.OutageRefuse}))
+	pause()
+	c.must(c.kv.SetFaults(kvsim.Faults{DelayMS: 200}))
+	pause()
+	c.must(c.kv.SetFaults(kvsim.Faults{}))
+	t.Log("kill an entry, cut another from an agent, both at once")
+	heal := c.cutTo("entry-z2-1", "desk-z2-1")
+	c.kill("entry-z3-1")
+	pause()
+	c.start("entry-z3-1")
+	heal()
+	t.Log("graceful restart of an agent, part a zone")
+	go c.terminate("desk-z2-1", 30*time.Second)
+	heal = c.cutZone("z3")
+	pause()
+	pause()
+	heal()
+	<-c.nodes["desk-z2-1"].exited
+	c.start("desk-z2-1")
+	pause()
+}
+
+// Guards against an order that runs twice, an order refused as not run that
+// ran, and a confirmed order that did not run, under all faults of orderFaults.
+func TestOrderRunsAtMostOnce(t *testing.T) {
+	s := defaultShape()
+	s.entriesPerZone = 2
+	s.desk = ordersim.Options{ServiceTime: 20 * time.Millisecond}
+	c := newCluster(t, s)
+	cfg := c.load()
+	cfg.ModelRate, cfg.StockRate, cfg.OrderRate = 0, 10, 100
+	cfg.Timeout = 3 * time.Second
+	load := c.startLoad(cfg)
+	time.Sleep(2 * time.Second)
+	c.orderFaults(t)
+	summary := load.stop(c)
+	for _, v := range summary.Violations() {
+		t.Error(v)
+	}
+	c.logSummary(t, summary)
+	o := summary.Orders
+	if o == nil || o.Confirmed < o.Placed/2 {
+		t.Errorf("too few orders were confirmed for the test to show anything: %+v", o)
+	}
+}
--- /dev/null
+++ b/proof/endpoint_test.go
@@ -0,0 +1,145 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/lab/enginesim"
+	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+)
+
+// modelLoad returns a load of model requests only.
+func (c *cluster) modelLoad(rate float64) loadgen.Config {
+	cfg := c.load()
+	cfg.ModelRate, cfg.StockRate, cfg.OrderRate = rate, 0, 0
+	return cfg
+}
+
+func (c *cluster) checkNoOverload(t *testing.T) {
+	t.Helper()
+	for id, e := range c.engines {
+		r := e.Record()
+		if r.Overload > 0 || len(r.Crashes) > 0 {
+			t.Errorf("engine %s had %d requests beyond its cold capacity and %d crashes: %+v", id, r.Overload, len(r.Crashes), r.Crashes)
+		}
+	}
+}
+
+// Guards against more work than a cold endpoint bears: at the start under full
+// load, when the engine restarts behind a living agent, when the agent restarts
+// while its engine still runs the old agent's work, and when the engine turns
+// cold in a burst.
+func TestColdEndpointNotOverloaded(t *testing.T) {
+	s := defaultShape()
+	s.entriesPerZone = 2
+	s.engine = enginesim.Options{StepBase: 10 * time.Millisecond}
+	c := newCluster(t, s)
+	load := c.startLoad(c.modelLoad(60))
+	time.Sleep(6 * time.Second)
+	c.checkNoOverload(t)
+
+	t.Run("engine restarts behind its agent", func(t *testing.T) {
+		c.engines["model-z1-1"].Die()
+		time.Sleep(time.Second)
+		c.must(c.engines["model-z1-1"].Restart())
+		time.Sleep(4 * time.Second)
+		c.checkNoOverload(t)
+	})
+	t.Run("agent restarts while its engine runs old work", func(t *testing.T) {
+		c.engines["model-z2-1"].TurnCold(time.Second)
+		c.kill("model-z2-1")
+		c.start("model-z2-1")
+		time.Sleep(5 * time.Second)
+		c.checkNoOverload(t)
+	})
+	t.Run("engine turns cold in a burst", func(t *testing.T) {
+		// The grace is the lag of the load report plus one poll: before that
+		// nobody can know that the engine is cold.
+		c.engines["model-z3-1"].TurnCold(time.Second)
+		time.Sleep(4 * time.Second)
+		c.checkNoOverload(t)
+	})
+	summary := load.stop(c)
+	for _, v := range summary.Violations() {
+		t.Error(v)
+	}
+	if !c.warmed() {
+		t.Error("no engine ever ran more than its cold capacity at once; the test shows nothing")
+	}
+}
+
+// warmed reports whether some engine has served enough to be warm.
+func (c *cluster) warmed() bool {
+	for _, e := range c.engines {
+		if !e.Load().Cold {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against new work at an endpoint that is leaving, and against cutting
+// off what it runs.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	s := defaultShape()
+	s.modelsPerZone = 2
+	c := newCluster(t, s)
+	load := c.startLoad(c.load())
+	time.Sleep(3 * time.Second)
+
+	for _, id := range []string{"model-z1-1", "desk-z2-1"} {
+		leaving := time.Now()
+		c.terminate(id, 30*time.Second)
+		time.Sleep(time.Second)
+		last := c.lastWorkAt(id)
+		if last.Sub(leaving) > outWithin {
+			t.Errorf("work began at %s %v after it started leaving", id, last.Sub(leaving))
+		}
+		t.Logf("last new work at %s %v after it started leaving", id, last.Sub(leaving).Round(time.Millisecond))
+	}
+	t.Run("VM out", func(t *testing.T) {
+		out := time.Now()
+		if _, err := c.move(c.entryAddrs()[0], bundle.TargetVM, "vm-model-z2-2", true); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * time.Second)
+		if last := c.lastWorkAt("model-z2-2"); last.Sub(out) > outWithin {
+			t.Errorf("work began on the VM %v after the command", last.Sub(out))
+		}
+	})
+	c.check(t, load.stop(c), 0)
+}
+
+func (c *cluster) lastWorkAt(id string) time.Time {
+	if d := c.desks[id]; d != nil {
+		return d.LastStart()
+	}
+	var last time.Time
+	for _, r := range c.engines[id].Record().Runs {
+		if r.At.After(last) {
+			last = r.At
+		}
+	}
+	return last
+}
+
+// Guards against a graceful shutdown that cuts off requests: of an entry whose
+// address callers still keep, of an agent, and of both at once.
+func TestShutdownCutsNoRequest(t *testing.T) {
+	s := defaultShape()
+	s.entriesPerZone, s.modelsPerZone = 2, 2
+	s.engine = enginesim.Options{StepBase: 30 * time.Millisecond}
+	c := newCluster(t, s)
+	cfg := c.load()
+	cfg.MaxTokens = 64
+	load := c.startLoad(cfg)
+	time.Sleep(3 * time.Second)
+	c.terminate("entry-z1-1", 60*time.Second)
+	c.terminate("model-z2-1", 60*time.Second)
+	c.terminate("desk-z3-1", 60*time.Second)
+	go c.terminate("entry-z2-1", 60*time.Second)
+	c.terminate("model-z3-2", 60*time.Second)
+	<-c.nodes["entry-z2-1"].exited
+	c.check(t, load.stop(c), 0)
+}
--- /dev/null
+++ b/proof/zone_test.go
@@ -0,0 +1,235 @@
+package proof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/lab/kvsim"
+	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+)
+
+// Bounds on the last new work in a zone or at an endpoint after the command.
+const (
+	outWithin          = 2 * time.Second
+	outWithinStoreDown = 3 * time.Second
+	// partedWithin adds the 3 s after which a view that is not confirmed ends.
+	partedWithin = 5 * time.Second
+)
+
+// running is a load that runs in the background.
+type running struct {
+	gen    *loadgen.Generator
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (c *cluster) startLoad(cfg loadgen.Config) *running {
+	c.t.Helper()
+	cfg.Duration = 5 * time.Minute // ended by stop
+	gen, err := loadgen.New(cfg)
+	c.must(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{gen: gen, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		gen.Run(ctx)
+		close(r.done)
+	}()
+	return r
+}
+
+// stop ends the load and returns its summary.
+func (r *running) stop(c *cluster) loadgen.Summary {
+	r.cancel()
+	<-r.done
+	return r.gen.Summary(c.ledger.Counts())
+}
+
+// check fails the test for broken guarantees; failures beyond failed as well.
+func (c *cluster) check(t *testing.T, s loadgen.Summary, failed int) {
+	t.Helper()
+	for _, v := range s.Violations() {
+		t.Error(v)
+	}
+	if n := s.Failed(); n > failed {
+		t.Errorf("%d requests failed, at most %d may", n, failed)
+	}
+	var sent int
+	for _, class := range s.Classes {
+		sent += class.Sent
+	}
+	if sent == 0 {
+		t.Error("the load sent nothing")
+	}
+	if t.Failed() {
+		w := testWriter{t}
+		_ = s.Write(w)
+	}
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Logf("%s", p)
+	return len(p), nil
+}
+
+// lastWork returns when work last began at the endpoints of a zone.
+func (c *cluster) lastWork(zone string) time.Time {
+	var last time.Time
+	later := func(at time.Time) {
+		if at.After(last) {
+			last = at
+		}
+	}
+	for id, e := range c.engines {
+		if c.nodes[id].zone == zone {
+			for _, r := range e.Record().Runs {
+				later(r.At)
+			}
+		}
+	}
+	for id, d := range c.desks {
+		if c.nodes[id].zone == zone {
+			later(d.LastStart())
+		}
+	}
+	return last
+}
+
+// checkNoWorkAfter checks that no work began in zone later than bound after
+// the command.
+func (c *cluster) checkNoWorkAfter(t *testing.T, zone string, command time.Time, bound time.Duration) {
+	t.Helper()
+	last := c.lastWork(zone).Sub(command)
+	if last > bound {
+		t.Errorf("work began in zone %s %v after the command, the bound is %v", zone, last, bound)
+	}
+	t.Logf("last new work in zone %s %v after the command", zone, last.Round(time.Millisecond))
+}
+
+// Guards against new work in a zone that was taken out, against failed
+// requests while a zone leaves and returns, and against a zone that gets no
+// work after its return; with the store up and down.
+func TestZoneOutGetsNoNewWork(t *testing.T) {
+	s := defaultShape()
+	s.entriesPerZone, s.modelsPerZone = 2, 2
+	c := newCluster(t, s)
+	load := c.startLoad(c.load())
+	time.Sleep(3 * time.Second)
+
+	out := time.Now()
+	if _, err := c.move(c.entryAddrs()[0], bundle.TargetZone, "z2", true); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(4 * time.Second)
+	c.checkNoWorkAfter(t, "z2", out, outWithin)
+	c.bringBack(t, "z2")
+
+	c.must(c.kv.SetFaults(kvsim.Faults{Outage: kvsim.OutageRefuse}))
+	out = time.Now()
+	result, err := c.move(c.entryAddrs()[1], bundle.TargetZone, "z3", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.InStore {
+		t.Error("the command claims to be in the store during an outage")
+	}
+	time.Sleep(5 * time.Second)
+	c.checkNoWorkAfter(t, "z3", out, outWithinStoreDown)
+	if _, err := c.move(c.entryAddrs()[1], bundle.TargetZone, "z3", false); err == nil {
+		t.Error("a zone was brought back in without the store")
+	}
+	c.must(c.kv.SetFaults(kvsim.Faults{}))
+	c.eventually(withinSeconds, "the out is written to the store once it is back", func() error {
+		return c.checkStoredOut("z3")
+	})
+	c.bringBack(t, "z3")
+	c.check(t, load.stop(c), 0)
+}
+
+// bringBack brings a zone in and waits until it gets work.
+func (c *cluster) bringBack(t *testing.T, zone string) {
+	t.Helper()
+	in := time.Now()
+	c.eventually(10*time.Second, "zone "+zone+" brought back in", func() error {
+		_, err := c.move(c.entryAddrs()[0], bundle.TargetZone, zone, false)
+		return err
+	})
+	c.eventually(10*time.Second, "zone "+zone+" gets work", func() error {
+		if last := c.lastWork(zone); !last.After(in) {
+			return errNoWork
+		}
+		return nil
+	})
+}
+
+// Guards against a zone that is parted from the rest, with its entries, agents
+// and callers, and goes on taking work after it was taken out.
+func TestPartedZoneStopsTakingWork(t *testing.T) {
+	s := defaultShape()
+	c := newCluster(t, s)
+	cfg := c.load()
+	cfg.Zones = []string{"z3"}
+	cfg.Entries = []string{c.nodes["entry-z3-1"].addr(portHTTP)}
+	cfg.OrderPatience = time.Second
+	load := c.startLoad(cfg)
+	time.Sleep(2 * time.Second)
+
+	heal := c.cutZone("z3")
+	out := time.Now()
+	result, err := c.move(c.entryAddrs()[0], bundle.TargetZone, "z3", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, z := range result.ConfirmedZones {
+		if z == "z3" {
+			t.Error("the command claims to be confirmed in the parted zone")
+		}
+	}
+	time.Sleep(8 * time.Second)
+	c.checkNoWorkAfter(t, "z3", out, partedWithin)
+	heal()
+	c.eventually(withinSeconds, "the parted zone learns that it is out", func() error {
+		s, err := c.status("entry-z3-1")
+		if err == nil && len(s.ZonesOut) == 0 {
+			err = errNoWork
+		}
+		return err
+	})
+	summary := load.stop(c)
+	for _, v := range summary.Violations() {
+		t.Error(v)
+	}
+}
+
+// Guards against an agent that was frozen while its zone was taken out, and
+// hands over work from its socket buffers when it wakes.
+func TestFrozenAgentHandsOverNoOldWork(t *testing.T) {
+	s := defaultShape()
+	c := newCluster(t, s)
+	load := c.startLoad(c.load())
+	time.Sleep(2 * time.Second)
+	c.freeze("desk-z2-1")
+	c.freeze("model-z2-1")
+	time.Sleep(time.Second)
+	out := time.Now()
+	if _, err := c.move(c.entryAddrs()[0], bundle.TargetZone, "z2", true); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(5 * time.Second)
+	c.thaw("desk-z2-1")
+	c.thaw("model-z2-1")
+	time.Sleep(2 * time.Second)
+	c.checkNoWorkAfter(t, "z2", out, outWithin)
+	summary := load.stop(c)
+	for _, v := range summary.Violations() {
+		t.Error(v)
+	}
+}
+
+func (c *cluster) logSummary(t *testing.T, s loadgen.Summary) {
+	t.Helper()
+	_ = s.Write(testWriter{t})
+}
