Fix engine restarts and closed identities in the lab

Cause: an engine whose restart delay passed before its listener was closed stayed down, and one that died after a crash started again by itself. The load generator repeated an own key after it had been closed until its patience ended. Change: a crash closes the listener before the delay starts; Die stops a pending restart; a closed own key is replaced and the kept resolve answer dropped. The demo has a subcommand, offered once its parts are set. Not run: the demo with real daemons.

--- a/cmd/wasabinotch-lab/main.go
+++ b/cmd/wasabinotch-lab/main.go
@@ -33,6 +33,11 @@
 			fail(err)
 		}
 	}
+	if demoParts != nil {
+		if _, err := parser.AddCommand("demo", "run a small system in one process and check the guarantees", "", &demoCommand{}); err != nil {
+			fail(err)
+		}
+	}
 	if _, err := parser.Parse(); err != nil {
 		fail(err)
 	}
--- a/lab/enginesim/engine.go
+++ b/lab/enginesim/engine.go
@@ -74,6 +74,9 @@
 	mux.HandleFunc("POST /v1/completions", e.completions)
 	mux.HandleFunc("GET /load", e.load)
 	mux.HandleFunc("POST /cancel", e.cancel)
+	// Requests may arrive before Listen returns; they wait for mu.
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	h, err := simhttp.Listen(addr, mux)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -90,9 +93,7 @@
 func (e *Engine) Close() {
 	e.mu.Lock()
 	e.closed = true
-	if e.restarter != nil {
-		e.restarter.Stop()
-	}
+	e.stopRestarter()
 	e.dropAll()
 	e.wake.Broadcast()
 	e.mu.Unlock()
--- a/lab/enginesim/enginesim_test.go
+++ b/lab/enginesim/enginesim_test.go
@@ -161,3 +161,19 @@
 	is.Equal(c.order.Len(), 4)
 	is.Equal(c.use(shared), 0)
 }
+
+// Guards against an engine that starts again after Die because it had crashed before.
+func TestDieAfterCrash(t *testing.T) {
+	is := is.New(t)
+	opt := fast
+	opt.ColdCapacity, opt.WarmCapacity = 1, 8
+	e := start(t, opt)
+	is.True(together(e, 4) < 4)
+	e.Die()
+	time.Sleep(3 * opt.RestartDelay)
+	_, err := http.Get("http://" + e.Addr() + "/load")
+	is.True(err != nil)
+	is.NoErr(e.Restart())
+	_, whole := stream(e, "alive", "p", 2, 0)
+	is.True(whole)
+}
--- a/lab/enginesim/faults.go
+++ b/lab/enginesim/faults.go
@@ -39,10 +39,11 @@
 // Die drops every stream and refuses connections until Restart.
 func (e *Engine) Die() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopRestarter()
 	e.dead, e.frozen = true, false
 	e.dropAll()
 	e.wake.Broadcast()
-	e.mu.Unlock()
 	e.http.Down()
 }
 
@@ -56,12 +57,20 @@
 	return e.http.Up()
 }
 
+// stopRestarter keeps a crashed engine from starting again by itself. The
+// caller holds mu.
+func (e *Engine) stopRestarter() {
+	if e.restarter != nil {
+		e.restarter.Stop()
+	}
+}
+
 // crash records a crash and restarts the engine after RestartDelay. The caller
 // holds mu.
 func (e *Engine) crash(given, capacity int) {
 	e.crashes = append(e.crashes, Crash{At: time.Now(), BootID: e.bootID, Requests: given, Capacity: capacity})
 	e.dead = true
 	e.dropAll()
+	e.http.Down() // does not wait for handlers, which may need mu
 	e.restarter = time.AfterFunc(e.opt.RestartDelay, func() { _ = e.Restart() })
-	go e.http.Down() // waits for no handler, but needs mu to be free
 }
--- a/lab/loadgen/caller.go
+++ b/lab/loadgen/caller.go
@@ -82,6 +82,13 @@
 	c.cache[service] = k
 }
 
+// forget drops the kept answer for a service.
+func (c *caller) forget(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.cache, service)
+}
+
 // avoid drops an entry after a failed attempt, so that the next one is used,
 // and takes over the entries that a refusal names.
 func (c *caller) avoid(service, entry string, refusal *api.Refusal) {
--- a/lab/loadgen/loadgen_test.go
+++ b/lab/loadgen/loadgen_test.go
@@ -207,3 +207,22 @@
 	o := l.compare(map[string]int{"false": 1, "open": 1, "good": 1})
 	is.Equal(o, Orders{Placed: 4, Ran: 3, Confirmed: 2, NotRun: 1, Unknown: 1, UnknownRan: 1, Lost: 1, FalseNot: 1})
 }
+
+// Guards against an identity that is kept after it was closed, one that is
+// replaced while the outcome is unknown, and a first attempt claimed afterwards.
+func TestSettle(t *testing.T) {
+	is := is.New(t)
+	c := &caller{cache: make(map[string]*cached)}
+	for _, own := range []bool{false, true} {
+		p := &placement{job: job{caller: c, ownKey: own}, identity: "id", key: "k", fresh: true}
+		p.settle("desk", api.Unknown(api.KindEndpointFailed, "", ""))
+		is.Equal(p.identity, "id")
+		is.True(!p.fresh)
+		is.Equal(p.resolveFailed(api.NotRun(api.KindNoEndpoint, "", "")).Outcome, api.OutcomeUnknown)
+		p.settle("desk", api.NotRun(api.KindOverloaded, "", ""))
+		is.Equal(p.identity == "id", own)
+		p.settle("desk", api.NotRun(api.KindIdentityClosed, "", ""))
+		is.Equal(p.identity, "")
+		is.True(p.key != "k")
+	}
+}
--- a/lab/loadgen/orders.go
+++ b/lab/loadgen/orders.go
@@ -45,7 +45,7 @@
 			return
 		}
 		j.stats.refused(refusal)
-		p.settle(refusal)
+		p.settle(g.cfg.PlainService, refusal)
 		if refusal.Outcome == api.OutcomeRan || permanent(refusal) || ctx.Err() != nil {
 			g.orders.end(j.text, stateOf(refusal))
 			j.stats.failed(refusal)
@@ -96,11 +96,15 @@
 
 // settle notes what a refusal says about the order. After proof that it did
 // not run, an issued identity is replaced, since its agent may be gone; an own
-// key is kept unless its epoch is closed.
-func (p *placement) settle(refusal *api.Refusal) {
+// key is kept unless it or its epoch is closed.
+func (p *placement) settle(service string, refusal *api.Refusal) {
 	p.fresh = refusal.Outcome == api.OutcomeNotRun
-	if p.fresh && (!p.ownKey || refusal.Kind == api.KindIdentityClosed) {
-		p.identity = ""
+	closed := refusal.Kind == api.KindIdentityClosed
+	if p.fresh && (!p.ownKey || closed) {
+		p.identity, p.key = "", newID()
+	}
+	if closed {
+		p.caller.forget(service) // the kept answer may name a closed epoch
 	}
 }
 
