Add bundle signing, the store client, membership and the control loop

Cause: the daemons need a configuration that is signed, spread and confirmed while nodes and the store fail.

Change: bundle signs and verifies bundles and intents over canonical JSON, decodes strictly and merges intents. store is a client of Consul's KV HTTP API with a call budget. membership keeps node records by incarnation and sends deltas. control.Loop owns the state of a node: exchanges, reports, store watches, confirmation of the view, bundle roll-out and intents. wire.ReportArgs gains EntriesHash and wire.ReportReply gains WantNode, so that reports carry whole records and entry lists only when needed.

Conclusion: the loop works against the store in memory; the store client and the membership table have no tests of their own yet.

--- /dev/null
+++ b/bundle/bundle_test.go
@@ -0,0 +1,215 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func key(name string, seed byte) (Key, ed25519.PrivateKey) {
+	private := ed25519.NewKeyFromSeed([]byte(strings.Repeat(string(rune('a'+seed)), ed25519.SeedSize)))
+	return Key{Name: name, Public: base64.StdEncoding.EncodeToString(private.Public().(ed25519.PublicKey))}, private
+}
+
+func sample() Bundle {
+	operator, _ := key("olive", 9)
+	return Bundle{
+		Version:       1,
+		Organisations: []Organisation{{Name: "north", KeyDigests: []string{strings.Repeat("ab", 32)}}, {Name: "south"}},
+		Services: []Service{{Name: "knots", Kind: KindModel, ColdLimit: 1, WarmLimit: 8, QueueLimit: 4, TimeoutMS: 1000,
+			Shares: map[string]float64{"north": 2, "south": 1}}},
+		Zones:     []string{"a", "b", "c"},
+		Operators: []Key{operator},
+		Groups:    []Group{{Name: "g", Service: "knots", Ranks: 4, Layers: 2, Experts: 8, SlotsPerRank: 2, ExpertBytes: 1}},
+	}
+}
+
+// Signatures of too few, repeated, foreign or mistaken members do not count,
+// and a changed bundle invalidates them.
+func TestVerify(t *testing.T) {
+	is := is.New(t)
+	one, oneKey := key("one", 1)
+	two, twoKey := key("two", 2)
+	_, foreignKey := key("three", 3)
+	members := []Key{one, two}
+	sign := func(name string, k ed25519.PrivateKey) Signature {
+		b := sample()
+		sig, err := b.Sign(name, k)
+		is.NoErr(err)
+		return sig
+	}
+	verify := func(sigs ...Signature) error {
+		_, err := (&Signed{Bundle: sample(), Signatures: sigs}).Verify(members, 2)
+		return err
+	}
+	is.NoErr(verify(sign("one", oneKey), sign("two", twoKey)))
+	var missing *SignatureError
+	is.True(errors.As(verify(sign("one", oneKey), sign("one", oneKey)), &missing))
+	is.True(errors.As(verify(sign("one", oneKey), sign("two", oneKey)), &missing))
+	is.True(errors.As(verify(sign("one", oneKey), sign("three", foreignKey)), &missing))
+	changed := &Signed{Bundle: sample(), Signatures: []Signature{sign("one", oneKey), sign("two", twoKey)}}
+	changed.Bundle.Zones[0] = "d"
+	_, err := changed.Verify(members, 2)
+	is.True(errors.As(err, &missing))
+}
+
+// An intent signed by another operator, or changed after signing, is refused.
+func TestVerifyIntent(t *testing.T) {
+	is := is.New(t)
+	_, operatorKey := key("olive", 9)
+	in := Intent{Kind: TargetZone, Target: "a", Out: true, Revision: 1}
+	is.NoErr(in.Sign("olive", operatorKey))
+	is.NoErr(in.Verify(sample().Operators))
+	changed := in
+	changed.Out = false
+	is.True(changed.Verify(sample().Operators) != nil)
+	_, otherKey := key("other", 8)
+	is.NoErr(in.Sign("olive", otherKey))
+	is.True(in.Verify(sample().Operators) != nil)
+}
+
+// Each structural fault is reported on its field, so that an operator finds it.
+func TestValidateNamesField(t *testing.T) {
+	cases := []struct {
+		field  string
+		change func(b *Bundle)
+	}{
+		{"version", func(b *Bundle) { b.Version = 0 }},
+		{"previous", func(b *Bundle) { b.Version = 2 }},
+		{"zones", func(b *Bundle) { b.Zones = nil }},
+		{"zones[1]", func(b *Bundle) { b.Zones[1] = "a" }},
+		{"organisations[1]", func(b *Bundle) { b.Organisations[1].Name = "north" }},
+		{"organisations[0].key_digests[0]", func(b *Bundle) { b.Organisations[0].KeyDigests[0] = "ab" }},
+		{"operators[0].public", func(b *Bundle) { b.Operators[0].Public = "" }},
+		{"services", func(b *Bundle) { b.Services = nil; b.Groups = nil }},
+		{"services[0].kind", func(b *Bundle) { b.Services[0].Kind = "" }},
+		{"services[0].cold_limit", func(b *Bundle) { b.Services[0].ColdLimit = 0 }},
+		{"services[0].warm_limit", func(b *Bundle) { b.Services[0].ColdLimit = 9 }},
+		{"services[0].timeout_ms", func(b *Bundle) { b.Services[0].TimeoutMS = 0 }},
+		{"services[0].shares.west", func(b *Bundle) { b.Services[0].Shares = map[string]float64{"west": 1} }},
+		{"services[0].shares.north", func(b *Bundle) { b.Services[0].Shares["north"] = 0 }},
+		{"groups[0].slots_per_rank", func(b *Bundle) { b.Groups[0].Experts = 9 }},
+		{"groups[0].service", func(b *Bundle) { b.Groups[0].Service = "x" }},
+	}
+	for _, c := range cases {
+		t.Run(c.field, func(t *testing.T) {
+			is := is.New(t)
+			b := sample()
+			is.NoErr(b.Validate())
+			c.change(&b)
+			var f *FieldError
+			is.True(errors.As(b.Validate(), &f))
+			is.Equal(f.Field, c.field)
+		})
+	}
+}
+
+// Decoders must refuse input that another decoder could read differently.
+func TestDecodeStrict(t *testing.T) {
+	is := is.New(t)
+	good, err := (&Signed{Bundle: sample()}).Encode()
+	is.NoErr(err)
+	_, err = Decode(good)
+	is.NoErr(err)
+	text := string(good)
+	for _, bad := range []string{
+		text + "{}",
+		strings.Replace(text, `"version":1`, `"version":1,"version":1`, 1),
+		strings.Replace(text, `"version":1`, `"version":1,"extra":1`, 1),
+		strings.Replace(text, `"version":1`, `"version":"1"`, 1),
+		text + strings.Repeat(" ", MaxBytes),
+		strings.Repeat("[", 100000),
+	} {
+		var f *FieldError
+		_, err := Decode([]byte(bad))
+		is.True(errors.As(err, &f))
+	}
+}
+
+func drawIntents(t *rapid.T, label string) Intents {
+	r := Intents{Revision: rapid.Uint64Range(0, 5).Draw(t, label+" revision"), Targets: map[string]Intent{}}
+	for i := range rapid.IntRange(0, 5).Draw(t, label+" count") {
+		in := Intent{
+			Kind:      TargetZone,
+			Target:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, fmt.Sprint(label, i, " zone")),
+			Out:       rapid.Bool().Draw(t, fmt.Sprint(label, i, " out")),
+			Revision:  rapid.Uint64Range(1, 3).Draw(t, fmt.Sprint(label, i, " rev")),
+			Signature: Signature{Value: rapid.SampledFrom([]string{"x", "y"}).Draw(t, fmt.Sprint(label, i, " sig"))},
+		}
+		r.Targets[in.Key()] = in
+	}
+	return r
+}
+
+// Nodes that receive the same intents in any order and number agree on them,
+// and never take out all zones.
+func TestMergeProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawIntents(t, "a"), drawIntents(t, "b"), drawIntents(t, "c")
+		ab := Merge(a, b)
+		if ab.Hash() != Merge(b, a).Hash() {
+			t.Fatal("not commutative")
+		}
+		if Merge(ab, c).Hash() != Merge(a, Merge(b, c)).Hash() {
+			t.Fatal("not associative")
+		}
+		if Merge(ab, ab).Hash() != ab.Hash() || Merge(ab, a).Hash() != ab.Hash() {
+			t.Fatal("not idempotent")
+		}
+		zones := []string{"a", "b", "c"}
+		out := ab.ZonesOut(zones)
+		if len(out) == len(zones) {
+			t.Fatal("all zones are out")
+		}
+		if !maps.Equal(out, ab.ZonesOut([]string{"c", "a", "b"})) {
+			t.Fatal("depends on the order of zones")
+		}
+	})
+}
+
+// Decoding must never fail other than by an error, and what it accepts must
+// encode and decode again.
+func FuzzDecode(f *testing.F) {
+	good, _ := (&Signed{Bundle: sample()}).Encode()
+	f.Add(good)
+	f.Add([]byte(`{"bundle":{"version":1}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Decode(data)
+		if err != nil {
+			return
+		}
+		raw, err := s.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(raw); err != nil && len(raw) <= MaxBytes {
+			t.Fatal(err)
+		}
+	})
+}
+
+// The same for intents, which any peer with the shared key can send.
+func FuzzDecodeIntents(f *testing.F) {
+	f.Add([]byte(`{"revision":1,"targets":{"zone/a":{"kind":"zone","target":"a","out":true,"revision":1,"operator":"o","signature":{"name":"o","value":""}}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := DecodeIntents(data)
+		if err != nil {
+			return
+		}
+		raw, err := r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := DecodeIntents(raw)
+		if err != nil || again.Hash() != r.Hash() {
+			t.Fatalf("does not survive a round trip: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/control/cluster_test.go
@@ -0,0 +1,248 @@
+package control
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/peer"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// node is one Loop with its net/rpc server.
+type node struct {
+	*Loop
+	stop func()
+}
+
+type cluster struct {
+	t         testing.TB
+	store     *memStore
+	key       []byte
+	member    ed25519.PrivateKey
+	operator  ed25519.PrivateKey
+	members   []bundle.Key
+	operators []bundle.Key
+	seeds     []string
+	nodes     []*node
+}
+
+type agentService struct{ l *Loop }
+
+func (a *agentService) Notify(args *wire.NotifyArgs, reply *wire.NotifyReply) error {
+	*reply = a.l.HandleNotify(*args)
+	return nil
+}
+
+func newKey(name string) (bundle.Key, ed25519.PrivateKey) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		panic(err)
+	}
+	return bundle.Key{Name: name, Public: base64.StdEncoding.EncodeToString(public)}, private
+}
+
+func newCluster(t testing.TB) *cluster {
+	c := &cluster{t: t, store: newMemStore(), key: make([]byte, 32)}
+	member, private := newKey("batinah")
+	c.members, c.member = []bundle.Key{member}, private
+	operator, private := newKey("olive")
+	c.operators, c.operator = []bundle.Key{operator}, private
+	return c
+}
+
+// start adds a node; incarnation 0 draws one.
+func (c *cluster) start(role wire.Role, zone string, incarnation uint64) *node {
+	id := fmt.Sprintf("%s-%s-%d", role, zone, len(c.nodes))
+	return c.startAs(wire.Node{ID: id, Role: role, Zone: zone, VM: "vm-" + id, Incarnation: incarnation, Service: "stock"})
+}
+
+func (c *cluster) startAs(self wire.Node) *node {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	self.RPCAddr = ln.Addr().String()
+	pool := peer.NewPool(c.key)
+	cfg := Config{Self: self, Members: c.members, Threshold: 1, Pool: pool, Log: logr.Discard()}
+	server := peer.NewServer(c.key, logr.Discard())
+	if self.Role == wire.RoleEntry {
+		cfg.Store = c.store
+		c.seeds = append(c.seeds, self.RPCAddr)
+	} else {
+		cfg.Load = func() wire.Load { return wire.Load{Limit: 4, Served: map[string]float64{"north": 1}} }
+	}
+	cfg.Seeds = append([]string(nil), c.seeds...)
+	l := New(cfg)
+	if self.Role == wire.RoleEntry {
+		err = l.Register(server)
+	} else {
+		err = server.Register(wire.AgentService, &agentService{l})
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	go server.Serve(ln)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = l.Run(ctx)
+	}()
+	n := &node{Loop: l}
+	n.stop = func() {
+		cancel()
+		_ = ln.Close()
+		server.Close()
+		<-ended
+		pool.Close()
+	}
+	c.nodes = append(c.nodes, n)
+	c.t.Cleanup(n.stop)
+	return n
+}
+
+// entries starts count entries over three zones.
+func (c *cluster) entries(count int) []*node {
+	var out []*node
+	for i := range count {
+		out = append(out, c.start(wire.RoleEntry, string(rune('a'+i%3)), 0))
+	}
+	return out
+}
+
+func (c *cluster) bundle(version uint64, previous string) *bundle.Signed {
+	b := bundle.Bundle{
+		Version:       version,
+		Previous:      previous,
+		Organisations: []bundle.Organisation{{Name: "north"}},
+		Services: []bundle.Service{{Name: "stock", Kind: bundle.KindPlain, ColdLimit: 1, WarmLimit: 4,
+			TimeoutMS: 1000, Shares: map[string]float64{"north": 1}}},
+		Zones:     []string{"a", "b", "c"},
+		Operators: c.operators,
+	}
+	sig, err := b.Sign("batinah", c.member)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return &bundle.Signed{Bundle: b, Signatures: []bundle.Signature{sig}}
+}
+
+func (c *cluster) intent(zone string, out bool, revision uint64) bundle.Intent {
+	in := bundle.Intent{Kind: bundle.TargetZone, Target: zone, Out: out, Revision: revision}
+	if err := in.Sign("olive", c.operator); err != nil {
+		c.t.Fatal(err)
+	}
+	return in
+}
+
+// roll rolls out the successor of the bundle in force at n.
+func (c *cluster) roll(n *node) api.AdminResult {
+	c.t.Helper()
+	s := n.Snapshot()
+	result, err := n.RollBundle(context.Background(), c.bundle(s.Self.BundleVersion+1, s.BundleDigest))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return result
+}
+
+// waitFor fails the test unless ok holds for all nodes within limit.
+func (c *cluster) waitFor(limit time.Duration, what string, nodes []*node, ok func(s *Snapshot) bool) time.Duration {
+	c.t.Helper()
+	start := time.Now()
+	for _, n := range nodes {
+		for !ok(n.Snapshot()) {
+			if time.Since(start) > limit {
+				c.t.Fatalf("%s: not on %s after %v", what, n.Snapshot().Self.ID, limit)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(start)
+}
+
+func version(v uint64) func(s *Snapshot) bool {
+	return func(s *Snapshot) bool { return s.Self.BundleVersion == v }
+}
+
+func confirmed(s *Snapshot) bool { return s.Confirmed(time.Now()) }
+
+func zoneOut(z string) func(s *Snapshot) bool {
+	return func(s *Snapshot) bool { return s.ZonesOut[z] }
+}
+
+func kindOf(err error) api.Kind {
+	var r *api.Refusal
+	if errors.As(err, &r) {
+		return r.Kind
+	}
+	return api.Kind(strings.TrimSpace(fmt.Sprint(err)))
+}
+
+func (n *node) bundleInForce() *bundle.Signed {
+	q := configQuery{make(chan configState, 1)}
+	n.send(q)
+	return (<-q.answer).signed
+}
+
+// known waits until all entries know each other.
+func (c *cluster) known(nodes []*node) {
+	c.t.Helper()
+	defer func() {
+		if c.t.Failed() {
+			c.t.Logf("exchanges %v", metricExchanges)
+			for _, n := range nodes {
+				c.t.Logf("%s lists %d entries", n.Snapshot().Self.ID, len(n.Snapshot().Entries))
+			}
+		}
+	}()
+	took := c.waitFor(10*time.Second, "entries know each other", nodes, func(s *Snapshot) bool {
+		return len(s.Entries) >= len(nodes)-1
+	})
+	c.t.Logf("%d entries know each other after %v", len(nodes), took)
+}
+
+// A bundle rolled out at one entry reaches all nodes, and the roll can be repeated.
+func TestRollReachesAll(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	entries := c.entries(17)
+	c.known(entries)
+	for _, z := range []string{"a", "b", "c"} {
+		c.start(wire.RoleAgent, z, 0)
+	}
+	result := c.roll(entries[0])
+	for range 3 { // on a loaded machine one command may end before all zones confirm
+		if len(result.ConfirmedZones) < 3 {
+			again, err := entries[0].RollBundle(context.Background(), entries[0].bundleInForce())
+			is.NoErr(err)
+			result = again
+		}
+	}
+	is.Equal(result.ConfirmedZones, []string{"a", "b", "c"})
+	c.waitFor(3*time.Second, "version 1", c.nodes, version(1))
+	c.waitFor(3*time.Second, "ready", c.nodes, func(s *Snapshot) bool { return s.Self.State == wire.StateReady })
+	c.waitFor(3*time.Second, "endpoints", entries, func(s *Snapshot) bool { return len(s.Endpoints["stock"]) == 3 })
+	for v := uint64(2); v <= 6; v++ {
+		s := entries[1].Snapshot()
+		next := c.bundle(v, s.BundleDigest)
+		start := time.Now()
+		go func() { _, _ = entries[1].RollBundle(context.Background(), next) }()
+		c.waitFor(2*time.Second, "next version", c.nodes, version(v))
+		t.Logf("bundle %d in force on %d loops after %v, %v", v, len(c.nodes), time.Since(start), metricExchanges)
+		_, err := entries[2].RollBundle(context.Background(), next)
+		is.NoErr(err) // a repeated roll succeeds
+	}
+}
--- /dev/null
+++ b/control/fake_test.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/store"
+)
+
+// memStore is a store in memory that can be down, lose answers or revert.
+type memStore struct {
+	mu      sync.Mutex
+	entries map[string]store.Entry
+	index   uint64
+	changed chan struct{}
+	down    bool
+	lose    int // number of writes whose answer is lost
+	delay   time.Duration
+	writes  int
+}
+
+func newMemStore() *memStore {
+	return &memStore{entries: make(map[string]store.Entry), index: 1, changed: make(chan struct{})}
+}
+
+func (m *memStore) enter(ctx context.Context) error {
+	m.mu.Lock()
+	delay := m.delay
+	m.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return store.ErrUnavailable
+	case <-time.After(delay):
+	}
+	m.mu.Lock()
+	if m.down {
+		m.mu.Unlock()
+		return store.ErrUnavailable
+	}
+	return nil // with the lock held
+}
+
+func (m *memStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := m.enter(ctx); err != nil {
+		return store.Entry{}, err
+	}
+	defer m.mu.Unlock()
+	e := m.entries[key]
+	e.Key = key
+	return e, nil
+}
+
+func (m *memStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision uint64) error {
+	if err := m.enter(ctx); err != nil {
+		return err
+	}
+	defer m.mu.Unlock()
+	if m.entries[key].Revision != revision {
+		return store.ErrConflict
+	}
+	m.index++
+	m.writes++
+	m.entries[key] = store.Entry{Key: key, Value: value, Revision: m.index}
+	m.wake()
+	if m.lose > 0 {
+		m.lose--
+		return store.ErrUnknown
+	}
+	return nil
+}
+
+func (m *memStore) Delete(ctx context.Context, key string, revision uint64) error {
+	if err := m.enter(ctx); err != nil {
+		return err
+	}
+	defer m.mu.Unlock()
+	if m.entries[key].Revision != revision {
+		return store.ErrConflict
+	}
+	m.index++
+	delete(m.entries, key)
+	m.wake()
+	return nil
+}
+
+func (m *memStore) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *memStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Entry, uint64, error) {
+	deadline := time.After(wait)
+	for {
+		if err := m.enter(ctx); err != nil {
+			return nil, 0, err
+		}
+		index, changed := m.index, m.changed
+		var out []store.Entry
+		for k, e := range m.entries {
+			if strings.HasPrefix(k, prefix) {
+				out = append(out, e)
+			}
+		}
+		m.mu.Unlock()
+		if index != after || after == 0 {
+			return out, index, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, store.ErrUnavailable
+		case <-deadline:
+			return out, index, nil
+		case <-changed:
+		}
+	}
+}
+
+func (m *memStore) set(f func(m *memStore)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m)
+	m.wake()
+}
+
+func (m *memStore) value(key string) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries[key].Value
+}
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,15 @@
+package control
+
+import "expvar"
+
+// Metrics of the control part. Bytes between nodes are counted by package
+// peer, calls to the store by package store.
+var (
+	metricBundle     = expvar.NewInt("control_bundle_version")
+	metricIntents    = expvar.NewInt("control_intents_revision")
+	metricConfirmed  = expvar.NewInt("control_confirmed_age_ms") // -1 for never
+	metricSnapshots  = expvar.NewInt("control_snapshots")
+	metricExchanges  = expvar.NewMap("control_exchanges") // by result
+	metricReports    = expvar.NewMap("control_reports")   // by result
+	metricStoreReads = expvar.NewMap("control_store_reads")
+)
--- /dev/null
+++ b/store/backoff.go
@@ -0,0 +1,38 @@
+package store
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Bounds of the delay between failed calls.
+const (
+	backoffMin = 250 * time.Millisecond
+	backoffMax = 4 * time.Second
+)
+
+// Backoff draws growing delays with full jitter, so that the nodes do not all
+// call at once when the service returns. The zero value is ready for use.
+type Backoff struct {
+	failures int
+}
+
+// Fail records a failed call and returns the delay before the next one.
+func (b *Backoff) Fail() time.Duration {
+	limit := backoffMax
+	if b.failures < 4 {
+		limit = backoffMin << b.failures
+		b.failures++
+	}
+	return limit/4 + rand.N(limit)
+}
+
+// Reset records a successful call.
+func (b *Backoff) Reset() {
+	b.failures = 0
+}
+
+// Jitter returns a random delay up to limit.
+func Jitter(limit time.Duration) time.Duration {
+	return rand.N(limit)
+}
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -52,14 +52,20 @@
 	Load Load
 	// Config is the agent's configuration state.
 	Config Config
+	// EntriesHash identifies the entries that the agent knows; the reply lists
+	// the entries only if the receiver knows others.
+	EntriesHash uint64
 }
 
 // ReportReply answers a report with the entry's configuration state.
 type ReportReply struct {
 	From   Node
 	Config Config
-	// Entries lists entries that the agent should report to.
+	// Entries lists the entries, from which the agent chooses those to report to.
 	Entries []Node
+	// WantNode asks for the whole node record in the next report. Reports
+	// otherwise carry only ID, incarnation and sequence.
+	WantNode bool
 }
 
 // NotifyArgs tells an agent that configuration changed; Bundle and Intents
