--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -52,14 +52,20 @@
 	Load Load
 	// Config is the agent's configuration state.
 	Config Config
+	// EntriesHash identifies the entries that the agent knows; the reply lists
+	// the entries only if the receiver knows others.
+	EntriesHash uint64
 }
 
 // ReportReply answers a report with the entry's configuration state.
 type ReportReply struct {
 	From   Node
 	Config Config
-	// Entries lists entries that the agent should report to.
+	// Entries lists the entries, from which the agent chooses those to report to.
 	Entries []Node
+	// WantNode asks for the whole node record in the next report. Reports
+	// otherwise carry only ID, incarnation and sequence.
+	WantNode bool
 }
 
 // NotifyArgs tells an agent that configuration changed; Bundle and Intents
@@ -78,10 +84,14 @@
 
 // OrderOutcome is the recorded result of one order.
 type OrderOutcome struct {
-	Identity    string
-	Incarnation uint64
-	Closed      bool // refused for good: it did not run and never will
-	Unknown     bool // handed to the endpoint, answer not known
+	Identity     string
+	Organisation string
+	Incarnation  uint64
+	Closed       bool // refused for good: it did not run and never will
+	Unknown      bool // handed to the endpoint, answer not known
+	Oversize     bool // ran with Status; the body was too large to keep
+	// Fingerprint identifies the content of the order.
+	Fingerprint uint64
 	Status      int
 	Header      map[string][]string
 	Body        []byte
@@ -98,23 +108,30 @@
 	Stored int
 }
 
-// MapArgs asks an agent to have its rank load an expert map.
+// MapArgs asks an agent to have its rank load an expert map. Without Content
+// it only asks for the state of the rank.
 type MapArgs struct {
 	From    Node
 	Group   string
 	Number  uint64 // map number, also the fencing token
 	Digest  string
-	Content []byte // JSON of an expertmap.Map
+	Content []byte // packed expertmap.Map
+	// WantLoads asks for Loads, which are large.
+	WantLoads bool
 }
 
 // MapReply reports which maps the rank holds.
 type MapReply struct {
-	Held     []uint64
-	Active   uint64
-	Step     uint64
-	StepMS   float64 // mean step time of this rank over the last report interval
+	Held    []uint64
+	Active  uint64
+	Loading uint64 // map number that the rank loads now, 0 for none
+	Step    uint64
+	StepMS  float64 // mean time of this rank's own work per step over the last report interval
+	// Loads is the load by layer and slot of this rank per step over the last
+	// report interval, counted under map LoadsOf.
 	Loads    [][]float64
+	LoadsOf  uint64
 	Refused  bool
 	Highest  uint64 // highest map number this agent has seen
-	NotReady bool
+	NotReady bool   // the endpoint did not answer
 }
