--- a/proof/endpoint_test.go
+++ b/proof/endpoint_test.go
@@ -115,13 +115,7 @@
 	if d := c.desks[id]; d != nil {
 		return d.LastWork()
 	}
-	var last time.Time
-	for _, r := range c.engines[id].Record().Runs {
-		if r.At.After(last) {
-			last = r.At
-		}
-	}
-	return last
+	return c.engines[id].LastWork()
 }
 
 // Guards against a graceful shutdown that cuts off requests: of an entry whose
--- /dev/null
+++ b/proof/notrun_test.go
@@ -0,0 +1,125 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/lab/enginesim"
+)
+
+// refusals collects the request IDs of model requests refused as not run.
+type refusals struct {
+	mu     sync.Mutex
+	notRun map[string]string // request ID to refusal
+	whole  int
+	other  int
+}
+
+// askModel sends one model request and notes a refusal, before or within the
+// stream.
+func (c *cluster) askModel(entry, id string, into *refusals) {
+	body, err := json.Marshal(api.GenerateRequest{Prompt: "prompt of " + id, MaxTokens: 24})
+	c.must(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+api.PathGenerate+modelService, bytes.NewReader(body))
+	c.must(err)
+	req.Header.Set("Authorization", "Bearer "+c.orgs[0].Key)
+	req.Header.Set(api.HeaderRequestID, id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	into.mu.Lock()
+	defer into.mu.Unlock()
+	switch {
+	case strings.Contains(string(data), `"not_run"`):
+		into.notRun[id] = string(data)
+	case strings.Contains(string(data), "event: end"):
+		into.whole++
+	default:
+		into.other++
+	}
+}
+
+// Guards against a refusal that says "not run" for a request that reached an
+// engine: under overload, dying engines, killed and frozen agents, late
+// messages, a cut between an entry and an agent, and a zone that is taken out.
+func TestNotRunMeansNotRun(t *testing.T) {
+	s := defaultShape()
+	s.engine = enginesim.Options{StepBase: 20 * time.Millisecond, WarmCapacity: 4}
+	s.service = func(svc *bundle.Service) { svc.WarmLimit, svc.QueueLimit, svc.TimeoutMS = 4, 4, 3000 }
+	c := newCluster(t, s)
+	into := &refusals{notRun: map[string]string{}}
+	stop := make(chan struct{})
+	var senders sync.WaitGroup
+	for i, entry := range c.entryAddrs() {
+		for k := range 12 {
+			senders.Go(func() {
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					default:
+						c.askModel(entry, fmt.Sprintf("r-%d-%d-%d", i, k, n), into)
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+			})
+		}
+	}
+	c.modelFaults()
+	close(stop)
+	senders.Wait()
+
+	ran := map[string]bool{}
+	for _, e := range c.engines {
+		for _, r := range e.Record().Runs {
+			id, _, _ := strings.Cut(r.RequestID, ".") // entries may add a suffix
+			ran[id] = true
+		}
+	}
+	for id, refusal := range into.notRun {
+		if ran[id] {
+			t.Errorf("request %s ran, but its refusal says not run: %s", id, refusal)
+		}
+	}
+	t.Logf("%d whole, %d refused as not run, %d other", into.whole, len(into.notRun), into.other)
+	if len(into.notRun) < 20 || into.whole < 20 {
+		t.Error("too few refusals or answers for the test to show anything")
+	}
+}
+
+func (c *cluster) modelFaults() {
+	pause := func() { time.Sleep(1500 * time.Millisecond) }
+	pause()
+	c.engines["model-z1-1"].Die()
+	pause()
+	c.must(c.engines["model-z1-1"].Restart())
+	c.kill("model-z2-1")
+	pause()
+	c.start("model-z2-1")
+	c.freeze("model-z3-1")
+	pause()
+	pause()
+	c.thaw("model-z3-1")
+	heal := c.cutTo("entry-z1-1", "model-z1-1")
+	pause()
+	heal()
+	_, _ = c.move(c.entryAddrs()[1], bundle.TargetZone, "z3", true)
+	pause()
+	_, _ = c.move(c.entryAddrs()[1], bundle.TargetZone, "z3", false)
+	pause()
+}
--- a/proof/zone_test.go
+++ b/proof/zone_test.go
@@ -78,9 +78,7 @@
 	}
 	for id, e := range c.engines {
 		if c.nodes[id].zone == zone {
-			for _, r := range e.Record().Runs {
-				later(r.At)
-			}
+			later(e.LastWork())
 		}
 	}
 	for id, d := range c.desks {
