Separate the pure parts of the map switch and test their properties

Cause: safety of the switch rests on small rules that were spread over the agent and the simulated engine.

Change: expertmap.Holdings (rank) and expertmap.Keeper (agent) hold these rules; a rapid test runs them with Record and Agree under reordered and repeated messages, unknown write outcomes, crashes, restarts and stale maps that bypass the agent. Coordinator and agent tests use fakes. Fault found: a coordinator that read a newer record while settled sent it only at the next settled poll (15 s); it now polls at once.

--- /dev/null
+++ b/expertmap/coordinator_test.go
@@ -0,0 +1,291 @@
+package expertmap
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/store"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// fakeStore is one key; err is returned by the next write, which takes effect
+// if applied is set.
+type fakeStore struct {
+	store.Store
+	entry   store.Entry
+	err     error
+	applied bool
+	calls   int
+}
+
+func (s *fakeStore) Get(context.Context, string) (store.Entry, error) {
+	s.calls++
+	return s.entry, nil
+}
+
+func (s *fakeStore) CompareAndSwap(_ context.Context, key string, value []byte, revision uint64) error {
+	s.calls++
+	err := s.err
+	s.err = nil
+	if revision != s.entry.Revision {
+		return store.ErrConflict
+	}
+	if err == nil || s.applied {
+		s.entry = store.Entry{Key: key, Value: value, Revision: revision + 1}
+	}
+	return err
+}
+
+// fakeAgents are ranks that hold what they are sent at once.
+type fakeAgents struct {
+	replies [2]wire.MapReply
+	sent    []uint64
+	calls   int
+}
+
+func (f *fakeAgents) Call(_ context.Context, addr, _ string, args, reply any) error {
+	f.calls++
+	a := args.(wire.MapArgs)
+	r := &f.replies[addr[0]-'0']
+	if len(a.Content) > 0 {
+		f.sent = append(f.sent, a.Number)
+		m, _, err := Unpack(a.Content)
+		if err != nil {
+			return err
+		}
+		r.Held, r.Active, r.Highest, r.LoadsOf, r.StepMS = []uint64{a.Number}, a.Number, a.Number, a.Number, 1
+		r.Loads = make([][]float64, len(m.Layers))
+		for l := range r.Loads {
+			r.Loads[l] = make([]float64, m.Slots)
+			for k := range r.Loads[l] {
+				r.Loads[l][k] = float64(1 + 2*k)
+			}
+		}
+	}
+	*reply.(*wire.MapReply) = *r
+	return nil
+}
+
+type fixture struct {
+	snap   control.Snapshot
+	clock  *clockwork.FakeClock
+	store  fakeStore
+	agents fakeAgents
+	c      *Coordinator
+}
+
+func (f *fixture) Snapshot() *control.Snapshot { return &f.snap }
+
+// tick makes one round under a view that is confirmed now.
+func (f *fixture) tick(advance time.Duration) {
+	f.clock.Advance(advance)
+	f.snap.ConfirmedAt = f.clock.Now()
+	f.c.tick(context.Background())
+}
+
+func newFixture() *fixture {
+	f := &fixture{clock: clockwork.NewFakeClock()}
+	f.snap = control.Snapshot{
+		Self:   wire.Node{ID: "e1", State: wire.StateReady},
+		Bundle: &bundle.Bundle{Groups: []bundle.Group{{Name: "g", Ranks: 2, Layers: 1, Experts: 3, SlotsPerRank: 2, ExpertBytes: 1}}},
+		AgentByID: map[string]*control.Endpoint{
+			"a0": {Node: wire.Node{ID: "a0", Group: "g", Rank: 0, RPCAddr: "0"}},
+			"a1": {Node: wire.Node{ID: "a1", Group: "g", Rank: 1, RPCAddr: "1"}},
+		},
+	}
+	f.c = NewCoordinator(CoordinatorConfig{View: f, Store: &f.store, Pool: &f.agents, Clock: f.clock, Log: logr.Discard(), MinGain: -1})
+	return f
+}
+
+// Guards against a wrong reaction to each outcome of the compare-and-swap: only
+// what a read returned may be sent, and the next plan continues from it.
+func TestOutcomesOfRecording(t *testing.T) {
+	for _, tc := range []struct {
+		err     error
+		applied bool
+		want    []uint64 // maps sent to the two ranks
+	}{
+		{nil, true, []uint64{1, 1, 2, 2}},
+		{store.ErrUnknown, true, []uint64{1, 1, 2, 2}},
+		{store.ErrUnknown, false, []uint64{1, 1}},
+		{store.ErrUnavailable, false, []uint64{1, 1}},
+	} {
+		t.Run(fmt.Sprint(tc.err, tc.applied), func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.tick(time.Second) // records map 1
+			f.tick(time.Second) // sends it
+			f.store.err, f.store.applied = tc.err, tc.applied
+			f.tick(time.Second) // plans and records map 2
+			f.tick(time.Second) // sends it if it is in the store
+			is.Equal(f.agents.sent, tc.want)
+		})
+	}
+}
+
+// Guards against a coordinator that overwrites or ignores the map of another.
+func TestConflictIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.tick(time.Second)
+	f.tick(time.Second)
+	m, err := First("g", 2, 1, 3, 2)
+	is.NoErr(err)
+	m.Number = 2
+	other, err := Pack(m)
+	is.NoErr(err)
+	f.store.entry = store.Entry{Value: other.Bytes, Revision: 7}
+	f.tick(time.Minute) // planning reads first and finds map 2
+	f.tick(time.Second)
+	is.Equal(f.agents.sent, []uint64{1, 1, 2, 2})
+	is.Equal(f.store.entry.Revision, uint64(7))
+}
+
+// Guards against work on an old view, or by an entry that is not chosen.
+func TestNoWorkWithoutConfirmedView(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.snap.ConfirmedAt = f.clock.Now().Add(-control.ConfirmWithin - time.Millisecond)
+	f.c.tick(context.Background())
+	f.snap.Self.State = wire.StateLeaving
+	f.tick(time.Second)
+	is.Equal(f.store.calls+f.agents.calls, 0)
+}
+
+// Guards against a second content under a number that ranks have seen, after
+// the record was lost.
+func TestFirstMapIsNumberedAboveRanks(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.agents.replies[1].Highest = 41
+	f.tick(time.Second)
+	f.agents.replies[1].Highest = 41
+	f.tick(time.Second)
+	is.Equal(f.agents.sent, []uint64{42, 42})
+}
+
+// Guards against polls that exceed the control traffic budget while nothing changes.
+func TestSettledGroupIsPolledRarely(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.c.cfg.MinGain = 1 // never a new map
+	for range 4 {
+		f.tick(time.Second)
+	}
+	before := f.agents.calls
+	for range 28 {
+		f.tick(500 * time.Millisecond)
+	}
+	is.True(f.agents.calls-before <= 2) // 14 s, one poll of two ranks
+	is.Equal(slices.Max(f.agents.sent), uint64(1))
+}
+
+// Guards against two choices under one view, and against choosing an entry
+// that is leaving or taken out.
+func TestChoose(t *testing.T) {
+	is := is.New(t)
+	node := func(id, zone string, state wire.State) wire.Node { return wire.Node{ID: id, Zone: zone, State: state} }
+	all := []wire.Node{node("a", "z1", wire.StateReady), node("b", "z2", wire.StateReady), node("c", "z2", wire.StateLeaving), node("d", "z3", wire.StateReady)}
+	for g := range 50 {
+		group := fmt.Sprint("g", g)
+		chosen := ""
+		for _, self := range all {
+			snap := &control.Snapshot{Self: self, ZonesOut: map[string]bool{"z3": true}}
+			for _, n := range all {
+				snap.Entries = append(snap.Entries, control.Entry{Node: n})
+			}
+			id := Choose(group, snap)
+			is.True(id == "a" || id == "b")
+			is.True(chosen == "" || chosen == id)
+			chosen = id
+		}
+	}
+}
+
+// Guards against an agent that passes on a map that is old, altered, of
+// another group, or too small for its rank.
+func TestRankChecksMaps(t *testing.T) {
+	is := is.New(t)
+	var posted []uint64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			var req RankMapRequest
+			is.NoErr(json.NewDecoder(r.Body).Decode(&req))
+			posted = append(posted, req.Number)
+		}
+		_, _ = w.Write([]byte(`{"boot_id":"b","held":[4]}`))
+	}))
+	defer srv.Close()
+	rank := NewRank(RankConfig{Group: "g", Rank: 1, Endpoint: strings.TrimPrefix(srv.URL, "http://"), Log: logr.Discard()})
+	args := func(number uint64, ranks int) wire.MapArgs {
+		m, err := First("g", ranks, 1, 2, 2)
+		is.NoErr(err)
+		m.Number = number
+		p, err := Pack(m)
+		is.NoErr(err)
+		return wire.MapArgs{Group: "g", Number: number, Digest: p.Digest, Content: p.Bytes}
+	}
+	altered, other, renumbered := args(5, 2), args(5, 2), args(5, 2)
+	altered.Digest = strings.Repeat("0", 64)
+	other.Group = "h"
+	renumbered.Number = 6
+	for _, a := range []wire.MapArgs{altered, other, renumbered, args(5, 1)} {
+		_, err := rank.Handle(context.Background(), a)
+		is.True(err != nil)
+	}
+	reply, err := rank.Handle(context.Background(), args(3, 2)) // the rank holds map 4 already
+	is.NoErr(err)
+	is.True(reply.Refused)
+	reply, err = rank.Handle(context.Background(), args(5, 2))
+	is.NoErr(err)
+	is.Equal(reply.Loading, uint64(5))
+	is.Equal(posted, []uint64{5})
+}
+
+// Guards against estimates that miss a slow rank or lose load.
+func TestSpeedsAndLoadsFromReports(t *testing.T) {
+	is := is.New(t)
+	in := randomInput(8, 3, 16, 3, 5)
+	replies := make([]wire.MapReply, 8)
+	for r := range replies {
+		work := 0.0
+		loads := make([][]float64, 3)
+		for l, layer := range in.Current.Layers {
+			loads[l] = make([]float64, 3)
+			for k := range loads[l] {
+				if e := layer.Experts[r*3+k]; e != NoExpert {
+					loads[l][k] = in.Loads[l][e] * float64(layer.Weights[r*3+k]) / WeightUnit
+				}
+				work += loads[l][k]
+			}
+		}
+		replies[r] = wire.MapReply{Loads: loads, LoadsOf: 1, StepMS: work}
+	}
+	replies[3].StepMS *= 1.2
+	loads, work, ok := SumLoads(in.Current, replies)
+	is.True(ok)
+	for l := range loads {
+		for e := range loads[l] {
+			is.True(loads[l][e] > in.Loads[l][e]*0.999 && loads[l][e] < in.Loads[l][e]*1.001)
+		}
+	}
+	speeds := Speeds(work, replies)
+	is.True(speeds[3] > 0.83 && speeds[3] < 0.84)
+	is.True(speeds[0] > 0.99 && speeds[0] < 1.01)
+	replies[2].LoadsOf = 9 // counted under another map
+	_, _, ok = SumLoads(in.Current, replies)
+	is.True(!ok)
+}
--- a/expertmap/group.go
+++ b/expertmap/group.go
@@ -93,6 +93,7 @@
 		return true // a stale read
 	}
 	g.current, g.revision = m, e.Revision
+	g.settled = false
 	g.log.Info("read the record", "map", p.Number, "digest", p.Digest)
 	return true
 }
--- a/expertmap/rank.go
+++ b/expertmap/rank.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,9 +20,6 @@
 const (
 	rankPoll    = 250 * time.Millisecond
 	rankTimeout = 2 * time.Second
-	// keptMaps bounds the maps an agent keeps for reloading: the one in use,
-	// the one being loaded and one spare.
-	keptMaps = 3
 	// maxStateBytes bounds a state answer; 60 layers of 64 slots take about 80 kB.
 	maxStateBytes = 4 << 20
 )
@@ -45,14 +41,7 @@
 	cfg RankConfig
 
 	mu     sync.Mutex
-	gate   Gate
-	kept   []keptMap // ascending by number
-	active uint64
-}
-
-type keptMap struct {
-	Packed
-	canonical []byte
+	keeper Keeper
 }
 
 // NewRank returns the agent's side of a rank.
@@ -108,7 +97,7 @@
 func (r *Rank) highest() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.gate.Highest()
+	return r.keeper.Highest()
 }
 
 // accept checks a map and keeps it for the rank. It returns false if the number
@@ -132,31 +121,18 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.gate.Accept(args.Number, args.Digest) {
-		r.cfg.Log.Info("refused an old map", "group", args.Group, "map", args.Number, "highest", r.gate.Highest(), "from", args.From.ID)
+	if !r.keeper.Accept(Packed{args.Number, args.Digest, args.Content}) {
+		r.cfg.Log.Info("refused an old map", "group", args.Group, "map", args.Number, "highest", r.keeper.Highest(), "from", args.From.ID)
 		return false, nil
 	}
-	r.keep(keptMap{Packed{args.Number, args.Digest, args.Content}, canonical})
 	return true, nil
 }
 
-func (r *Rank) keep(m keptMap) {
-	for _, k := range r.kept {
-		if k.Number == m.Number {
-			return
-		}
-	}
-	r.kept = append(r.kept, m)
-	if len(r.kept) > keptMaps {
-		r.kept = r.kept[len(r.kept)-keptMaps:]
-	}
-}
-
 // drop gives up a map whose fencing token the rank refuses as stale.
 func (r *Rank) drop(number uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.kept = slices.DeleteFunc(r.kept, func(m keptMap) bool { return m.Number == number })
+	r.keeper.Drop(number)
 }
 
 // sync reads the state of the rank and has it load the maps that it lacks.
@@ -165,14 +141,12 @@
 	if err != nil {
 		return wire.MapReply{}, err
 	}
-	for _, m := range r.missing(st) {
+	if m, ok := r.missing(st); ok {
 		if err := r.post(ctx, m); err != nil {
 			return wire.MapReply{}, err
 		}
 		r.cfg.Log.Info("rank loads a map", "group", r.cfg.Group, "rank", r.cfg.Rank, "map", m.Number)
-		if st.Loading == 0 {
-			st.Loading = m.Number
-		}
+		st.Loading = m.Number
 	}
 	return wire.MapReply{
 		Held: st.Held, Active: st.Active, Loading: st.Loading, Step: st.Step, StepMS: st.StepMS,
@@ -180,27 +154,10 @@
 	}, nil
 }
 
-// missing returns the kept maps, from the one last in use on, that the rank
-// neither holds nor loads. A restarted rank gets the map in use first, because
-// the group stands still until it holds that one. At most one is returned, so
-// that loading of a newer map does not slow it down.
-func (r *Rank) missing(st RankState) []keptMap {
+func (r *Rank) missing(st RankState) (Packed, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, n := range st.Held {
-		r.gate.Learn(n)
-	}
-	r.active = max(r.active, st.Active)
-	r.kept = slices.DeleteFunc(r.kept, func(m keptMap) bool { return m.Number < r.active })
-	if st.Loading != 0 {
-		return nil
-	}
-	for _, m := range r.kept {
-		if !slices.Contains(st.Held, m.Number) {
-			return []keptMap{m}
-		}
-	}
-	return nil
+	return r.keeper.Missing(st)
 }
 
 func (r *Rank) state(ctx context.Context, loads bool) (RankState, error) {
@@ -225,8 +182,12 @@
 	return st, trace.Wrap(err)
 }
 
-func (r *Rank) post(ctx context.Context, m keptMap) error {
-	body, err := json.Marshal(RankMapRequest{Number: m.Number, FencingToken: m.Number, Digest: m.Digest, Content: m.canonical})
+func (r *Rank) post(ctx context.Context, m Packed) error {
+	canonical, err := Inflate(m.Bytes)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(RankMapRequest{Number: m.Number, FencingToken: m.Number, Digest: m.Digest, Content: canonical})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/lab/rankgroup/engine.go
+++ b/lab/rankgroup/engine.go
@@ -4,10 +4,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,10 +47,9 @@
 	endLife  context.CancelFunc
 	downTill time.Time
 	stallFor time.Duration
-	held     map[uint64]heldMap
+	held     expertmap.Holdings[heldMap]
 	queue    []heldMap // maps to load; the first is being loaded
 	highest  uint64    // fencing token
-	active   uint64
 	step     uint64
 	named    *namedSwitch
 }
@@ -90,9 +87,9 @@
 func (e *engine) begin() {
 	e.boot = rand.Text()
 	e.life, e.endLife = context.WithCancel(context.Background())
-	e.held = make(map[uint64]heldMap)
+	e.held = expertmap.Holdings[heldMap]{}
 	e.queue = nil
-	e.highest, e.active = 0, 0
+	e.highest = 0
 	e.named = nil
 }
 
@@ -152,7 +149,7 @@
 
 // enqueue starts loading a map that is neither held nor being loaded.
 func (e *engine) enqueue(h heldMap) {
-	if _, ok := e.held[h.number]; ok {
+	if _, ok := e.held.Get(h.number); ok {
 		return
 	}
 	for _, q := range e.queue {
@@ -187,7 +184,7 @@
 			e.mu.Unlock()
 			return
 		}
-		e.held[next.number] = next
+		e.held.Add(next.number, next)
 		e.queue = e.queue[1:]
 		e.mu.Unlock()
 	}
@@ -198,7 +195,7 @@
 	n := int64(0)
 	for l := range m.Layers {
 		have := make(map[int32]bool)
-		for _, h := range e.held {
+		for _, h := range e.held.All() {
 			for _, x := range h.content.Layers[l].Experts[e.rank*m.Slots : (e.rank+1)*m.Slots] {
 				have[x] = true
 			}
@@ -214,18 +211,18 @@
 
 func (e *engine) handleState(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	st := expertmap.RankState{BootID: e.boot, Held: e.numbers(), Active: e.active, Step: e.step}
+	st := expertmap.RankState{BootID: e.boot, Held: e.held.Numbers(), Active: e.held.Active(), Step: e.step}
 	if len(e.queue) > 0 {
 		st.Loading = e.queue[0].number
 	}
-	if h, ok := e.held[e.active]; ok {
+	if h, ok := e.held.Get(e.held.Active()); ok {
 		loads, work := e.loads(h.content)
 		speed := e.opt.Speed
 		if speed == 0 {
 			speed = 1
 		}
 		st.StepMS = work / speed
-		st.LoadsOf = e.active
+		st.LoadsOf = st.Active
 		if r.URL.Query().Get("loads") != "" {
 			st.Loads = loads
 		}
@@ -253,10 +250,6 @@
 	return out, sum
 }
 
-func (e *engine) numbers() []uint64 {
-	return slices.Sorted(maps.Keys(e.held))
-}
-
 func sleep(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/lab/rankgroup/group.go
+++ b/lab/rankgroup/group.go
@@ -122,23 +122,14 @@
 }
 
 // enter begins a step under the agreed map. A rank that restarted after it
-// contributed does not take part. Maps below the agreed one are freed: the
-// agreement shows that all ranks hold it, and lower ones are not used again.
+// contributed does not take part.
 func (e *engine) enter(boot string, round, number uint64) (use, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.step = round
-	h, ok := e.held[number]
-	if e.boot != boot || !ok {
+	if e.boot != boot {
 		return use{}, false
 	}
-	// The previous step ended on all ranks before this exchange did, so a
-	// number that was active then is in use by the whole group.
-	for n := range e.held {
-		if n < e.active {
-			delete(e.held, n)
-		}
-	}
-	e.active = number
-	return h.use, true
+	h, ok := e.held.Enter(number)
+	return h.use, ok
 }
--- a/lab/rankgroup/named.go
+++ b/lab/rankgroup/named.go
@@ -21,7 +21,7 @@
 func (e *engine) prepareNamed(m *expertmap.Map, digest string, step uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.named = &namedSwitch{number: m.Number, step: step, from: e.active}
+	e.named = &namedSwitch{number: m.Number, step: step, from: e.held.Active()}
 	e.enqueue(heldMap{use{m.Number, digest}, m})
 }
 
@@ -43,7 +43,7 @@
 // offers the only map that its own decision allows.
 func (e *engine) offered() []uint64 {
 	if e.named == nil {
-		return e.numbers()
+		return e.held.Numbers()
 	}
 	if e.named.committed && e.step+1 >= e.named.step {
 		return []uint64{e.named.number}
@@ -167,7 +167,7 @@
 func allHold(engines []*engine, number uint64) bool {
 	for _, e := range engines {
 		e.mu.Lock()
-		_, ok := e.held[number]
+		_, ok := e.held.Get(number)
 		e.mu.Unlock()
 		if !ok {
 			return false
