Relay maps between agents and cut control traffic of a coordinator

Cause: a map of 256 ranks has 55 kB packed; one entry that sends it to 256 agents each minute, polls them every 500 ms and reads loads as float64 exceeds 4 KB/s per node many times over.

Change: the coordinator sends a map to one agent, and agents pass it on to two others each (wire.MapArgs.Relay); ranks that still lack it are sent it directly. Polls back off during a switch (2 s, 4 s, ...) and come every 30 s otherwise. wire.MapReply.Loads are 16-bit floats. Decoding takes at most 8 MB.

--- a/expertmap/coordinator.go
+++ b/expertmap/coordinator.go
@@ -28,10 +28,11 @@
 	Log   logr.Logger
 	// Interval is the time between plans. Default 60 s.
 	Interval time.Duration
-	// Poll is the time between polls of the ranks during a switch. Default 500 ms.
+	// Poll is the time until the first poll of the ranks during a switch; it
+	// doubles up to maxBackoff times that, to save control traffic. Default 2 s.
 	Poll time.Duration
 	// SettledPoll is the time between polls of the ranks while all use the
-	// recorded map. Default 15 s, which keeps the polls of 256 ranks below 4 KB/s.
+	// recorded map. Default 30 s.
 	SettledPoll time.Duration
 	// StoreRate is the rate of the weight store for one group, in bytes/s. Default 2e9.
 	StoreRate float64
@@ -45,8 +46,8 @@
 // Defaults of CoordinatorConfig.
 const (
 	DefaultInterval    = time.Minute
-	DefaultPoll        = 500 * time.Millisecond
-	DefaultSettledPoll = 15 * time.Second
+	DefaultPoll        = 2 * time.Second
+	DefaultSettledPoll = 30 * time.Second
 	DefaultStoreRate   = 2e9 // bytes/s
 	DefaultHorizon     = 600 * time.Second
 	DefaultMinGain     = 0.005
@@ -58,6 +59,10 @@
 	// parallelCalls bounds concurrent calls to agents, and with them the
 	// memory for maps in send buffers.
 	parallelCalls = 32
+	// maxBackoff bounds the time between polls during a switch, as a multiple of Poll.
+	maxBackoff = 4
+	// tickTime is the time between looks at the snapshot for new agents.
+	tickTime = 500 * time.Millisecond
 )
 
 // Coordinator records and distributes the expert maps of the groups that it is
@@ -90,7 +95,7 @@
 
 // Run coordinates until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) error {
-	ticker := c.cfg.Clock.NewTicker(c.cfg.Poll)
+	ticker := c.cfg.Clock.NewTicker(min(c.cfg.Poll, tickTime))
 	defer ticker.Stop()
 	for {
 		c.tick(ctx)
--- a/expertmap/encode.go
+++ b/expertmap/encode.go
@@ -9,8 +9,9 @@
 	"io"
 )
 
-// MaxCanonicalBytes bounds the canonical form while unpacking.
-const MaxCanonicalBytes = 64 << 20
+// MaxCanonicalBytes bounds the canonical form while unpacking; 256 ranks, 256
+// experts and 60 layers take 0.25 MB.
+const MaxCanonicalBytes = 8 << 20
 
 // MaxPackedBytes is the largest value that the store takes.
 const MaxPackedBytes = 1 << 20
--- a/expertmap/group.go
+++ b/expertmap/group.go
@@ -27,6 +27,8 @@
 	estimator *Estimator
 	nodes     []wire.Node
 	settled   bool
+	wait      time.Duration // until the next poll during a switch
+	sentAt    time.Time     // when the recorded map was first sent; zero if not yet
 	polledAt  time.Time
 	plannedAt time.Time
 }
@@ -44,12 +46,13 @@
 	nodes, complete := agents(g.group.Name, g.group.Ranks, snap)
 	now := g.cfg.Clock.Now()
 	due := now.Sub(g.plannedAt) >= g.cfg.Interval
-	if g.settled && sameNodes(nodes, g.nodes) && !due && now.Sub(g.polledAt) < g.cfg.SettledPoll {
+	if sameNodes(nodes, g.nodes) && !(g.settled && due) && now.Sub(g.polledAt) < g.pollWait() {
 		return
 	}
 	g.nodes, g.polledAt = nodes, now
 	replies := g.poll(ctx, snap.Self, nodes, due)
 	g.settled = complete && g.record.InUse(replies)
+	g.wait = min(2*g.wait, maxBackoff*g.cfg.Poll)
 	g.send(ctx, snap, replies)
 	if g.settled && due && g.record.Fresh() {
 		g.plannedAt = now
@@ -57,6 +60,21 @@
 	}
 }
 
+func (g *groupCoordinator) pollWait() time.Duration {
+	if g.settled {
+		return g.cfg.SettledPoll
+	}
+	return g.wait
+}
+
+// beginSwitch polls soon and sends the recorded map again.
+func (g *groupCoordinator) beginSwitch() {
+	g.settled = false
+	g.wait = g.cfg.Poll
+	g.polledAt = time.Time{}
+	g.sentAt = time.Time{}
+}
+
 func sameNodes(a, b []wire.Node) bool {
 	return slices.EqualFunc(a, b, func(x, y wire.Node) bool {
 		return x.ID == y.ID && x.Incarnation == y.Incarnation
@@ -93,7 +111,7 @@
 		return true // a stale read
 	}
 	g.current, g.revision = m, e.Revision
-	g.settled = false
+	g.beginSwitch()
 	g.log.Info("read the record", "map", p.Number, "digest", p.Digest)
 	return true
 }
@@ -143,7 +161,6 @@
 	default:
 		g.log.Info("recording a map failed or is unknown", "map", p.Number, "reason", err.Error())
 	}
-	g.settled = false
 	g.read(ctx)
 }
 
@@ -155,7 +172,7 @@
 // poll asks all agents for the state of their ranks.
 func (g *groupCoordinator) poll(ctx context.Context, self wire.Node, nodes []wire.Node, loads bool) []wire.MapReply {
 	replies := make([]wire.MapReply, len(nodes))
-	args := wire.MapArgs{From: self, Group: g.group.Name, WantLoads: loads}
+	args := wire.MapArgs{From: wire.Node{ID: self.ID}, Group: g.group.Name, WantLoads: loads}
 	var eg errgroup.Group
 	eg.SetLimit(parallelCalls)
 	for r, n := range nodes {
@@ -164,7 +181,7 @@
 			continue
 		}
 		eg.Go(func() error {
-			replies[r] = g.call(ctx, n, args)
+			replies[r] = callMap(ctx, g.cfg.Pool, n.RPCAddr, args, g.log)
 			return nil
 		})
 	}
@@ -177,38 +194,38 @@
 	return replies
 }
 
-func (g *groupCoordinator) call(ctx context.Context, n wire.Node, args wire.MapArgs) wire.MapReply {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var reply wire.MapReply
-	if err := g.cfg.Pool.Call(ctx, n.RPCAddr, wire.AgentService+".Map", args, &reply); err != nil {
-		g.log.V(1).Info("agent did not answer", "agent", n.ID, "reason", err.Error())
-		return wire.MapReply{NotReady: true}
-	}
-	return reply
-}
+// relayPolls is the time, in units of Poll, after which a map that was sent
+// through relays is sent directly: a relay may have failed.
+const relayPolls = 2
 
-// send gives the recorded map to the ranks that lack it.
+// send gives the recorded map to the ranks that lack it, first through relays.
 func (g *groupCoordinator) send(ctx context.Context, snap *control.Snapshot, replies []wire.MapReply) {
 	p, ok := g.record.Recorded()
 	if !ok || !g.confirmed() {
 		return
 	}
-	args := wire.MapArgs{From: snap.Self, Group: g.group.Name, Number: p.Number, Digest: p.Digest, Content: p.Bytes}
-	var eg errgroup.Group
-	eg.SetLimit(parallelCalls)
+	var addrs []string
 	for r, reply := range replies {
-		n := g.nodes[r]
-		if n.ID == "" || !g.record.Needs(reply) {
-			continue
+		if g.nodes[r].ID != "" && g.record.Needs(reply) {
+			addrs = append(addrs, g.nodes[r].RPCAddr)
 		}
-		g.log.Info("send the map", "map", p.Number, "rank", r, "agent", n.ID)
-		eg.Go(func() error {
-			g.call(ctx, n, args)
-			return nil
-		})
 	}
-	_ = eg.Wait() // the next poll shows which ranks hold the map
+	if len(addrs) == 0 {
+		return
+	}
+	now := g.cfg.Clock.Now()
+	args := wire.MapArgs{From: wire.Node{ID: snap.Self.ID}, Group: g.group.Name, Number: p.Number, Digest: p.Digest, Content: p.Bytes}
+	if g.sentAt.IsZero() {
+		g.log.Info("send the map", "map", p.Number, "ranks", len(addrs))
+		g.sentAt = now
+		relay(ctx, g.cfg.Pool, coordinatorFanOut, addrs, args, g.log)
+		return
+	}
+	if now.Sub(g.sentAt) < relayPolls*g.cfg.Poll {
+		return
+	}
+	g.log.Info("send the map again", "map", p.Number, "agents", addrs)
+	relayEach(ctx, g.cfg.Pool, addrs, args, g.log)
 }
 
 // plan records a better map if there is one. The record is read first, because
--- a/expertmap/observe.go
+++ b/expertmap/observe.go
@@ -1,6 +1,8 @@
 package expertmap
 
 import (
+	"encoding/binary"
+	"math"
 	"slices"
 
 	"github.com/wasabinotch/wasabinotch/wire"
@@ -21,7 +23,30 @@
 	return true
 }
 
-// SumLoads adds the loads of all slots up by layer and expert, and by rank.
+// bytesPerLoad is the size of a packed load. Eight bits of mantissa are off by
+// at most 0.4%, less than what a report is off by sampling.
+const bytesPerLoad = 2
+
+// PackLoads encodes loads by layer and slot for wire.MapReply.
+func PackLoads(loads [][]float64) []byte {
+	var out []byte
+	for _, row := range loads {
+		for _, x := range row {
+			const half = 1 << 15 // rounds to the nearest
+			out = binary.BigEndian.AppendUint16(out, uint16((math.Float32bits(float32(x))+half)>>16))
+		}
+	}
+	return out
+}
+
+// unpackLoad returns the load at index i.
+func unpackLoad(packed []byte, i int) float64 {
+	bits := binary.BigEndian.Uint16(packed[bytesPerLoad*i:])
+	return float64(math.Float32frombits(uint32(bits) << 16))
+}
+
+// SumLoads adds the loads of all slots up by layer and expert, and by rank. It
+// returns false if a report is missing or belongs to another map.
 func SumLoads(m *Map, replies []wire.MapReply) (loads [][]float64, work []float64, ok bool) {
 	work = make([]float64, m.Ranks)
 	loads = make([][]float64, len(m.Layers))
@@ -32,21 +57,18 @@
 		return nil, nil, false
 	}
 	for r, reply := range replies {
-		if reply.LoadsOf != m.Number || len(reply.Loads) != len(m.Layers) {
+		if reply.LoadsOf != m.Number || len(reply.Loads) != bytesPerLoad*m.Slots*len(m.Layers) {
 			return nil, nil, false
 		}
-		for l, row := range reply.Loads {
-			if len(row) != m.Slots {
-				return nil, nil, false
-			}
-			for k, x := range row {
-				e := m.Layers[l].Experts[r*m.Slots+k]
-				if e == NoExpert || !(x >= 0) {
-					continue
-				}
-				loads[l][e] += x
-				work[r] += x
+		for i := range m.Slots * len(m.Layers) {
+			l, k := i/m.Slots, i%m.Slots
+			e := m.Layers[l].Experts[r*m.Slots+k]
+			x := unpackLoad(reply.Loads, i)
+			if e == NoExpert || !(x >= 0) || math.IsInf(x, 0) {
+				continue
 			}
+			loads[l][e] += x
+			work[r] += x
 		}
 	}
 	return loads, work, true
--- a/expertmap/rank.go
+++ b/expertmap/rank.go
@@ -32,8 +32,10 @@
 	// Endpoint is the HTTP address (IP:port) of the rank.
 	Endpoint string
 	Client   *http.Client
-	Clock    clockwork.Clock
-	Log      logr.Logger
+	// Pool passes maps on to other agents; nil leaves that to the coordinator.
+	Pool  Caller
+	Clock clockwork.Clock
+	Log   logr.Logger
 }
 
 // Rank is the agent's side of map switches for one rank.
@@ -84,6 +86,9 @@
 			return wire.MapReply{}, err
 		}
 		refused = !ok
+		if ok {
+			r.passOn(ctx, args)
+		}
 	}
 	reply, err := r.sync(ctx, args.WantLoads)
 	if err != nil {
@@ -94,6 +99,17 @@
 	return reply, nil
 }
 
+// passOn relays an accepted map in the background; an agent that does not get
+// it is served by the coordinator later.
+func (r *Rank) passOn(ctx context.Context, args wire.MapArgs) {
+	if r.cfg.Pool == nil || len(args.Relay) == 0 {
+		return
+	}
+	addrs := args.Relay
+	args.Relay = nil
+	go relay(context.WithoutCancel(ctx), r.cfg.Pool, agentFanOut, addrs, args, r.cfg.Log)
+}
+
 func (r *Rank) highest() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -150,7 +166,7 @@
 	}
 	return wire.MapReply{
 		Held: st.Held, Active: st.Active, Loading: st.Loading, Step: st.Step, StepMS: st.StepMS,
-		Loads: st.Loads, LoadsOf: st.LoadsOf, Highest: r.highest(),
+		Loads: PackLoads(st.Loads), LoadsOf: st.LoadsOf, Highest: r.highest(),
 	}, nil
 }
 
--- a/expertmap/switch.go
+++ b/expertmap/switch.go
@@ -104,9 +104,13 @@
 	return r.packed, r.packed.Number > 0
 }
 
-// Needs reports whether a rank must be sent the recorded map.
+// Needs reports whether a rank must be sent the recorded map. An agent that has
+// the map but no answer from its rank hands it over by itself.
 func (r *Record) Needs(reply wire.MapReply) bool {
 	n := r.packed.Number
+	if reply.NotReady && reply.Highest == n {
+		return false
+	}
 	return n > 0 && reply.Highest <= n && reply.Loading != n && !slices.Contains(reply.Held, n)
 }
 
--- /dev/null
+++ b/expertmap/traffic_test.go
@@ -0,0 +1,66 @@
+package expertmap
+
+import (
+	"bytes"
+	"encoding/gob"
+	"net/rpc"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// gobBytes is the size of the second of two equal messages on a connection,
+// without the type descriptions that the first one carries.
+func gobBytes(header, body any) int {
+	var b bytes.Buffer
+	enc := gob.NewEncoder(&b)
+	first := 0
+	for range 2 {
+		first = b.Len()
+		if enc.Encode(header) != nil || enc.Encode(body) != nil {
+			panic("cannot encode")
+		}
+	}
+	return b.Len() - first
+}
+
+// Guards against control traffic above 4 KB/s on a coordinating entry or an
+// agent at 256 ranks, with a new map in every interval.
+func TestControlTraffic(t *testing.T) {
+	const ranks, layers, slots = 256, 60, 2
+	is := is.New(t)
+	res, err := Plan(randomInput(ranks, layers, 256, slots, 1))
+	is.NoErr(err)
+	p, err := Pack(res.Map)
+	is.NoErr(err)
+	loads := make([][]float64, layers)
+	for l := range loads {
+		loads[l] = []float64{12345.678 + float64(l), 4321.987 / float64(l+1)}
+	}
+	from := wire.Node{ID: "batinah-entry-12"}
+	state := wire.MapReply{Held: []uint64{1200, 1201}, Active: 1200, Step: 9000000, StepMS: 48.123, Highest: 1201}
+	report := state
+	report.Loads, report.LoadsOf = PackLoads(loads), 1200
+	addrs := make([]string, ranks-1)
+	for r := range addrs {
+		addrs[r] = "10.123.123.123:12345"
+	}
+	req := rpc.Request{ServiceMethod: "Agent.Map", Seq: 123456}
+	resp := rpc.Response{ServiceMethod: "Agent.Map", Seq: 123456}
+	ask := gobBytes(req, wire.MapArgs{From: from, Group: "batinah"})
+	answer := gobBytes(resp, state)
+	loaded := gobBytes(resp, report)
+	content := gobBytes(req, wire.MapArgs{From: from, Group: "batinah", Number: 1201, Digest: p.Digest, Content: p.Bytes, Relay: addrs})
+	// An interval has about 2 polls during the switch, one at SettledPoll and
+	// one with loads. The list of relays shrinks by half with each hop.
+	const polls = 3
+	coordinator := ranks*(polls*(ask+answer)+ask+loaded) + coordinatorFanOut*content
+	agent := polls*(ask+answer) + ask + loaded + (1+agentFanOut)*content
+	seconds := DefaultInterval.Seconds()
+	t.Logf("bytes: ask %d, answer %d, with loads %d, map %d; per second: coordinator %.0f, agent %.0f",
+		ask, answer, loaded, content, float64(coordinator)/seconds, float64(agent)/seconds)
+	is.True(float64(coordinator)/seconds <= 4000)
+	is.True(float64(agent)/seconds <= 4000)
+}
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -108,6 +108,8 @@
 	Content []byte // packed expertmap.Map
 	// WantLoads asks for Loads, which are large.
 	WantLoads bool
+	// Relay lists RPC addresses of agents to which the receiver passes Content on.
+	Relay []string
 }
 
 // MapReply reports which maps the rank holds.
@@ -118,8 +120,9 @@
 	Step    uint64
 	StepMS  float64 // mean time of this rank's own work per step over the last report interval
 	// Loads is the load by layer and slot of this rank per step over the last
-	// report interval, counted under map LoadsOf.
-	Loads    [][]float64
+	// report interval, counted under map LoadsOf: layer by layer, the upper 16
+	// bits of each float32 (bfloat16), big endian.
+	Loads    []byte
 	LoadsOf  uint64
 	Refused  bool
 	Highest  uint64 // highest map number this agent has seen
