--- a/lab/rankgroup/bench.go
+++ b/lab/rankgroup/bench.go
@@ -14,6 +14,7 @@
 	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/control"
 	"github.com/wasabinotch/wasabinotch/expertmap"
+	"github.com/wasabinotch/wasabinotch/store"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
@@ -32,7 +33,7 @@
 	benchExpert    = 256 << 10 // bytes
 	benchRate      = 256e6     // bytes/s
 	// TakeOver is the time after which another entry coordinates when one has
-	// died: entries that are silent for 2 s are no longer chosen.
+	// died. It is shorter than expertmap.EntryLive to keep runs short.
 	TakeOver = 2 * time.Second
 )
 
@@ -48,7 +49,13 @@
 	entry  [2]*benchEntry
 	ctx    context.Context
 	cancel context.CancelFunc
+	start  time.Time
+	// steady stops the drift of popularity.
+	steady atomic.Bool
 	done   sync.WaitGroup
+	// relays limits the number of maps that agents can still pass on; negative
+	// is unlimited.
+	relays atomic.Int64
 	// Refused counts maps that agents refused.
 	Refused atomic.Int64
 }
@@ -74,16 +81,17 @@
 func NewBench(ignoreFencing bool, log logr.Logger) (*Bench, error) {
 	b := &Bench{store: newMemStore(), log: log}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
-	start := time.Now()
+	b.start = time.Now()
 	group, err := NewGroup(GroupConfig{
 		Ranks: benchRanks, WeightRate: benchRate,
 		Options:    func(rank int) EngineOptions { return benchOptions(rank, ignoreFencing) },
-		Popularity: func(layer int) []float64 { return wave(layer, time.Since(start)) },
+		Popularity: b.popularity,
 	})
 	if err != nil {
 		return nil, err
 	}
 	b.Group = group
+	b.relays.Store(-1)
 	b.stops = make([]context.CancelFunc, benchRanks)
 	b.agents = make([]*expertmap.Rank, benchRanks)
 	for r := range benchRanks {
@@ -97,6 +105,37 @@
 	return b, nil
 }
 
+func (b *Bench) popularity(layer int) []float64 {
+	if b.steady.Load() {
+		return wave(layer, 0)
+	}
+	return wave(layer, time.Since(b.start))
+}
+
+// skew returns the skew of the recorded map under the present popularity.
+func (b *Bench) skew() (float64, error) {
+	m, _, err := b.record()
+	if err != nil {
+		return 0, err
+	}
+	speeds := ones(benchRanks)
+	speeds[0] = benchOptions(0, false).Speed
+	var loads [][]float64
+	for l := range m.Layers {
+		loads = append(loads, b.popularity(l))
+	}
+	return expertmap.Skew(m, loads, speeds), nil
+}
+
+// record returns the recorded map.
+func (b *Bench) record() (*expertmap.Map, expertmap.Packed, error) {
+	e, err := b.store.Get(b.ctx, store.PrefixGroups+"bench")
+	if err != nil {
+		return nil, expertmap.Packed{}, err
+	}
+	return expertmap.Unpack(e.Value)
+}
+
 func benchOptions(rank int, ignoreFencing bool) EngineOptions {
 	o := EngineOptions{StepTime: benchStep, RestartTime: benchRestart, LoadDelay: benchLoadDelay, ExpertBytes: benchExpert, Speed: 1}
 	if rank == 0 {
@@ -123,7 +162,7 @@
 		b.stops[rank]()
 	}
 	ctx, stop := context.WithCancel(b.ctx)
-	a := expertmap.NewRank(expertmap.RankConfig{Group: "bench", Rank: rank, Endpoint: b.Group.Address(rank), Log: b.log})
+	a := expertmap.NewRank(expertmap.RankConfig{Group: "bench", Rank: rank, Endpoint: b.Group.Address(rank), Pool: b, Log: b.log})
 	b.agents[rank], b.stops[rank] = a, stop
 	b.done.Go(func() { _ = a.Run(ctx) }) // returns nil
 }
@@ -190,9 +229,12 @@
 	return snap
 }
 
-var errDead = errors.New("the entry is dead")
+var (
+	errDead = errors.New("the entry is dead")
+	errLost = errors.New("the message is lost")
+)
 
-// Call implements expertmap.Caller; the address is the rank.
+// Call implements expertmap.Caller.
 func (e *benchEntry) Call(ctx context.Context, addr, _ string, args, reply any) error {
 	if e.dead.Load() {
 		return errDead
@@ -205,19 +247,37 @@
 		// A call that was on its way is delivered even if the caller gave up.
 		ctx = context.WithoutCancel(ctx)
 	}
+	return e.bench.deliver(ctx, addr, a, reply)
+}
+
+// Call implements expertmap.Caller for calls between agents; the address is
+// the rank.
+func (b *Bench) Call(ctx context.Context, addr, _ string, args, reply any) error {
+	for {
+		left := b.relays.Load()
+		if left == 0 {
+			return errLost
+		}
+		if left < 0 || b.relays.CompareAndSwap(left, left-1) {
+			return b.deliver(ctx, addr, args.(wire.MapArgs), reply)
+		}
+	}
+}
+
+func (b *Bench) deliver(ctx context.Context, addr string, args wire.MapArgs, reply any) error {
 	var rank int
 	if _, err := fmt.Sscan(addr, &rank); err != nil {
 		return err
 	}
-	e.bench.mu.Lock()
-	agent := e.bench.agents[rank]
-	e.bench.mu.Unlock()
-	r, err := agent.Handle(ctx, a)
+	b.mu.Lock()
+	agent := b.agents[rank]
+	b.mu.Unlock()
+	r, err := agent.Handle(ctx, args)
 	if err != nil {
 		return err
 	}
 	if r.Refused {
-		e.bench.Refused.Add(1)
+		b.Refused.Add(1)
 	}
 	*reply.(*wire.MapReply) = r
 	return nil
--- a/lab/rankgroup/faults.go
+++ b/lab/rankgroup/faults.go
@@ -1,7 +1,6 @@
 package rankgroup
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,7 +10,6 @@
 	"github.com/go-logr/logr"
 
 	"github.com/wasabinotch/wasabinotch/expertmap"
-	"github.com/wasabinotch/wasabinotch/store"
 )
 
 // Fault is a named sequence of events during map switches.
@@ -29,8 +27,8 @@
 // switches maps regularly under entry 0.
 var Faults = []Fault{
 	{Name: "none", Running: true, run: func(b *Bench) error { return b.advance(4) }},
-	{Name: "coordinator dies between record and sending", Running: true, run: func(b *Bench) error { return b.dieAfter(0) }},
-	{Name: "coordinator dies after sending to half of the ranks", Running: true, run: func(b *Bench) error { return b.dieAfter(benchRanks / 2) }},
+	{Name: "coordinator dies between record and sending", Running: true, run: func(b *Bench) error { return b.dieAfter(0, 0) }},
+	{Name: "coordinator dies after sending to half of the ranks", Running: true, run: func(b *Bench) error { return b.dieAfter(1, benchRanks/2-1) }},
 	{Name: "paused old coordinator wakes and resends", Running: true, run: (*Bench).pausedCoordinator},
 	{Name: "paused old coordinator wakes, agents restarted", Running: true, run: (*Bench).pausedAndAgentsRestarted},
 	{Name: "store down", run: (*Bench).storeDown},
@@ -79,6 +77,26 @@
 		name, r.Steps, len(r.Mixed), r.Back, r.Recorded, r.Refused, r.Standstill.Milliseconds(), r.Jitter.Milliseconds())
 }
 
+// RunFaults runs all faults and the comparison with named switch steps, and
+// reports each.
+func RunFaults(w io.Writer, log logr.Logger) error {
+	for _, f := range Faults {
+		res, err := f.Run(log)
+		if err != nil {
+			return err
+		}
+		res.Report(w, f.Name)
+	}
+	for _, f := range NamedFaults {
+		v, err := RunNamed(f)
+		if err != nil {
+			return err
+		}
+		FaultResult{Verdict: v, Recorded: namedMaps}.Report(w, "named step: "+string(f))
+	}
+	return nil
+}
+
 func (b *Bench) recorded() int {
 	b.store.mu.Lock()
 	defer b.store.mu.Unlock()
@@ -115,18 +133,22 @@
 	return b.wait("a new record", func() bool { return b.recorded() > before })
 }
 
-func (b *Bench) dieAfter(sends int64) error {
+// dieAfter lets entry 0 die after it has sent a map to some agents, which can
+// pass it on only to the given number of others.
+func (b *Bench) dieAfter(sends, relays int64) error {
 	if err := b.inSwitch(); err != nil {
 		return err
 	}
 	if err := b.advance(1); err != nil {
 		return err
 	}
+	b.relays.Store(relays)
 	b.entry[0].sends.Store(sends)
 	if err := b.wait("death of the coordinator", b.entry[0].dead.Load); err != nil {
 		return err
 	}
 	time.Sleep(TakeOver)
+	b.relays.Store(-1)
 	b.StartEntry(1)
 	return b.advance(3)
 }
@@ -181,11 +203,7 @@
 
 // stalePost sends an old recorded map to rank 0 past its agent.
 func (b *Bench) stalePost() error {
-	e, err := b.store.Get(context.Background(), store.PrefixGroups+"bench")
-	if err != nil {
-		return err
-	}
-	m, p, err := expertmap.Unpack(e.Value)
+	m, p, err := b.record()
 	if err != nil {
 		return err
 	}
--- a/lab/rankgroup/named.go
+++ b/lab/rankgroup/named.go
@@ -21,7 +21,7 @@
 func (e *engine) prepareNamed(m *expertmap.Map, digest string, step uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.named = &namedSwitch{number: m.Number, step: step, from: e.active}
+	e.named = &namedSwitch{number: m.Number, step: step, from: e.held.Active()}
 	e.enqueue(heldMap{use{m.Number, digest}, m})
 }
 
@@ -43,7 +43,7 @@
 // offers the only map that its own decision allows.
 func (e *engine) offered() []uint64 {
 	if e.named == nil {
-		return e.numbers()
+		return e.held.Numbers()
 	}
 	if e.named.committed && e.step+1 >= e.named.step {
 		return []uint64{e.named.number}
@@ -69,6 +69,9 @@
 // loading takes without a fault.
 const namedAhead = 40
 
+// namedMaps is the number of maps in such a run.
+const namedMaps = 2
+
 // RunNamed switches a group once by a named step, with a fault, and returns
 // what was seen from the preparation until some steps after the switch. A
 // coordinator that dies is replaced after TakeOver; its successor commits what
@@ -167,7 +170,7 @@
 func allHold(engines []*engine, number uint64) bool {
 	for _, e := range engines {
 		e.mu.Lock()
-		_, ok := e.held[number]
+		_, ok := e.held.Get(number)
 		e.mu.Unlock()
 		if !ok {
 			return false
