--- /dev/null
+++ b/control/bytes_test.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"expvar"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+func metric(name string) int64 {
+	n, _ := strconv.ParseInt(expvar.Get(name).String(), 10, 64)
+	return n
+}
+
+func okCount(m *expvar.Map) int64 {
+	v, _ := m.Get("ok").(*expvar.Int)
+	if v == nil {
+		return 0
+	}
+	return v.Value()
+}
+
+// BenchmarkControlBytes measures the control traffic of a fleet at rest. Bytes
+// are those that a node sends and receives, without TCP and IP headers.
+func BenchmarkControlBytes(b *testing.B) {
+	for _, size := range []struct{ entries, agents int }{{18, 0}, {18, 19}} {
+		b.Run(fmt.Sprintf("%d+%d", size.entries, size.agents), func(b *testing.B) {
+			c := newCluster(b)
+			entries := c.entries(size.entries)
+			c.known(entries)
+			for i := range size.agents {
+				c.start(wire.RoleAgent, string(rune('a'+i%3)), 0)
+			}
+			c.roll(entries[0])
+			c.waitFor(20*time.Second, "endpoints", entries, func(s *Snapshot) bool { return len(s.Endpoints["stock"]) == size.agents })
+			time.Sleep(20 * time.Second) // until most pairs have exchanged whole records
+			const window = 10 * time.Second
+			exchanges, reports, bytes := okCount(metricExchanges), okCount(metricReports), metric("peer_bytes_out")
+			time.Sleep(window)
+			exchanges, reports = okCount(metricExchanges)-exchanges, okCount(metricReports)-reports
+			bytes = metric("peer_bytes_out") - bytes
+			nodes := float64(size.entries + size.agents)
+			b.ReportMetric(2*float64(bytes)/nodes/window.Seconds(), "B/s/node")
+			b.ReportMetric(float64(exchanges)/nodes/window.Seconds(), "exchanges/s/node")
+			b.ReportMetric(float64(reports)/nodes/window.Seconds(), "reports/s/node")
+			b.ReportMetric(float64(bytes), "bytes")
+			b.Logf("%d exchanges, %d reports, %d bytes", exchanges, reports, bytes)
+		})
+	}
+}
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -144,19 +144,23 @@
 	return zone
 }
 
-// configChanged announces a new bundle or new intents to the other nodes.
+// configChanged announces a new bundle or new intents to the other nodes. The
+// versions travel in heartbeats and reports, so that a roll-out does not make
+// every record of the fleet count as changed.
 func (l *Loop) configChanged() {
-	l.selfChanged()
+	l.self.Seq++
+	l.publishNow = true
+	l.reportAllNow()
 	if l.isEntry() {
 		l.push()
 	}
 }
 
-// config returns the configuration state that this node announces.
+// config returns the configuration state that this node announces. The digest
+// of the bundle is in the node record.
 func (l *Loop) config(now time.Time) wire.Config {
 	return wire.Config{
 		BundleVersion:  l.self.BundleVersion,
-		BundleDigest:   l.digest,
 		IntentsRev:     l.intents.Revision,
 		IntentsHash:    l.intentsHash,
 		ConfirmedAgeMS: l.confirm.storeAge(now),
@@ -165,6 +169,14 @@
 
 // heardConfig notes a peer's configuration state.
 func (l *Loop) heardConfig(id string, c wire.Config) {
+	if old, found := l.configs[id]; !found || old.BundleVersion != c.BundleVersion || old.IntentsRev != c.IntentsRev {
+		digest := ""
+		if c.BundleVersion == l.self.BundleVersion {
+			digest = l.digest
+		}
+		l.table.SetVersions(id, c.BundleVersion, digest, c.IntentsRev)
+		l.publishLater = true
+	}
 	l.configs[id] = c
 }
 
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -45,6 +45,8 @@
 	id, addr  string
 	sentAt    time.Time
 	counter   uint64 // own update counter when the call was made
+	sentFrom  uint64 // cursor from which records were sent
+	sentTo    uint64 // incarnation of the peer to which that cursor belongs
 	config    wire.Config
 	reply     wire.ExchangeReply
 	candidate *candidate
@@ -129,18 +131,21 @@
 // want, the peer is asked for what this node lacks.
 func (l *Loop) exchange(id, addr string, want bool) {
 	now := l.clock.Now()
-	args := wire.ExchangeArgs{From: l.self, Config: l.config(now), WantBundle: want, WantIntents: want}
 	cursor := l.gossip.peers[id]
+	args := wire.ExchangeArgs{From: l.selfSince(sentCursor(cursor)), Config: l.config(now), WantBundle: want, WantIntents: want}
 	if cursor != nil {
 		args.Cursor, args.CursorOf = cursor.received, cursor.incarnation
 	}
 	if l.isEntry() {
-		args.Updates = l.table.Since(sentCursor(cursor), id)
+		args.Since, args.Counter = sentCursor(cursor), l.table.Counter()
+		// Heartbeats travel in replies only; both ways would double their cost.
+		args.Updates = l.table.Since(sentCursor(cursor), id, now.Add(time.Minute))
 	}
 	if known, found := l.configs[id]; found {
 		l.attach(&args.Bundle, &args.Intents, known)
 	}
-	result := exchangeResult{id: id, addr: addr, sentAt: now, counter: l.table.Counter(), config: args.Config}
+	result := exchangeResult{id: id, addr: addr, sentAt: now, counter: l.table.Counter(), config: args.Config,
+		sentFrom: sentCursor(cursor), sentTo: args.CursorOf}
 	l.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -151,6 +156,40 @@
 	})
 }
 
+// selfSince returns the own record, shortened if it has not changed since cursor.
+func (l *Loop) selfSince(cursor uint64) wire.Node {
+	if cursor >= l.selfChange {
+		return membership.ToHeartbeat(l.self)
+	}
+	return l.self
+}
+
+// resolve returns the whole record of a node that announced itself; false if
+// only the short form is known.
+func (l *Loop) resolve(n wire.Node, now time.Time) (wire.Node, bool) {
+	l.applyNode(n, n.ID, now)
+	l.table.Heard(n.ID, n.Incarnation, now)
+	if !membership.IsHeartbeat(n) {
+		return n, true
+	}
+	r := l.table.Get(n.ID)
+	if r == nil || r.Node.Incarnation != n.Incarnation {
+		return n, false
+	}
+	return r.Node, true
+}
+
+// cursorOf returns the cursor of a peer; records exchanged with an earlier
+// incarnation are exchanged again.
+func (l *Loop) cursorOf(from wire.Node) *peerCursor {
+	c := l.gossip.peers[from.ID]
+	if c == nil || c.incarnation != from.Incarnation {
+		c = &peerCursor{incarnation: from.Incarnation}
+		l.gossip.peers[from.ID] = c
+	}
+	return c
+}
+
 func sentCursor(c *peerCursor) uint64 {
 	if c == nil {
 		return 0
@@ -178,14 +217,15 @@
 		return
 	}
 	metricExchanges.Add("ok", 1)
-	from := r.reply.From
 	now := l.clock.Now()
-	l.applyNode(from, from.ID, now)
-	l.table.Heard(from.ID, from.Incarnation, now)
+	from, known := l.resolve(r.reply.From, now)
 	l.applyBundle(r.candidate, from.ID)
 	l.mergeIntents(r.intents, from.ID)
 	l.heardConfig(from.ID, r.reply.Config)
 	l.updateCursors(r, from)
+	if c := l.gossip.peers[from.ID]; c != nil && !known {
+		c.received = 0
+	}
 	l.confirmBy(r, from)
 	l.refreshConfirmed(now)
 }
@@ -195,22 +235,14 @@
 		l.applyNodes(r.reply.Updates, from.ID)
 		return
 	}
-	c := l.gossip.peers[from.ID]
-	if c == nil || c.incarnation != from.Incarnation {
-		// Records sent under a cursor of an earlier incarnation are sent again.
-		sent := uint64(0)
-		if c == nil {
-			sent = r.counter
-		}
-		if r.id != "" && r.id != from.ID {
-			sent = 0
-		}
-		c = &peerCursor{incarnation: from.Incarnation, sent: sent}
-		l.gossip.peers[from.ID] = c
-	} else {
+	c := l.cursorOf(from)
+	if r.sentTo == from.Incarnation || r.sentFrom == 0 {
 		c.sent = max(c.sent, r.counter)
 	}
 	c.received = max(c.received, r.reply.Cursor)
+	if r.reply.WantNode {
+		c.sent = 0
+	}
 	if l.applyNodes(r.reply.Updates, from.ID) {
 		c.received = 0
 	}
--- a/control/identity.go
+++ b/control/identity.go
@@ -38,7 +38,7 @@
 	l.redraws = append(l.redraws, now)
 	old := l.self.Incarnation
 	l.self.Incarnation = membership.NewIncarnation(now, n.Incarnation)
-	l.self.Seq = 1
+	l.self.Seq = 0
 	l.log.Info("new incarnation: the node ID was seen under a higher one",
 		"old", old, "seen", n.Incarnation, "new", l.self.Incarnation)
 	l.selfChanged()
--- a/control/loop.go
+++ b/control/loop.go
@@ -70,7 +70,7 @@
 	calls  sync.WaitGroup
 
 	self       wire.Node
-	contentSeq uint64     // own sequence at the last change of content
+	selfChange uint64     // update counter of the table at the last change of self
 	wanted     wire.State // requested through SetState
 	table      *membership.Table
 
@@ -128,7 +128,7 @@
 	if l.self.Incarnation == 0 {
 		l.self.Incarnation = membership.NewIncarnation(now, 0)
 	}
-	l.self.Seq, l.contentSeq = 1, 1
+	l.self.Seq, l.self.ContentSeq, l.selfChange = 1, 1, l.table.Bump()
 	l.self.State = wire.StateStarting
 	l.confirm.zones = make(map[string]time.Time)
 	l.gossip.peers = make(map[string]*peerCursor)
@@ -232,7 +232,7 @@
 		l.publishNow = true
 	}
 	l.lastTick = now
-	if now.Sub(l.lastHeartbeat) >= l.table.HeartbeatInterval() {
+	if now.Sub(l.lastHeartbeat) >= l.heartbeatInterval() {
 		l.lastHeartbeat = now
 		l.self.Seq++
 	}
@@ -247,10 +247,22 @@
 	}
 }
 
+func (l *Loop) heartbeatInterval() time.Duration {
+	if !l.isEntry() {
+		return membership.AgentHeartbeat
+	}
+	_, entries := l.entryList()
+	return membership.HeartbeatInterval(len(entries))
+}
+
 // expire drops nodes that are gone.
 func (l *Loop) expire(now time.Time) {
-	for _, n := range l.table.Expire(now) {
-		l.log.Info("node removed: no heartbeat", "node", n.ID, "zone", n.Zone, "limit_s", membership.RemoveAfter.Seconds())
+	agentLimit := membership.RemoveAfter
+	if _, entries := l.entryList(); len(entries) > reportTargets {
+		agentLimit = membership.RemoveIndirectAfter
+	}
+	for _, n := range l.table.Expire(now, agentLimit) {
+		l.log.Info("node removed: no heartbeat", "node", n.ID, "role", n.Role, "zone", n.Zone)
 		l.forget(n)
 	}
 	for _, e := range l.endpoints {
@@ -274,9 +286,9 @@
 // selfChanged announces a change of the own record at once.
 func (l *Loop) selfChanged() {
 	l.self.Seq++
-	l.contentSeq = l.self.Seq
+	l.self.ContentSeq = l.self.Seq
+	l.selfChange = l.table.Bump()
 	l.publishNow = true
-	l.reports.listCount = 0 // the list of entries holds the own record
 	l.reportAllNow()
 }
 
--- a/control/publish.go
+++ b/control/publish.go
@@ -129,7 +129,7 @@
 }
 
 func (l *Loop) indexNodes(s *Snapshot, now time.Time) {
-	silent := max(entrySilent, 3*l.table.HeartbeatInterval())
+	silent := max(entrySilent, entrySilent+2*l.heartbeatInterval())
 	for _, r := range l.table.All() {
 		if r.Node.Role == wire.RoleEntry {
 			if r.Node.State != wire.StateLeaving && now.Sub(r.HeardAt) <= silent {
--- a/control/report.go
+++ b/control/report.go
@@ -11,12 +11,12 @@
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
-// Limits of an agent's reports. A report and its reply take about 200 bytes, so
+// Limits of an agent's reports. A report and its reply take about 120 bytes, so
 // the interval grows with the number of entries to stay near the byte budget of
 // a node, and stays below the 2 s after which a silent agent is not chosen.
 const (
 	reportMin       = 250 * time.Millisecond
-	reportPerTarget = 40 * time.Millisecond
+	reportPerTarget = 50 * time.Millisecond
 	reportTargets   = 20
 	// servedInterval is the interval at which reports carry the cost served by
 	// organisation, which is large with many organisations.
@@ -152,15 +152,15 @@
 func (l *Loop) report(id string, t *reportTarget, load wire.Load, now time.Time) {
 	hash, _ := l.entryList()
 	l.reports.loadSeq++
-	load.NodeID, load.Incarnation, load.Seq = l.self.ID, l.self.Incarnation, l.reports.loadSeq
+	load.NodeID, load.Incarnation = "", 0 // the receiver takes them from the node record
+	load.Seq = l.reports.loadSeq
 	if now.Before(t.nextServed) {
 		load.Served = nil
 	} else {
 		t.nextServed = now.Add(servedInterval)
 	}
 	args := wire.ReportArgs{Node: l.self, Load: load, Config: l.config(now), EntriesHash: hash}
-	args.Config.BundleDigest = ""
-	whole := t.ackedInc != l.self.Incarnation || t.ackedSeq < l.contentSeq
+	whole := t.ackedInc != l.self.Incarnation || t.ackedSeq < l.self.ContentSeq
 	if !whole {
 		args.Node = membership.ToHeartbeat(l.self)
 	}
@@ -189,26 +189,23 @@
 	metricReports.Add("ok", 1)
 	now := l.clock.Now()
 	l.reports.lastAnswer = now
-	from := r.reply.From
-	l.table.Heard(from.ID, from.Incarnation, now)
-	l.acknowledge(t, r)
 	l.takeEntries(r.reply.Entries, now)
-	l.heardConfig(from.ID, r.reply.Config)
+	if t == nil || t.node.Incarnation != r.reply.Incarnation {
+		return // replaced; the list of entries will name its successor
+	}
+	l.table.Heard(r.id, r.reply.Incarnation, now)
+	l.acknowledge(t, r)
+	l.heardConfig(r.id, r.reply.Config)
 	l.offer(t, r.reply.Config, now)
 	if l.covers(r.reply.Config) {
-		l.confirm.byPeer(from.Zone, r.sentAt, r.reply.Config.ConfirmedAgeMS)
+		l.confirm.byPeer(t.node.Zone, r.sentAt, r.reply.Config.ConfirmedAgeMS)
 		l.refreshConfirmed(now)
 		return
 	}
-	if t != nil {
-		l.fetchIfBehind(r.reply.Config, t.node)
-	}
+	l.fetchIfBehind(r.reply.Config, t.node)
 }
 
 func (l *Loop) acknowledge(t *reportTarget, r reportResult) {
-	if t == nil {
-		return
-	}
 	if r.reply.WantNode {
 		t.ackedInc, t.next = 0, time.Time{}
 		return
@@ -224,7 +221,6 @@
 func (l *Loop) offer(t *reportTarget, c wire.Config, now time.Time) {
 	bundleMissing, intentsMissing := l.lacks(c)
 	switch {
-	case t == nil:
 	case !bundleMissing && !intentsMissing:
 		t.behind = time.Time{}
 	case t.behind.IsZero():
--- a/control/service.go
+++ b/control/service.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/membership"
 	"github.com/wasabinotch/wasabinotch/peer"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
@@ -42,15 +43,15 @@
 // apply merges a peer's state and answers with this node's.
 func (r exchangeRequest) apply(l *Loop) {
 	now := l.clock.Now()
-	from := r.args.From
-	l.applyNode(from, from.ID, now)
-	l.applyNodes(r.args.Updates, from.ID)
+	from, known := l.resolve(r.args.From, now)
+	l.takeUpdates(r.args, from)
 	l.applyBundle(r.candidate, from.ID)
 	l.mergeIntents(r.intents, from.ID)
 	l.heardConfig(from.ID, r.args.Config)
-	reply := wire.ExchangeReply{From: l.self, Config: l.config(now), Cursor: l.table.Counter()}
+	cursor := l.requestCursor(r.args)
+	reply := wire.ExchangeReply{From: l.selfSince(cursor), Config: l.config(now), Cursor: l.table.Counter(), WantNode: !known}
 	if from.Role == wire.RoleEntry {
-		reply.Updates = l.table.Since(l.requestCursor(r.args), from.ID)
+		reply.Updates = l.table.Since(cursor, from.ID, now.Add(-membership.HeartbeatHot))
 	}
 	reply.Updates = append(reply.Updates, l.conflicting(from)...)
 	bundleMissing, intentsMissing := l.lacks(r.args.Config)
@@ -68,6 +69,22 @@
 	}
 }
 
+// takeUpdates merges a caller's records and notes how far both sides have each
+// other's, so that an exchange in the other direction starts from there.
+func (l *Loop) takeUpdates(args *wire.ExchangeArgs, from wire.Node) {
+	missing := l.applyNodes(args.Updates, from.ID)
+	if from.Role != wire.RoleEntry {
+		return
+	}
+	c := l.cursorOf(from)
+	if args.CursorOf == l.self.Incarnation {
+		c.sent = max(c.sent, args.Cursor)
+	}
+	if !missing && args.Since <= c.received {
+		c.received = max(c.received, args.Counter)
+	}
+}
+
 // requestCursor returns the cursor to answer from; cursors of another
 // incarnation are void.
 func (l *Loop) requestCursor(args *wire.ExchangeArgs) uint64 {
@@ -104,11 +121,9 @@
 func (r reportRequest) apply(l *Loop) {
 	now := l.clock.Now()
 	node := r.args.Node
-	l.applyNode(node, node.ID, now)
-	l.table.Heard(node.ID, node.Incarnation, now)
+	l.resolve(node, now)
 	l.heardConfig(node.ID, r.args.Config)
-	reply := wire.ReportReply{From: l.replySelf(), Config: l.config(now)}
-	reply.Config.BundleDigest = ""
+	reply := wire.ReportReply{Incarnation: l.self.Incarnation, Config: l.config(now)}
 	known := l.table.Get(node.ID)
 	switch {
 	case known == nil || known.Node.Incarnation < node.Incarnation:
@@ -116,7 +131,9 @@
 	case known.Node.Incarnation > node.Incarnation:
 		reply.Entries = l.conflicting(node)
 	default:
-		l.updateEndpoint(known.Node, r.args.Load)
+		load := r.args.Load
+		load.NodeID, load.Incarnation = node.ID, node.Incarnation
+		l.updateEndpoint(known.Node, load)
 	}
 	if hash, entries := l.entryList(); hash != r.args.EntriesHash {
 		reply.Entries = append(reply.Entries, entries...)
@@ -124,11 +141,6 @@
 	r.answer <- reply
 }
 
-// replySelf returns the short record of this node that report replies carry.
-func (l *Loop) replySelf() wire.Node {
-	return wire.Node{ID: l.self.ID, Zone: l.self.Zone, Incarnation: l.self.Incarnation, Seq: l.self.Seq}
-}
-
 func (l *Loop) updateEndpoint(n wire.Node, load wire.Load) {
 	old := l.endpoints[n.ID]
 	if old != nil && old.Load.Incarnation == load.Incarnation && load.Seq < old.Load.Seq {
--- a/membership/table.go
+++ b/membership/table.go
@@ -11,15 +11,28 @@
 // RemoveAfter is the time from a node's last heartbeat to its removal.
 const RemoveAfter = 30 * time.Second
 
-// Bounds of the heartbeat interval. A heartbeat costs about 40 bytes per
-// exchange, and all heartbeats of the fleet pass each entry, so the interval
-// grows with the fleet to keep an entry within its byte budget.
+// RemoveIndirectAfter is the same for an agent that reports to other entries
+// only. Such records serve orders bound to the agent and are never chosen.
+const RemoveIndirectAfter = 180 * time.Second
+
+// AgentHeartbeat is the interval at which an agent raises its sequence, for the
+// entries to which it does not report.
+const AgentHeartbeat = 60 * time.Second
+
+// Bounds of an entry's heartbeat interval. A heartbeat costs about 27 bytes in
+// each exchange, and all heartbeats pass each entry, so the interval grows with
+// the number of entries to keep them within their byte budget.
 const (
-	heartbeatMin     = time.Second
-	heartbeatMax     = 8 * time.Second
-	heartbeatPerNode = 25 * time.Millisecond
+	heartbeatMin      = time.Second
+	heartbeatMax      = 8 * time.Second
+	heartbeatPerEntry = 150 * time.Millisecond
 )
 
+// HeartbeatHot is the time for which a heartbeat is passed on. With two
+// exchanges per second all entries hear of it within this time, with a high
+// probability, and later exchanges would only repeat it.
+const HeartbeatHot = 2 * time.Second
+
 // Record is one node in the table.
 type Record struct {
 	Node    wire.Node
@@ -28,6 +41,7 @@
 	content uint64 // update counter at the last change of content
 	beat    uint64 // update counter at the last change at all
 	from    string // ID of the node from which it was learned
+	learned time.Time
 }
 
 // Table holds the records of all other nodes.
@@ -81,7 +95,7 @@
 	Stale     Result = iota // older than what is known
 	Heartbeat               // only the sequence is newer
 	Changed                 // the content changed
-	Missing                 // a heartbeat of an unknown incarnation; the whole record is needed
+	Missing                 // a heartbeat of unknown content; the whole record is needed
 )
 
 // Apply merges a record learned from the node named from.
@@ -94,15 +108,13 @@
 		return Stale
 	}
 	if IsHeartbeat(n) {
-		if old == nil || old.Node.Incarnation != n.Incarnation {
+		if old == nil || !sameContent(old.Node, n) {
 			return Missing
 		}
-		next := old.Node
-		next.Seq = n.Seq
-		n = next
+		n = withHeartbeat(old.Node, n)
 	}
 	t.counter++
-	r := &Record{Node: n, HeardAt: now, content: t.counter, beat: t.counter, from: from}
+	r := &Record{Node: n, HeardAt: now, content: t.counter, beat: t.counter, from: from, learned: now}
 	result := Changed
 	if old != nil && sameContent(old.Node, n) {
 		r.content = old.content
@@ -113,6 +125,28 @@
 	return result
 }
 
+// withHeartbeat returns the record with the sequence and versions of a heartbeat.
+func withHeartbeat(old, beat wire.Node) wire.Node {
+	old.Seq = beat.Seq
+	old.IntentsRev = beat.IntentsRev
+	if old.BundleVersion != beat.BundleVersion {
+		old.BundleVersion, old.BundleDigest = beat.BundleVersion, ""
+	}
+	return old
+}
+
+// SetVersions records the versions that a node has in force, as heard from it.
+// Each node hears this itself, so it is not passed on.
+func (t *Table) SetVersions(id string, bundleVersion uint64, digest string, intentsRev uint64) {
+	r := t.records[id]
+	if r == nil {
+		return
+	}
+	next := *r
+	next.Node.BundleVersion, next.Node.BundleDigest, next.Node.IntentsRev = bundleVersion, digest, intentsRev
+	t.records[id] = &next
+}
+
 // Heard records direct contact with an incarnation of a node.
 func (t *Table) Heard(id string, incarnation uint64, now time.Time) {
 	r := t.records[id]
@@ -124,17 +158,25 @@
 	t.records[id] = &next
 }
 
+// Bump raises the update counter for a change outside the table.
+func (t *Table) Bump() uint64 {
+	t.counter++
+	return t.counter
+}
+
 // Since returns the records that changed after cursor, without those learned
 // from the receiver. Records of which only the sequence changed are shortened
-// to a heartbeat.
-func (t *Table) Since(cursor uint64, receiver string) []wire.Node {
+// to a heartbeat, and left out if it was learned before hot.
+func (t *Table) Since(cursor uint64, receiver string, hot time.Time) []wire.Node {
 	var out []wire.Node
 	for _, r := range t.All() {
 		if r.beat <= cursor || r.from == receiver || r.Node.ID == receiver {
 			continue
 		}
 		if r.content <= cursor {
-			out = append(out, ToHeartbeat(r.Node))
+			if !r.learned.Before(hot) {
+				out = append(out, ToHeartbeat(r.Node))
+			}
 			continue
 		}
 		out = append(out, r.Node)
@@ -142,18 +184,23 @@
 	return out
 }
 
-// Expire removes the records not heard of for RemoveAfter and returns them.
-func (t *Table) Expire(now time.Time) []wire.Node {
+// Expire removes the records not heard of for RemoveAfter, or agents for
+// agentLimit, and returns them.
+func (t *Table) Expire(now time.Time, agentLimit time.Duration) []wire.Node {
 	var out []wire.Node
 	for id, r := range t.records {
-		if now.Sub(r.HeardAt) <= RemoveAfter {
+		limit := RemoveAfter
+		if r.Node.Role == wire.RoleAgent {
+			limit = agentLimit
+		}
+		if now.Sub(r.HeardAt) <= limit {
 			continue
 		}
 		t.Remove(id, now)
 		out = append(out, r.Node)
 	}
 	for id, gone := range t.removed {
-		if now.Sub(gone.at) > 2*RemoveAfter {
+		if now.Sub(gone.at) > 2*RemoveIndirectAfter {
 			delete(t.removed, id)
 		}
 	}
@@ -171,16 +218,17 @@
 	t.removed[id] = tombstone{incarnation: r.Node.Incarnation, seq: r.Node.Seq, at: now}
 }
 
-// HeartbeatInterval returns the interval between heartbeats of one node in
-// this fleet.
-func (t *Table) HeartbeatInterval() time.Duration {
-	interval := time.Duration(len(t.records)) * heartbeatPerNode
+// HeartbeatInterval returns the interval between heartbeats of one of so many
+// entries.
+func HeartbeatInterval(entries int) time.Duration {
+	interval := time.Duration(entries) * heartbeatPerEntry
 	return min(max(interval, heartbeatMin), heartbeatMax)
 }
 
 // ToHeartbeat returns the short form of a record.
 func ToHeartbeat(n wire.Node) wire.Node {
-	return wire.Node{ID: n.ID, Incarnation: n.Incarnation, Seq: n.Seq}
+	return wire.Node{ID: n.ID, Incarnation: n.Incarnation, Seq: n.Seq, ContentSeq: n.ContentSeq,
+		BundleVersion: n.BundleVersion, IntentsRev: n.IntentsRev}
 }
 
 // IsHeartbeat reports whether a record is in its short form.
@@ -196,9 +244,5 @@
 }
 
 func sameContent(a, b wire.Node) bool {
-	heirs := slices.Equal(a.Heirs, b.Heirs)
-	return heirs && a.Incarnation == b.Incarnation && a.State == b.State && a.Role == b.Role &&
-		a.VM == b.VM && a.Zone == b.Zone && a.HTTPAddr == b.HTTPAddr && a.RPCAddr == b.RPCAddr &&
-		a.Service == b.Service && a.Group == b.Group && a.Rank == b.Rank &&
-		a.BundleVersion == b.BundleVersion && a.BundleDigest == b.BundleDigest && a.IntentsRev == b.IntentsRev
+	return a.Incarnation == b.Incarnation && a.ContentSeq == b.ContentSeq
 }
--- /dev/null
+++ b/store/consul_test.go
@@ -0,0 +1,193 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fakeKV answers Consul's KV API from memory.
+type fakeKV struct {
+	mu    sync.Mutex
+	index uint64
+	pairs map[string]pair
+	calls int
+	// drop closes the connection after a write was applied; status replaces the answer.
+	drop   bool
+	status int
+}
+
+func newFakeKV(t *testing.T) (*fakeKV, string) {
+	f := &fakeKV{index: 5, pairs: make(map[string]pair)}
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	return f, strings.TrimPrefix(s.URL, "http://")
+}
+
+func (f *fakeKV) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.status != 0 {
+		w.WriteHeader(f.status)
+		return
+	}
+	key := strings.TrimPrefix(r.URL.Path, "/v1/kv/")
+	if r.Method == http.MethodGet {
+		f.get(w, r, key)
+		return
+	}
+	cas, _ := strconv.ParseUint(r.URL.Query().Get("cas"), 10, 64)
+	if f.pairs[key].ModifyIndex != cas {
+		_, _ = fmt.Fprint(w, "false")
+		return
+	}
+	f.index++
+	if r.Method == http.MethodDelete {
+		delete(f.pairs, key)
+	} else {
+		body, _ := io.ReadAll(r.Body)
+		f.pairs[key] = pair{Key: key, Value: body, ModifyIndex: f.index}
+	}
+	if f.drop {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprint(w, "true")
+}
+
+func (f *fakeKV) get(w http.ResponseWriter, r *http.Request, key string) {
+	query := r.URL.Query()
+	if after, _ := strconv.ParseUint(query.Get("index"), 10, 64); after > 0 && after == f.index {
+		wait, _ := time.ParseDuration(query.Get("wait"))
+		f.mu.Unlock()
+		time.Sleep(wait)
+		f.mu.Lock()
+	}
+	w.Header().Set("X-Consul-Index", strconv.FormatUint(f.index, 10))
+	var found []pair
+	for k, p := range f.pairs {
+		if k == key || query.Has("recurse") && strings.HasPrefix(k, key) {
+			found = append(found, p)
+		}
+	}
+	if len(found) == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(found)
+}
+
+func (f *fakeKV) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// A write against a changed key must be a conflict, never an overwrite.
+func TestReadAndWrite(t *testing.T) {
+	is := is.New(t)
+	_, addr := newFakeKV(t)
+	c, ctx := NewConsul([]string{addr}, 100, 100), context.Background()
+	e, err := c.Get(ctx, "p/a")
+	is.NoErr(err)
+	is.Equal(e.Revision, uint64(0))
+	is.NoErr(c.CompareAndSwap(ctx, "p/a", []byte("one\x00"), 0))
+	is.True(errors.Is(c.CompareAndSwap(ctx, "p/a", []byte("two"), 0), ErrConflict))
+	e, err = c.Get(ctx, "p/a")
+	is.NoErr(err)
+	is.Equal(e.Value, []byte("one\x00"))
+	entries, index, err := c.Watch(ctx, "p/", 0, time.Second)
+	is.NoErr(err)
+	is.Equal(len(entries), 1)
+	is.Equal(index, uint64(6))
+	is.True(errors.Is(c.Delete(ctx, "p/a", e.Revision+1), ErrConflict))
+	is.True(c.Delete(ctx, "p/a", 0) != nil) // Consul would delete unconditionally
+	is.NoErr(c.Delete(ctx, "p/a", e.Revision))
+}
+
+// A write whose answer is lost must not be reported as without effect, nor may
+// it be sent to the next address.
+func TestErrorClasses(t *testing.T) {
+	is := is.New(t)
+	f, addr := newFakeKV(t)
+	closed := httptest.NewServer(http.NotFoundHandler())
+	gone := strings.TrimPrefix(closed.URL, "http://")
+	closed.Close()
+	ctx := context.Background()
+	c := NewConsul([]string{gone, addr}, 100, 100)
+	is.NoErr(c.CompareAndSwap(ctx, "a", []byte("1"), 0)) // second address after no connection
+	f.set(func() { f.drop = true })
+	two := NewConsul([]string{addr, addr}, 100, 100)
+	err := two.CompareAndSwap(ctx, "b", []byte("1"), 0)
+	is.True(errors.Is(err, ErrUnknown) && !errors.Is(err, ErrUnavailable))
+	f.set(func() { is.Equal(f.calls, 2) }) // not sent twice
+	f.set(func() { f.status = http.StatusInternalServerError })
+	is.True(errors.Is(two.CompareAndSwap(ctx, "c", nil, 0), ErrUnknown))
+	f.set(func() { f.status = http.StatusRequestEntityTooLarge })
+	is.True(errors.Is(two.CompareAndSwap(ctx, "c", nil, 0), ErrUnavailable))
+	alone := NewConsul([]string{gone}, 100, 100)
+	is.True(errors.Is(alone.CompareAndSwap(ctx, "c", nil, 0), ErrUnavailable))
+	_, err = alone.Get(ctx, "c")
+	is.True(errors.Is(err, ErrUnavailable))
+}
+
+// A store that lost its state returns a lower index; a client that went on
+// waiting for the old index would miss all changes.
+func TestIndexGoesBackwards(t *testing.T) {
+	is := is.New(t)
+	f, addr := newFakeKV(t)
+	c, ctx := NewConsul([]string{addr}, 100, 100), context.Background()
+	_, index, err := c.Watch(ctx, "p/", 0, time.Second)
+	is.NoErr(err)
+	is.Equal(index, uint64(5))
+	f.set(func() { f.index = 2 })
+	_, index, err = c.Watch(ctx, "p/", index, time.Second)
+	is.NoErr(err)
+	is.Equal(index, uint64(0))
+}
+
+// A node must not exceed its call budget; a waiting watch is one call.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	f, addr := newFakeKV(t)
+	c := NewConsul([]string{addr}, 0.01, 3)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, index, err := c.Watch(ctx, "p/", 0, time.Second)
+	is.NoErr(err)
+	_, _, err = c.Watch(ctx, "p/", index, 100*time.Millisecond)
+	is.NoErr(err)
+	_, err = c.Get(ctx, "a")
+	is.NoErr(err)
+	_, err = c.Get(ctx, "a")
+	is.True(errors.Is(err, ErrBudget))
+	f.set(func() { is.Equal(f.calls, 3) })
+}
+
+// All nodes fail at the same moment of an outage; equal delays would make them
+// return at the same moment as well.
+func TestBackoffSpreads(t *testing.T) {
+	is := is.New(t)
+	seen := make(map[time.Duration]bool)
+	for range 100 {
+		var b Backoff
+		for range 10 {
+			b.Fail()
+		}
+		d := b.Fail()
+		is.True(d >= backoffMax/4 && d < backoffMax*5/4)
+		seen[d] = true
+	}
+	is.True(len(seen) > 90)
+}
--- a/wire/node.go
+++ b/wire/node.go
@@ -32,7 +32,11 @@
 	// Incarnation is drawn at start: start time in Unix nanoseconds, made unique by random low bits.
 	Incarnation uint64
 	Seq         uint64
-	State       State
+	// ContentSeq is Seq at the last change of the other fields, except for the
+	// versions in force. A heartbeat carries ID, Incarnation, Seq, ContentSeq,
+	// BundleVersion and IntentsRev only.
+	ContentSeq uint64
+	State      State
 	// Service is the service of an agent's endpoint.
 	Service string
 	// Group and Rank name the agent's place in a rank group; Group is "" for none.
@@ -40,7 +44,7 @@
 	Rank  int
 	// Heirs are node IDs that hold this agent's order outcomes after a planned stop.
 	Heirs []string
-	// Versions in force on the node.
+	// Versions in force on the node. BundleDigest is "" if not known.
 	BundleVersion uint64
 	BundleDigest  string
 	IntentsRev    uint64
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -26,6 +26,10 @@
 	Cursor uint64
 	// CursorOf is the incarnation of the receiver to which Cursor belongs.
 	CursorOf uint64
+	// Updates cover changes after Since up to Counter, both of the sender's
+	// update counter.
+	Since   uint64
+	Counter uint64
 	// Updates are node records that changed since the previous exchange.
 	Updates []Node
 	// Bundle and Intents are set when the sender knows that the receiver lacks them.
@@ -36,7 +40,8 @@
 	WantIntents bool
 }
 
-// ExchangeReply answers an ExchangeArgs.
+// ExchangeReply answers an ExchangeArgs. From, here and in ExchangeArgs, is
+// shortened to ID, incarnation and sequence if the receiver has the rest.
 type ExchangeReply struct {
 	From    Node
 	Config  Config
@@ -44,6 +49,8 @@
 	Updates []Node
 	Bundle  []byte
 	Intents []byte
+	// WantNode asks for the whole record of the caller in the next exchange.
+	WantNode bool
 }
 
 // ReportArgs is an agent's report to an entry.
@@ -59,8 +66,9 @@
 
 // ReportReply answers a report with the entry's configuration state.
 type ReportReply struct {
-	From   Node
-	Config Config
+	// Incarnation of the answering entry, which the agent knows by its address.
+	Incarnation uint64
+	Config      Config
 	// Entries lists the entries, from which the agent chooses those to report to.
 	Entries []Node
 	// WantNode asks for the whole node record in the next report. Reports
