Bind addresses by method; interval of map plans as a setting; store client configured by a struct

Cause: settings built without Validate had no bind address, and the entry listened on a random port; tests of map switches need a short interval. Change: HTTPBind and RPCBind derive the address; map_interval_ms.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -108,10 +108,10 @@
 // listen opens both listeners, so that an address in use is reported by New.
 func (a *Agent) listen() error {
 	var err error
-	if a.httpListener, err = settings.Listen("http_listen", a.settings.HTTPListen); err != nil {
+	if a.httpListener, err = settings.Listen("http_listen", a.settings.HTTPBind()); err != nil {
 		return err
 	}
-	if a.rpcListener, err = settings.Listen("rpc_listen", a.settings.RPCListen); err != nil {
+	if a.rpcListener, err = settings.Listen("rpc_listen", a.settings.RPCBind()); err != nil {
 		_ = a.httpListener.Close()
 		return err
 	}
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
@@ -46,6 +47,7 @@
 	journal := newJournal(s, dial, loop, clock, log)
 	coordinator := expertmap.NewCoordinator(expertmap.CoordinatorConfig{
 		View: loop, Store: configStore, Pool: pool, Clock: clock, Log: log.WithName("expertmap"),
+		Interval: time.Duration(s.MapIntervalMS) * time.Millisecond,
 	})
 	rpc, err := newRPC(s, loop, key, log)
 	if err != nil {
@@ -91,7 +93,7 @@
 	if err := loop.Register(server); err != nil {
 		return nil, err
 	}
-	ln, err := settings.Listen("rpc_listen", s.RPCListen)
+	ln, err := settings.Listen("rpc_listen", s.RPCBind())
 	if err != nil {
 		return nil, err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,7 +79,7 @@
 		MaxBodyBytes: s.MaxBodyBytes,
 		Dial:         deps.Dial,
 	})
-	e.listener, err = settings.Listen("http_listen", s.HTTPListen)
+	e.listener, err = settings.Listen("http_listen", s.HTTPBind())
 	if err != nil {
 		return nil, err
 	}
--- a/settings/load.go
+++ b/settings/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/ed25519"
 	"encoding/base64"
 	"encoding/json"
@@ -69,7 +70,7 @@
 	return &Error{Field: "(file)", Reason: err.Error(), Remedy: "give one JSON object with the documented fields only"}
 }
 
-// Validate checks the common settings and fills in defaults.
+// Validate checks the common settings.
 func (n *Node) Validate() error {
 	for _, f := range []struct{ name, value string }{{"id", n.ID}, {"vm", n.VM}, {"zone", n.Zone}} {
 		if f.value == "" {
@@ -101,21 +102,21 @@
 	return err
 }
 
-// validateListen checks the bind addresses and fills in their defaults.
+// HTTPBind returns the address on which HTTP is served.
+func (n *Node) HTTPBind() string { return cmp.Or(n.HTTPListen, n.HTTPAddr) }
+
+// RPCBind returns the address on which net/rpc is served.
+func (n *Node) RPCBind() string { return cmp.Or(n.RPCListen, n.RPCAddr) }
+
+// validateListen checks the bind addresses.
 func (n *Node) validateListen() error {
-	if n.HTTPListen == "" {
-		n.HTTPListen = n.HTTPAddr
-	}
-	if n.RPCListen == "" {
-		n.RPCListen = n.RPCAddr
-	}
-	if err := checkAddr("http_listen", n.HTTPListen); err != nil {
+	if err := checkAddr("http_listen", n.HTTPBind()); err != nil {
 		return err
 	}
-	if err := checkAddr("rpc_listen", n.RPCListen); err != nil {
+	if err := checkAddr("rpc_listen", n.RPCBind()); err != nil {
 		return err
 	}
-	if n.HTTPAddr == n.RPCAddr || n.HTTPListen == n.RPCListen {
+	if n.HTTPAddr == n.RPCAddr || n.HTTPBind() == n.RPCBind() {
 		return &Error{Field: "rpc_addr", Reason: "equals http_addr", Remedy: "use another port"}
 	}
 	if n.SourceIP == "" {
@@ -163,6 +164,9 @@
 		defaultReadHeaderTimeoutMS = 5000
 		defaultStoreCallsPerSecond = 2
 	)
+	if e.MapIntervalMS < 0 {
+		return &Error{Field: "map_interval_ms", Reason: "is negative", Remedy: "use a positive value, or 0 for the default"}
+	}
 	if e.MaxBodyBytes < 0 || e.ReadHeaderTimeoutMS < 0 || e.StoreCallsPerSecond < 0 {
 		return &Error{Field: "max_body_bytes, read_header_timeout_ms, store_calls_per_second", Reason: "is negative", Remedy: "use a positive value, or 0 for the default"}
 	}
--- a/settings/types.go
+++ b/settings/types.go
@@ -44,6 +44,9 @@
 	// StoreCallsPerSecond is the call budget toward the store. Default 2, burst 5.
 	// Journal writes for orders have a budget of their own.
 	StoreCallsPerSecond float64 `json:"store_calls_per_second"`
+	// MapIntervalMS is the time between two expert-map plans of a rank group,
+	// in milliseconds. Default 60000.
+	MapIntervalMS int64 `json:"map_interval_ms"`
 	// VMListAddr is the HTTP address (IP:port) of the platform's VM list; "" for none.
 	VMListAddr string `json:"vm_list_addr"`
 }
--- a/store/consul_test.go
+++ b/store/consul_test.go
@@ -98,7 +98,7 @@
 func TestReadAndWrite(t *testing.T) {
 	is := is.New(t)
 	_, addr := newFakeKV(t)
-	c, ctx := NewConsul([]string{addr}, 100, 100), context.Background()
+	c, ctx := NewConsul(Config{Addrs: []string{addr}, CallsPerSecond: 100, Burst: 100}), context.Background()
 	e, err := c.Get(ctx, "p/a")
 	is.NoErr(err)
 	is.Equal(e.Revision, uint64(0))
@@ -125,10 +125,10 @@
 	gone := strings.TrimPrefix(closed.URL, "http://")
 	closed.Close()
 	ctx := context.Background()
-	c := NewConsul([]string{gone, addr}, 100, 100)
+	c := NewConsul(Config{Addrs: []string{gone, addr}, CallsPerSecond: 100, Burst: 100})
 	is.NoErr(c.CompareAndSwap(ctx, "a", []byte("1"), 0)) // second address after no connection
 	f.set(func() { f.drop = true })
-	two := NewConsul([]string{addr, addr}, 100, 100)
+	two := NewConsul(Config{Addrs: []string{addr, addr}, CallsPerSecond: 100, Burst: 100})
 	err := two.CompareAndSwap(ctx, "b", []byte("1"), 0)
 	is.True(errors.Is(err, ErrUnknown) && !errors.Is(err, ErrUnavailable))
 	f.set(func() { is.Equal(f.calls, 2) }) // not sent twice
@@ -136,7 +136,7 @@
 	is.True(errors.Is(two.CompareAndSwap(ctx, "c", nil, 0), ErrUnknown))
 	f.set(func() { f.status = http.StatusRequestEntityTooLarge })
 	is.True(errors.Is(two.CompareAndSwap(ctx, "c", nil, 0), ErrUnavailable))
-	alone := NewConsul([]string{gone}, 100, 100)
+	alone := NewConsul(Config{Addrs: []string{gone}, CallsPerSecond: 100, Burst: 100})
 	is.True(errors.Is(alone.CompareAndSwap(ctx, "c", nil, 0), ErrUnavailable))
 	_, err = alone.Get(ctx, "c")
 	is.True(errors.Is(err, ErrUnavailable))
@@ -147,7 +147,7 @@
 func TestIndexGoesBackwards(t *testing.T) {
 	is := is.New(t)
 	f, addr := newFakeKV(t)
-	c, ctx := NewConsul([]string{addr}, 100, 100), context.Background()
+	c, ctx := NewConsul(Config{Addrs: []string{addr}, CallsPerSecond: 100, Burst: 100}), context.Background()
 	_, index, err := c.Watch(ctx, "p/", 0, time.Second)
 	is.NoErr(err)
 	is.Equal(index, uint64(5))
@@ -161,7 +161,7 @@
 func TestBudget(t *testing.T) {
 	is := is.New(t)
 	f, addr := newFakeKV(t)
-	c := NewConsul([]string{addr}, 0.01, 3)
+	c := NewConsul(Config{Addrs: []string{addr}, CallsPerSecond: 0.01, Burst: 3})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_, index, err := c.Watch(ctx, "p/", 0, time.Second)
