--- a/order/identity.go
+++ b/order/identity.go
@@ -41,6 +41,10 @@
 	if len(raw) > MaxIdentityBytes {
 		return Identity{}, trace.BadParameter("Idempotency-Key has %d bytes, at most %d are allowed; %s", len(raw), MaxIdentityBytes, remedy)
 	}
+	// Other bytes would not survive the JSON of the journal unchanged.
+	if strings.ContainsFunc(raw, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return Identity{}, trace.BadParameter("Idempotency-Key %q has characters other than printable ASCII; %s", raw, remedy)
+	}
 	if strings.HasPrefix(raw, "o1.") {
 		return parseIssued(raw)
 	}
@@ -84,9 +88,10 @@
 	return n, nil
 }
 
-// Scoped returns the key together with its organisation.
+// Scoped returns the key together with its organisation. A key contains no
+// space, so that two pairs never have the same result.
 func (id Identity) Scoped() string {
-	return id.Organisation + "/" + id.Raw
+	return id.Organisation + " " + id.Raw
 }
 
 // FormatIssued returns an issued identity; random must be unique for the binding.
--- /dev/null
+++ b/order/journal_test.go
@@ -0,0 +1,237 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/store"
+)
+
+// faultyStore is a store in memory whose calls fail and overtake each other.
+type faultyStore struct {
+	store.Store
+	mu      sync.Mutex
+	entries map[string]store.Entry
+	index   uint64
+	writes  int
+	rng     *rand.Rand // nil for no faults
+	down    bool
+	// before runs ahead of a write, as another entry's write does.
+	before func()
+}
+
+func (s *faultyStore) fault(percent int) bool {
+	return s.rng != nil && s.rng.Intn(100) < percent
+}
+
+func (s *faultyStore) Get(_ context.Context, key string) (store.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || s.fault(5) {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	e := s.entries[key]
+	e.Key = key
+	return e, nil
+}
+
+func (s *faultyStore) CompareAndSwap(_ context.Context, key string, value []byte, revision uint64) error {
+	s.mu.Lock()
+	before := s.before
+	s.before = nil
+	s.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || s.fault(5) {
+		return store.ErrUnavailable
+	}
+	if s.fault(10) {
+		return store.ErrUnknown // no effect
+	}
+	if s.entries[key].Revision != revision {
+		return store.ErrConflict
+	}
+	s.index++
+	s.writes++
+	s.entries[key] = store.Entry{Key: key, Value: value, Revision: s.index}
+	if s.fault(15) {
+		return store.ErrUnknown // the answer was lost
+	}
+	return nil
+}
+
+func newTestJournal(s store.Store) *Journal {
+	return NewJournal(s, JournalConfig{Clock: clockwork.NewRealClock(), Log: logr.Discard(), Services: func() []string { return []string{"svc"} }})
+}
+
+// agentWorld models agents that run or refuse orders, and entries that
+// dispatch to the binding and rebind after a refusal.
+type agentWorld struct {
+	ran     map[string]map[Binding]bool
+	closed  map[string]map[Binding]bool
+	rng     *rand.Rand
+	journal []*Journal
+}
+
+// nextEntry names the entry that acts after a refusal at another one. Entries
+// that act within each other's calls differ, since an entry waits for its own writes.
+var nextEntry = [5]int{0: 3, 1: 3, interferer: 4}
+
+// interferer is the entry that acts between the read and the write of another.
+const interferer = 2
+
+func (w *agentWorld) draw() Binding {
+	return Binding{AgentID: fmt.Sprintf("a%d", w.rng.Intn(3)), Incarnation: uint64(1 + w.rng.Intn(2))}
+}
+
+// dispatch sends the key through one entry; the agent runs it, joins or refuses.
+func (w *agentWorld) dispatch(entry int, key string) {
+	j := w.journal[entry]
+	id, _ := ParseIdentity(key)
+	b, err := j.Bind(context.Background(), "svc", id, w.draw())
+	for range 4 {
+		if err != nil {
+			return
+		}
+		if w.ran[key] == nil {
+			w.ran[key], w.closed[key] = map[Binding]bool{}, map[Binding]bool{}
+		}
+		if !w.closed[key][b] && (w.ran[key][b] || w.rng.Intn(2) == 0) {
+			w.ran[key][b] = true
+			return
+		}
+		w.closed[key][b] = true
+		if next := nextEntry[entry]; next != 0 && w.rng.Intn(3) == 0 { // another entry sends the same key before this one rebinds it
+			w.dispatch(next, key)
+		}
+		b, err = j.Rebind(context.Background(), "svc", id, b, w.draw())
+	}
+}
+
+func (w *agentWorld) step(entry int) {
+	j := w.journal[entry]
+	switch w.rng.Intn(8) {
+	case 0:
+		_ = j.Refresh(context.Background(), "svc") // faults are part of the test
+		_ = j.Advance(context.Background(), "svc")
+	case 1:
+		_ = j.seal(context.Background(), "svc")
+	default:
+		w.dispatch(entry, fmt.Sprintf("e%d.k%d", 1+w.rng.Intn(4), w.rng.Intn(2)))
+	}
+}
+
+// Guards against a key that two agent incarnations run, under conflicts, lost
+// answers, outages, old views of the epoch, and rebinding after a refusal.
+func TestNoKeyRunsAtTwoIncarnations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+		s := &faultyStore{entries: map[string]store.Entry{}, rng: rng}
+		w := &agentWorld{ran: map[string]map[Binding]bool{}, closed: map[string]map[Binding]bool{}, rng: rng}
+		for range nextEntry {
+			w.journal = append(w.journal, newTestJournal(s))
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rng.Intn(3) == 0 {
+				s.before = func() { w.step(interferer) }
+			}
+			w.step(rng.Intn(interferer))
+			s.before = nil // it must not block a later step of the same entry
+			for key, agents := range w.ran {
+				if len(agents) > 1 {
+					t.Fatalf("%s ran at %v", key, agents)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a key that is bound anew by an entry with an old view of the
+// epoch after another entry has removed the key's segment.
+func TestOldViewCannotBindSealedKey(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := &faultyStore{entries: map[string]store.Entry{}}
+	old, current := newTestJournal(s), newTestJournal(s)
+	is.NoErr(old.Refresh(ctx, "svc"))
+	id, err := ParseIdentity("e1.k")
+	is.NoErr(err)
+	first := Binding{AgentID: "a1", Incarnation: 1}
+	got, err := old.Bind(ctx, "svc", id, first)
+	is.NoErr(err)
+	is.Equal(got, first)
+	is.NoErr(current.Refresh(ctx, "svc"))
+	for range 2 {
+		is.NoErr(current.Advance(ctx, "svc"))
+	}
+	is.NoErr(current.seal(ctx, "svc"))
+	is.Equal(old.Epoch("svc"), uint64(1))
+	for _, key := range []string{"e1.k", "e1.another"} {
+		id, _ := ParseIdentity(key)
+		for _, j := range []*Journal{old, current} {
+			_, err := j.Bind(ctx, "svc", id, Binding{AgentID: "a2", Incarnation: 2})
+			var r *api.Refusal
+			is.True(errors.As(err, &r))
+			is.Equal(r.Kind, api.KindIdentityClosed)
+			is.Equal(r.Outcome, api.OutcomeUnknown)
+		}
+	}
+}
+
+// Guards against one store write per order, segments above the store's value
+// bound, and an outage that is not reported as not run.
+func TestBatchesBoundAndOutage(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := &faultyStore{entries: map[string]store.Entry{}}
+	j := newTestJournal(s)
+	is.NoErr(j.Refresh(ctx, "svc"))
+	var wg sync.WaitGroup
+	full := make(chan *api.Refusal, 12_000)
+	for i := range 12_000 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			id, _ := ParseIdentity(fmt.Sprintf("e1.%05d%s", i, strings.Repeat("<", 180)))
+			_, err := j.Bind(ctx, "svc", id, selfBinding)
+			var r *api.Refusal
+			if errors.As(err, &r) {
+				full <- r
+			}
+		}()
+	}
+	wg.Wait()
+	t.Logf("%d writes for 12000 keys, %d refused as full", s.writes, len(full))
+	is.True(s.writes < 1200)
+	is.True(len(full) > 0)
+	r := <-full
+	is.Equal(r.Kind, api.KindStoreUnavailable)
+	is.Equal(r.Outcome, api.OutcomeNotRun)
+	for key, e := range s.entries {
+		is.True(len(e.Value) <= maxSegmentBytes) // bounded
+		is.True(key == epochKey("svc") || len(e.Value) > maxSegmentBytes*9/10)
+	}
+	is.True(j.due("svc")) // a new epoch is opened
+	is.NoErr(j.maintain(ctx, "svc"))
+	is.Equal(j.Epoch("svc"), uint64(2))
+	s.down = true
+	id, _ := ParseIdentity("e2.k")
+	_, err := j.Bind(ctx, "svc", id, selfBinding)
+	is.True(errors.As(err, &r))
+	is.Equal(r.Kind, api.KindStoreUnavailable)
+	is.Equal(r.Outcome, api.OutcomeNotRun)
+}
