Ask for loads only once the group has settled

Cause: a coordinator whose plan was due asked for loads in every poll of a running switch, and planned on a poll that carried none.

Change: loads are requested when the group is known to use the recorded map, and requested again after a quarter of the interval if ranks still report loads of the map before. New fault: messages between agents are lost.

Conclusion: polls during a switch carry no loads.

--- a/expertmap/group.go
+++ b/expertmap/group.go
@@ -54,14 +54,21 @@
 		return
 	}
 	g.nodes, g.polledAt = nodes, now
-	replies := g.poll(ctx, nodes, due)
+	loads := g.settled && due
+	replies := g.poll(ctx, nodes, loads)
 	g.settled = complete && g.record.InUse(replies)
 	g.wait = min(2*g.wait, maxBackoff*g.cfg.Poll)
 	g.send(ctx, snap, replies)
-	if g.settled && due && g.record.Fresh() {
-		g.plannedAt = now
-		g.plan(ctx, replies)
+	if !g.settled || !loads || !g.record.Fresh() {
+		return
+	}
+	g.plannedAt = now
+	if !g.observe(replies) {
+		// Ranks may still report loads of the map before; ask again soon.
+		g.plannedAt = now.Add(-g.cfg.Interval + g.cfg.Interval/4)
+		return
 	}
+	g.plan(ctx, replies)
 }
 
 func (g *groupCoordinator) pollWait() time.Duration {
@@ -255,9 +262,6 @@
 // plan records a better map if there is one. The record is read first, because
 // another entry may have written since.
 func (g *groupCoordinator) plan(ctx context.Context, replies []wire.MapReply) {
-	if !g.observe(replies) {
-		return
-	}
 	number := g.current.Number
 	g.record.Expire()
 	if !g.read(ctx) || g.current == nil || g.current.Number != number {
--- a/lab/rankgroup/faults.go
+++ b/lab/rankgroup/faults.go
@@ -39,6 +39,7 @@
 	{Name: "rank restarts in mid-switch", run: (*Bench).rankRestart},
 	{Name: "rank and agent restart in mid-switch", run: (*Bench).rankAndAgentRestart},
 	{Name: "agent restarts", Running: true, run: (*Bench).agentRestart},
+	{Name: "messages between agents are lost", Running: true, run: (*Bench).lostRelays},
 	{Name: "rank stalls for 300 ms", run: (*Bench).stalledRank},
 	{Name: "rank is 500 ms slow to load", Running: true, run: (*Bench).slowLoad},
 }
@@ -256,6 +257,11 @@
 	return b.advance(3)
 }
 
+func (b *Bench) lostRelays() error {
+	b.relays.Store(0)
+	return b.advance(3)
+}
+
 func (b *Bench) stalledRank() error {
 	b.Group.Stall(3, 300*time.Millisecond)
 	return b.advance(3)
