Bound calls to a rank below the time-out of calls to its agent

Cause: both were 2 s, so that a rank that does not answer made the entry close the connection to the agent, with other calls on it.

Change: 700 ms for calls to the rank, of which an agent makes two in a row.

Conclusion: an agent whose rank hangs answers NotReady in time.

--- a/expertmap/rank.go
+++ b/expertmap/rank.go
@@ -19,7 +19,10 @@
 // Times and limits of the agent's side.
 const (
 	rankPoll    = 250 * time.Millisecond
-	rankTimeout = 2 * time.Second
+	// rankTimeout bounds a call to the rank. Handle makes two in a row to a rank
+	// that does not answer, and must return within callTimeout, because a call
+	// that times out closes the connection between entry and agent.
+	rankTimeout = 700 * time.Millisecond
 	// maxStateBytes bounds a state answer; 60 layers of 64 slots take about 80 kB.
 	maxStateBytes = 4 << 20
 )
