--- a/expertmap/rank.go
+++ b/expertmap/rank.go
@@ -18,7 +18,7 @@
 
 // Times and limits of the agent's side.
 const (
-	rankPoll    = 250 * time.Millisecond
+	rankPoll = 250 * time.Millisecond
 	// rankTimeout bounds a call to the rank. Handle makes two in a row to a rank
 	// that does not answer, and must return within callTimeout, because a call
 	// that times out closes the connection between entry and agent.
