Scope order keys by organisation; test that a drain waits for requests

The drain test had no running request.

Change: classify sets the organisation of an order's identity. The drain test holds a request at an agent until after the entry has closed.

Conclusion: equal keys of two organisations are bound apart, and the entry leaves only after the running request has its answer.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -62,11 +64,30 @@
 
 func (fakeBinder) Epoch(string) uint64 { return 4 }
 
+// agent is a fake agent that answers once it is released.
+type agent struct{ started, release chan struct{} }
+
+func (a *agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var rq wire.ExecuteRequest
+	_ = json.NewDecoder(r.Body).Decode(&rq)
+	a.started <- struct{}{}
+	select {
+	case <-a.release:
+	case <-time.After(10 * time.Second): // the test has failed
+	}
+	out := json.NewEncoder(w)
+	for seq, f := range []wire.Frame{{Kind: wire.FrameAccepted}, {Kind: wire.FrameHead, Status: 200}, {Kind: wire.FrameData, Data: []byte(`{}`)}, {Kind: wire.FrameEnd}} {
+		f.RequestID, f.Attempt, f.Seq = rq.RequestID, rq.Attempt, seq
+		_ = out.Encode(f)
+	}
+}
+
 type rig struct {
 	is      *is.I
 	control *fakeControl
 	clock   *clockwork.FakeClock
 	url     string
+	agent   *agent
 	stop    context.CancelFunc
 	done    chan error
 }
@@ -79,8 +100,11 @@
 	is.NoErr(ln.Close())
 	clock := clockwork.NewFakeClock()
 	desk := &bundle.Service{Name: "desk", Kind: bundle.KindPlain, NonIdempotentPaths: []string{"/orders"}}
+	a := &agent{started: make(chan struct{}, 1), release: make(chan struct{})}
+	agentServer := httptest.NewServer(a)
+	t.Cleanup(agentServer.Close)
 	agent := &control.Endpoint{
-		Node:    wire.Node{ID: "agent-1", Service: "desk", Zone: "a", State: wire.StateReady, Incarnation: 9},
+		Node:    wire.Node{ID: "agent-1", HTTPAddr: agentServer.Listener.Addr().String(), Service: "desk", Zone: "a", State: wire.StateReady, Incarnation: 9},
 		Load:    wire.Load{Limit: 4, OrderEpoch: 2},
 		HeardAt: clock.Now(),
 	}
@@ -88,6 +112,7 @@
 		Self:        wire.Node{ID: "entry-1", Zone: "a", HTTPAddr: addr},
 		Bundle:      &bundle.Bundle{Version: 3},
 		Services:    map[string]*bundle.Service{"desk": desk},
+		KeyOwner:    map[string]string{fmt.Sprintf("%x", sha256.Sum256([]byte("key"))): "batinah"},
 		Endpoints:   map[string][]*control.Endpoint{"desk": {agent}},
 		AgentByID:   map[string]*control.Endpoint{"agent-1": agent},
 		ConfirmedAt: clock.Now(),
@@ -99,13 +124,13 @@
 		},
 		ZonesOut: map[string]bool{"c": true},
 	}}
-	s := settings.Entry{Node: settings.Node{ID: "entry-1", Zone: "a", HTTPAddr: addr}, MaxBodyBytes: 1 << 10, ReadHeaderTimeoutMS: 200}
+	s := settings.Entry{Node: settings.Node{ID: "entry-1", Zone: "a", HTTPAddr: addr, HTTPListen: addr}, MaxBodyBytes: 1 << 10, ReadHeaderTimeoutMS: 200}
 	s.AuthKey = base64.StdEncoding.EncodeToString(make([]byte, 32))
 	e, err := NewWith(s, Deps{Control: c, Binder: fakeBinder{}, Clock: clock}, logr.Discard())
 	is.NoErr(err)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	r := &rig{is: is, control: c, clock: clock, url: "http://" + addr, stop: stop, done: make(chan error, 1)}
+	r := &rig{is: is, control: c, clock: clock, url: "http://" + addr, stop: stop, agent: a, done: make(chan error, 1)}
 	go func() { r.done <- e.Run(ctx) }()
 	for c.Snapshot().Self.State != wire.StateReady {
 		time.Sleep(time.Millisecond)
@@ -116,6 +141,9 @@
 func (r *rig) do(method, path, body string, into any) (int, http.Header) {
 	rq, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
 	r.is.NoErr(err)
+	if strings.HasSuffix(path, "/stock") {
+		rq.Header.Set("Authorization", "Bearer key")
+	}
 	answer, err := http.DefaultTransport.RoundTrip(rq) // follows no redirects
 	r.is.NoErr(err)
 	defer func() { _ = answer.Body.Close() }()
@@ -178,29 +206,41 @@
 }
 
 // Guards against an entry that leaves before the addresses it gave out have
-// expired, or that stays in resolve answers meanwhile.
+// expired or while a request runs, or that stays in resolve answers meanwhile.
 func TestDrain(t *testing.T) {
 	r := newRig(t)
+	answered := make(chan int)
+	go func() {
+		status, _ := r.do("GET", "/v1/call/desk/stock", "", &struct{}{})
+		answered <- status
+	}()
+	<-r.agent.started
 	r.stop()
-	r.is.NoErr(r.clock.BlockUntilContext(context.Background(), 1))
+	for r.control.Snapshot().Self.State != wire.StateLeaving {
+		time.Sleep(time.Millisecond)
+	}
 	var got api.Resolved
 	r.do("GET", "/v1/resolve?service=desk", "", &got)
 	r.is.Equal(got.Entries, []api.ResolvedEntry{{Address: "192.0.2.2:1", Zone: "b"}})
+	r.stays("the entry left before its addresses expired")
+	for range 5 { // the drain may start to wait after the first step
+		r.clock.Advance(api.ResolveValidity)
+		r.stays("the entry left while a request ran")
+	}
+	close(r.agent.release)
+	r.is.Equal(<-answered, 200)
+	r.is.NoErr(<-r.done)
+	r.is.Equal(fmt.Sprint(r.control.states), "[ready leaving]")
+}
+
+// stays fails the test if the entry ends within a moment.
+func (r *rig) stays(message string) {
 	select {
 	case <-r.done:
-		t.Fatal("the entry left at once")
+		r.is.Fail() // see message
+		panic(message)
 	case <-time.After(50 * time.Millisecond):
 	}
-	for left := false; !left; {
-		r.clock.Advance(api.ResolveValidity)
-		select {
-		case err := <-r.done:
-			r.is.NoErr(err)
-			left = true
-		case <-time.After(20 * time.Millisecond):
-		}
-	}
-	r.is.Equal(fmt.Sprint(r.control.states), "[ready leaving]")
 }
 
 // Guards against connections held by senders that never finish a header.
--- a/pipeline/classify.go
+++ b/pipeline/classify.go
@@ -143,6 +143,7 @@
 	if err != nil {
 		return own(api.KindBadRequest, err.Error(), "use the order_identity of /v1/resolve, or e<order_epoch>.<key>")
 	}
+	id.Organisation = c.organisation
 	c.identity = id
 	return nil
 }
--- a/pipeline/fake_test.go
+++ b/pipeline/fake_test.go
@@ -143,20 +143,20 @@
 	if b.err != nil {
 		return order.Binding{}, b.err
 	}
-	if _, found := b.bound[id.Raw]; !found {
-		b.bound[id.Raw] = want
+	if _, found := b.bound[id.Scoped()]; !found {
+		b.bound[id.Scoped()] = want
 	}
-	return b.bound[id.Raw], nil
+	return b.bound[id.Scoped()], nil
 }
 
 func (b *binder) Rebind(_ context.Context, _ string, id order.Identity, old, want order.Binding) (order.Binding, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.bound[id.Raw] == old {
-		b.bound[id.Raw] = want
+	if b.bound[id.Scoped()] == old {
+		b.bound[id.Scoped()] = want
 		b.rebind++
 	}
-	return b.bound[id.Raw], nil
+	return b.bound[id.Scoped()], nil
 }
 
 func (b *binder) Epoch(string) uint64 { return 1 }
--- a/pipeline/orders_test.go
+++ b/pipeline/orders_test.go
@@ -161,7 +161,7 @@
 func TestOwnKeyBoundElsewhere(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, "desk", callOK, callOK)
-	g.binder.bound["e1.mine"] = order.Binding{AgentID: "agent-9", Incarnation: 1}
+	g.binder.bound["batinah/e1.mine"] = order.Binding{AgentID: "agent-9", Incarnation: 1}
 	is.Equal(g.order("e1.mine", first).refusal.Outcome, api.OutcomeUnknown)
 	is.Equal(g.executed(), 0)
 	g.binder.err = api.NotRun(api.KindStoreUnavailable, "store is down", "retry")
