--- a/control/bytes_test.go
+++ b/control/bytes_test.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +24,14 @@
 	return v.Value()
 }
 
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // BenchmarkControlBytes measures the control traffic of a fleet at rest. Bytes
 // are those that a node sends and receives, without TCP and IP headers.
 func BenchmarkControlBytes(b *testing.B) {
@@ -39,14 +48,16 @@
 			time.Sleep(20 * time.Second) // until most pairs have exchanged whole records
 			const window = 10 * time.Second
 			exchanges, reports, bytes := okCount(metricExchanges), okCount(metricReports), metric("peer_bytes_out")
+			cpu := cpuTime(b)
 			time.Sleep(window)
+			cpu = cpuTime(b) - cpu
 			exchanges, reports = okCount(metricExchanges)-exchanges, okCount(metricReports)-reports
 			bytes = metric("peer_bytes_out") - bytes
 			nodes := float64(size.entries + size.agents)
 			b.ReportMetric(2*float64(bytes)/nodes/window.Seconds(), "B/s/node")
 			b.ReportMetric(float64(exchanges)/nodes/window.Seconds(), "exchanges/s/node")
 			b.ReportMetric(float64(reports)/nodes/window.Seconds(), "reports/s/node")
-			b.ReportMetric(float64(bytes), "bytes")
+			b.ReportMetric(100*cpu.Seconds()/nodes/window.Seconds(), "%core/node")
 			b.Logf("%d exchanges, %d reports, %d bytes", exchanges, reports, bytes)
 		})
 	}
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -16,6 +17,7 @@
 
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/peer"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
@@ -36,6 +38,7 @@
 	operators []bundle.Key
 	seeds     []string
 	nodes     []*node
+	log       io.Writer // nil for none
 }
 
 type agentService struct{ l *Loop }
@@ -76,6 +79,9 @@
 	self.RPCAddr = ln.Addr().String()
 	pool := peer.NewPool(c.key)
 	cfg := Config{Self: self, Members: c.members, Threshold: 1, Pool: pool, Log: logr.Discard()}
+	if c.log != nil {
+		cfg.Log = logs.New(c.log)
+	}
 	server := peer.NewServer(c.key, logr.Discard())
 	if self.Role == wire.RoleEntry {
 		cfg.Store = c.store
--- a/control/loop.go
+++ b/control/loop.go
@@ -23,6 +23,10 @@
 	gossipInterval = time.Second
 	// publishInterval bounds how often load reports cause a new snapshot.
 	publishInterval = 50 * time.Millisecond
+	// refreshInterval is the longest time between two snapshots.
+	refreshInterval = time.Second
+	// sweepInterval is the interval at which silent nodes are looked for.
+	sweepInterval = 200 * time.Millisecond
 	// jumpLimit is the gap between two ticks from which the process counts as
 	// having been frozen.
 	jumpLimit = time.Second
@@ -96,6 +100,8 @@
 
 	started       time.Time
 	lastTick      time.Time
+	lastSweep     time.Time
+	alive         int // endpoints heard within endpointAlive at the last sweep
 	lastHeartbeat time.Time
 	publishNow    bool
 	publishLater  bool
@@ -236,7 +242,9 @@
 		l.lastHeartbeat = now
 		l.self.Seq++
 	}
-	l.expire(now)
+	if now.Sub(l.lastSweep) >= sweepInterval {
+		l.sweep(now)
+	}
 	if l.isEntry() {
 		l.gossipTick(now)
 	} else {
@@ -255,8 +263,10 @@
 	return membership.HeartbeatInterval(len(entries))
 }
 
-// expire drops nodes that are gone.
-func (l *Loop) expire(now time.Time) {
+// sweep drops nodes that are gone and publishes changes that come with time:
+// silent endpoints, and when nodes were last heard.
+func (l *Loop) sweep(now time.Time) {
+	l.lastSweep = now
 	agentLimit := membership.RemoveAfter
 	if _, entries := l.entryList(); len(entries) > reportTargets {
 		agentLimit = membership.RemoveIndirectAfter
@@ -265,12 +275,16 @@
 		l.log.Info("node removed: no heartbeat", "node", n.ID, "role", n.Role, "zone", n.Zone)
 		l.forget(n)
 	}
+	alive := 0
 	for _, e := range l.endpoints {
-		age := now.Sub(e.HeardAt)
-		if age > endpointAlive && age <= endpointAlive+2*tickInterval {
-			l.publishLater = true
+		if now.Sub(e.HeardAt) <= endpointAlive {
+			alive++
 		}
 	}
+	if alive != l.alive || now.Sub(l.lastPublish) >= refreshInterval {
+		l.publishLater = true
+	}
+	l.alive = alive
 }
 
 func (l *Loop) forget(n wire.Node) {
--- a/control/report.go
+++ b/control/report.go
@@ -45,6 +45,7 @@
 	listCount  uint64
 	listLen    int
 	list       []wire.Node
+	watchers   map[string]bool // IDs of the entries that watch the store
 }
 
 // reportTarget is one entry that gets reports.
@@ -146,6 +147,7 @@
 		sum ^= d.Sum64()
 	}
 	l.reports.listHash, l.reports.list, l.reports.listCount = sum, entries, l.table.Counter()+1
+	l.reports.watchers = chooseWatchers(entries)
 	return sum, entries
 }
 
--- a/control/service.go
+++ b/control/service.go
@@ -128,6 +128,8 @@
 	switch {
 	case known == nil || known.Node.Incarnation < node.Incarnation:
 		reply.WantNode = true
+	case known.Node.Incarnation == node.Incarnation && known.Node.ContentSeq < node.ContentSeq:
+		reply.WantNode = true
 	case known.Node.Incarnation > node.Incarnation:
 		reply.Entries = l.conflicting(node)
 	default:
--- a/control/storeio.go
+++ b/control/storeio.go
@@ -51,21 +51,24 @@
 	err           error
 }
 
-// watches reports whether an entry is one of its zone's watchers.
-func (l *Loop) watches(n wire.Node) bool {
-	_, entries := l.entryList()
-	var zone []wire.Node
-	for _, e := range entries {
-		if e.Zone == n.Zone {
-			zone = append(zone, e)
-		}
-	}
-	for i, e := range ranked("watch", zone) {
-		if i < watchersPerZone && e.ID == n.ID {
-			return true
+// chooseWatchers returns the IDs of the entries that watch the store, some in
+// each zone.
+func chooseWatchers(entries []wire.Node) map[string]bool {
+	count := make(map[string]int)
+	chosen := make(map[string]bool)
+	for _, n := range ranked("watch", entries) {
+		if count[n.Zone] < watchersPerZone {
+			count[n.Zone]++
+			chosen[n.ID] = true
 		}
 	}
-	return false
+	return chosen
+}
+
+// watches reports whether an entry is one of its zone's watchers.
+func (l *Loop) watches(n wire.Node) bool {
+	l.entryList()
+	return l.reports.watchers[n.ID]
 }
 
 // storeTick starts a read if the view is not confirmed in time.
--- a/membership/table.go
+++ b/membership/table.go
@@ -57,6 +57,15 @@
 	at               time.Time
 }
 
+// allows reports whether a record may return: it is later than the removed one,
+// or the node itself sent it.
+func (g tombstone) allows(n wire.Node, from string) bool {
+	if from == n.ID {
+		return n.Incarnation >= g.incarnation
+	}
+	return later(n.Incarnation, n.Seq, g.incarnation, g.seq)
+}
+
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{records: make(map[string]*Record), removed: make(map[string]tombstone)}
@@ -104,7 +113,7 @@
 	if old != nil && !later(n.Incarnation, n.Seq, old.Node.Incarnation, old.Node.Seq) {
 		return Stale
 	}
-	if gone, found := t.removed[n.ID]; found && !later(n.Incarnation, n.Seq, gone.incarnation, gone.seq) {
+	if gone, found := t.removed[n.ID]; found && !gone.allows(n, from) {
 		return Stale
 	}
 	if IsHeartbeat(n) {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -33,6 +33,9 @@
 	is.Equal(len(table.Expire(start.Add(RemoveAfter+1), RemoveAfter)), 1)
 	is.Equal(table.Apply(record("x", 2, 7, wire.StateReady), "q", start), Stale)
 	is.Equal(table.Apply(record("x", 2, 8, wire.StateReady), "q", start), Changed)
+	// A node that was cut off comes back with its own word.
+	table.Remove("x", start)
+	is.Equal(table.Apply(record("x", 2, 8, wire.StateReady), "x", start), Changed)
 }
 
 // A clock that was set back must not produce an incarnation at or below one
