--- a/agent/agent.go
+++ b/agent/agent.go
@@ -86,7 +86,7 @@
 		Settings: a.settings,
 		Pool:     a.pool,
 		Clock:    a.deps.Clock,
-		Log:      a.log.WithName("control"),
+		Log:      a.log,
 		Load:     func() wire.Load { return a.gate.Load() },
 	})
 	if err != nil {
@@ -100,7 +100,7 @@
 		Clock:    a.deps.Clock,
 		Log:      a.log.WithName("gate"),
 	})
-	a.rank = a.deps.NewRank(a.settings, a.log.WithName("rank"))
+	a.rank = a.deps.NewRank(a.settings, a.pool, a.log.WithName("rank"))
 	a.rpc = peer.NewServer(key, a.log.WithName("peer"))
 	return trace.Wrap(a.rpc.Register(wire.AgentService, &rpcService{agent: a}))
 }
--- a/agent/deps.go
+++ b/agent/deps.go
@@ -41,7 +41,7 @@
 type Deps struct {
 	NewControl func(ControlConfig) (Control, error)
 	// NewRank returns the rank; nil for an agent outside a rank group.
-	NewRank func(settings.Agent, logr.Logger) Rank
+	NewRank func(settings.Agent, *peer.Pool, logr.Logger) Rank
 	Clock   clockwork.Clock
 }
 
@@ -70,9 +70,9 @@
 }
 
 // newRank returns nil for an agent outside a rank group.
-func newRank(s settings.Agent, log logr.Logger) Rank {
+func newRank(s settings.Agent, pool *peer.Pool, log logr.Logger) Rank {
 	if s.Group == "" {
 		return nil
 	}
-	return expertmap.NewRank(expertmap.RankConfig{Group: s.Group, Rank: s.Rank, Endpoint: s.EndpointAddr, Log: log})
+	return expertmap.NewRank(expertmap.RankConfig{Group: s.Group, Rank: s.Rank, Endpoint: s.EndpointAddr, Pool: pool, Log: log})
 }
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -18,6 +18,8 @@
 	// handOverBytes bounds one HandOver call.
 	handOverBytes   = 512 << 10
 	handOverTimeout = 5 * time.Second
+	// askTimeout bounds the call that lists the agents of the service.
+	askTimeout = time.Second
 )
 
 // drain announces that the agent leaves, finishes its work and hands the
@@ -45,43 +47,59 @@
 	}
 	snap := a.control.Snapshot()
 	var heirs []string
-	for _, e := range heirCandidates(snap) {
+	for _, n := range heirCandidates(snap, a.agentsOfService(ctx, snap)) {
 		if len(heirs) == wantedHeirs {
 			break
 		}
-		if err := a.sendOutcomes(ctx, snap.Self, e.Node.RPCAddr, outcomes); err != nil {
-			a.log.Info("hand-over failed", "heir", e.Node.ID, "reason", err.Error())
+		if err := a.sendOutcomes(ctx, snap.Self, n.RPCAddr, outcomes); err != nil {
+			a.log.Info("hand-over failed", "heir", n.ID, "reason", err.Error())
 			continue
 		}
-		heirs = append(heirs, e.Node.ID)
+		heirs = append(heirs, n.ID)
 	}
 	a.control.SetHeirs(heirs)
 	a.log.Info("order outcomes handed over", "outcomes", len(outcomes), "heirs", heirs)
 }
 
-// heirCandidates lists other agents of the service, best first: in service
-// before taken out, then another zone before the own, since a zone may be
-// stopped as a whole. The first two are in different zones if possible.
-func heirCandidates(snap *control.Snapshot) []*control.Endpoint {
-	var list []*control.Endpoint
-	for _, e := range snap.Endpoints[snap.Self.Service] {
-		if e.Node.ID != snap.Self.ID && e.Node.State != wire.StateLeaving {
-			list = append(list, e)
+// agentsOfService asks entries for the agents of the own service.
+func (a *Agent) agentsOfService(ctx context.Context, snap *control.Snapshot) []wire.Node {
+	for _, i := range rand.Perm(len(snap.Entries)) {
+		n := snap.Entries[i].Node
+		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		var reply wire.AgentsReply
+		err := a.pool.Call(callCtx, n.RPCAddr, wire.PeerService+".Agents", wire.AgentsArgs{Service: snap.Self.Service}, &reply)
+		cancel()
+		if err == nil {
+			return reply.Agents
+		}
+		a.log.Info("entry did not list the agents", "entry", n.ID, "reason", err.Error())
+	}
+	return nil
+}
+
+// heirCandidates orders the other agents of the service, best first: in
+// service before taken out, then another zone before the own, since a zone may
+// be stopped as a whole. The first two are in different zones if possible.
+func heirCandidates(snap *control.Snapshot, agents []wire.Node) []wire.Node {
+	var list []wire.Node
+	for _, n := range agents {
+		if n.ID != snap.Self.ID && n.State != wire.StateLeaving {
+			list = append(list, n)
 		}
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	rank := func(e *control.Endpoint) int {
+	rank := func(n wire.Node) int {
 		switch {
-		case snap.Out(e.Node):
+		case snap.Out(n):
 			return 2
-		case e.Node.Zone == snap.Self.Zone:
+		case n.Zone == snap.Self.Zone:
 			return 1
 		}
 		return 0
 	}
 	sort.SliceStable(list, func(i, j int) bool { return rank(list[i]) < rank(list[j]) })
 	for i := 1; i < len(list); i++ {
-		if list[i].Node.Zone != list[0].Node.Zone && !snap.Out(list[i].Node) {
+		if list[i].Zone != list[0].Zone && !snap.Out(list[i]) {
 			list[1], list[i] = list[i], list[1]
 			break
 		}
--- a/control/service.go
+++ b/control/service.go
@@ -104,6 +104,15 @@
 	return nil
 }
 
+// Agents lists the ready agents of a service. Agents hear only from entries, so
+// a leaving agent finds successors for its order outcomes here.
+func (s *service) Agents(args *wire.AgentsArgs, reply *wire.AgentsReply) error {
+	for _, e := range s.loop.Snapshot().Endpoints[args.Service] {
+		reply.Agents = append(reply.Agents, e.Node)
+	}
+	return nil
+}
+
 type reportRequest struct {
 	args   *wire.ReportArgs
 	answer chan wire.ReportReply
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -45,9 +45,8 @@
 		VMListAddr: s.VMListAddr,
 	})
 	journal := newJournal(s, dial, loop, clock, log)
-	coordinator := expertmap.NewCoordinator(expertmap.CoordinatorConfig{
+	coordinator := newCoordinator(s, expertmap.CoordinatorConfig{
 		View: loop, Store: configStore, Pool: pool, Clock: clock, Log: log.WithName("expertmap"),
-		Interval: time.Duration(s.MapIntervalMS) * time.Millisecond,
 	})
 	rpc, err := newRPC(s, loop, key, log)
 	if err != nil {
@@ -83,6 +82,16 @@
 	return order.NewJournal(store.NewConsul(budget), order.JournalConfig{Clock: clock, Log: log.WithName("journal"), Services: services})
 }
 
+// newCoordinator polls the ranks at least once in each interval of plans.
+func newCoordinator(s settings.Entry, cfg expertmap.CoordinatorConfig) *expertmap.Coordinator {
+	if s.MapIntervalMS > 0 {
+		cfg.Interval = time.Duration(s.MapIntervalMS) * time.Millisecond
+		cfg.Poll = min(cfg.Interval, expertmap.DefaultPoll)
+		cfg.SettledPoll = min(cfg.Interval, expertmap.DefaultSettledPoll)
+	}
+	return expertmap.NewCoordinator(cfg)
+}
+
 func self(n settings.Node) wire.Node {
 	return wire.Node{ID: n.ID, Role: wire.RoleEntry, VM: n.VM, Zone: n.Zone, HTTPAddr: n.HTTPAddr, RPCAddr: n.RPCAddr}
 }
--- a/order/journal.go
+++ b/order/journal.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,12 @@
 	epochLength = time.Hour
 	// refreshEvery is the interval of reading the epochs.
 	refreshEvery = 10 * time.Second
+	// firstLook is the interval of looking for the services before there is a
+	// bundle; it costs no call.
+	firstLook = 250 * time.Millisecond
+	// firstRead is the least interval of reading while an epoch was never read;
+	// as much again is added at random, so that entries do not call together.
+	firstRead = time.Second
 )
 
 // JournalConfig configures a Journal.
@@ -189,19 +196,35 @@
 
 // Run reads and advances the epochs until ctx ends.
 func (j *Journal) Run(ctx context.Context) {
-	ticker := j.cfg.Clock.NewTicker(refreshEvery)
-	defer ticker.Stop()
 	for {
-		for _, service := range j.cfg.Services() {
-			if err := j.maintain(ctx, service); err != nil && !errors.Is(err, context.Canceled) {
-				j.cfg.Log.Info("journal epoch was not read", "service", service, "reason", err.Error())
-			}
-		}
+		timer := j.cfg.Clock.NewTimer(j.refresh(ctx))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.Chan():
+		case <-timer.Chan():
 		case <-j.wake:
+			timer.Stop()
+		}
+	}
+}
+
+// refresh maintains the epochs of all services and returns the time to wait
+// before the next round: a short one while an epoch was never read, since
+// callers cannot use their own keys without it.
+func (j *Journal) refresh(ctx context.Context) time.Duration {
+	services := j.cfg.Services()
+	next := refreshEvery
+	if len(services) == 0 {
+		next = firstLook
+	}
+	for _, service := range services {
+		if err := j.maintain(ctx, service); err != nil && !errors.Is(err, context.Canceled) {
+			j.cfg.Log.Info("journal epoch was not read", "service", service, "reason", err.Error())
+		}
+		if j.Epoch(service) == 0 {
+			next = firstRead + rand.N(firstRead)
 		}
 	}
+	return next
 }
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -34,6 +34,8 @@
 const (
 	modelService = "knots"
 	orderService = "desk"
+	rankService  = "ranks"
+	rankGroup    = "group"
 )
 
 // Ports of a node. Processes bind the listen ports; the proxies bind the
@@ -103,7 +105,8 @@
 	engine          enginesim.Options
 	desk            ordersim.Options
 	service, orders func(*bundle.Service)
-	groups          []bundle.Group
+	// ranks is the number of ranks of a group that is spread over the zones.
+	ranks int
 }
 
 func defaultShape() shape {
@@ -216,6 +219,10 @@
 			host++
 		}
 	}
+	for r := range c.shape.ranks {
+		z := r % len(c.shape.zones)
+		c.addNode(rankID(r), c.shape.zones[z], c.ip(z+1, 100+r), "wasabinotch-agent")
+	}
 	for i, id := range c.order {
 		c.writeSettings(c.nodes[id], i)
 	}
@@ -259,13 +266,16 @@
 	for _, e := range c.entries() {
 		common.Entries = append(common.Entries, e.addr(portRPC))
 	}
-	var v any = settings.Entry{Node: common, StoreAddrs: []string{c.storeAddr()}}
+	var v any = settings.Entry{Node: common, StoreAddrs: []string{c.storeAddr()}, MapIntervalMS: mapInterval.Milliseconds()}
 	if n.program == "wasabinotch-agent" {
 		service := modelService
 		if strings.HasPrefix(n.id, "desk-") {
 			service = orderService
 		}
 		a := settings.Agent{Node: common, Service: service, EndpointAddr: n.addr(portEndpoint)}
+		if _, err := fmt.Sscanf(n.id, rankFormat, &a.Rank); err == nil {
+			a.Service, a.Group = rankService, rankGroup
+		}
 		v = a
 	}
 	data, err := json.Marshal(v)
@@ -277,7 +287,7 @@
 func (c *cluster) newBundle() bundle.Bundle {
 	c.orgs = []loadgen.Organisation{{Name: "batinah", Key: "key-batinah"}, {Name: "tidewrack", Key: "key-tidewrack"}}
 	b := bundle.Bundle{
-		Version: 1, Zones: c.shape.zones, Groups: c.shape.groups,
+		Version: 1, Zones: c.shape.zones, Groups: c.groups(),
 		Operators: []bundle.Key{{Name: "operator", Public: base64.StdEncoding.EncodeToString(c.operator.Public().(ed25519.PublicKey))}},
 	}
 	shares := map[string]float64{}
@@ -296,6 +306,10 @@
 		c.shape.orders(&orders)
 	}
 	b.Services = []bundle.Service{model, orders}
+	if c.shape.ranks > 0 {
+		b.Services = append(b.Services, bundle.Service{Name: rankService, Kind: bundle.KindModel,
+			ColdLimit: 1, WarmLimit: 1, QueueLimit: 1, TimeoutMS: 1000, Shares: shares})
+	}
 	return b
 }
 
@@ -356,7 +370,9 @@
 	}
 	c.kv.Close()
 	if keep := os.Getenv("PROOF_KEEP_LOGS"); keep != "" && c.t.Failed() {
-		_ = os.CopyFS(filepath.Join(keep, c.t.Name()), os.DirFS(c.dir))
+		target := filepath.Join(keep, c.t.Name())
+		_ = os.RemoveAll(target)
+		_ = os.CopyFS(target, os.DirFS(c.dir))
 	}
 }
 
--- /dev/null
+++ b/proof/expertmap_test.go
@@ -0,0 +1,170 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/expertmap"
+	"github.com/wasabinotch/wasabinotch/lab/kvsim"
+	"github.com/wasabinotch/wasabinotch/lab/rankgroup"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+const (
+	rankFormat = "rank-%d"
+	// mapInterval is short, so that the faults fall into many switches.
+	mapInterval = 300 * time.Millisecond
+	// standstillBound is for faults that restart no rank: the group must run
+	// on while the coordinator, the store or the network fails.
+	standstillBound = time.Second
+)
+
+func rankID(r int) string { return fmt.Sprintf(rankFormat, r) }
+
+func (c *cluster) groups() []bundle.Group {
+	if c.shape.ranks == 0 {
+		return nil
+	}
+	return []bundle.Group{{Name: rankGroup, Service: rankService, Ranks: c.shape.ranks,
+		Layers: 2, Experts: 16, SlotsPerRank: 4, ExpertBytes: 1 << 20}}
+}
+
+// startRanks starts the ranks at the endpoints of the rank agents. Popularity
+// moves all the time, so that each plan differs.
+func (c *cluster) startRanks() *rankgroup.Group {
+	var turn atomic.Int64
+	group, err := rankgroup.NewGroup(rankgroup.GroupConfig{
+		Ranks: c.shape.ranks, WeightRate: 1 << 30,
+		Listen: func(r int) string { return c.nodes[rankID(r)].addr(portEndpoint) },
+		Options: func(r int) rankgroup.EngineOptions {
+			return rankgroup.EngineOptions{IgnoreFencing: r%2 == 0, StepTime: 2 * time.Millisecond,
+				RestartTime: 100 * time.Millisecond, LoadDelay: 5 * time.Millisecond, ExpertBytes: 1 << 20, Speed: 1}
+		},
+		Popularity: func(layer int) []float64 {
+			loads := make([]float64, 16)
+			phase := float64(turn.Add(1)) / 2000
+			for e := range loads {
+				loads[e] = 1.1 + math.Sin(phase+float64(e*(layer+1)))
+			}
+			return loads
+		},
+	})
+	c.must(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		group.Run(ctx)
+		close(done)
+	}()
+	c.t.Cleanup(func() {
+		cancel()
+		<-done
+		group.Close()
+	})
+	return group
+}
+
+// coordinator returns the entry that the live entries choose for the group.
+func (c *cluster) coordinator() string {
+	now := time.Now()
+	snap := &control.Snapshot{}
+	for _, e := range c.entries() {
+		n := wire.Node{ID: e.id, State: wire.StateReady}
+		snap.Entries = append(snap.Entries, control.Entry{Node: n, HeardAt: now})
+	}
+	return expertmap.Choose(rankGroup, snap, now)
+}
+
+// Guards against a step in which ranks use different maps, and against a group
+// that stands still, under: coordinator killed and frozen, store down, lost
+// answers of writes, a rank that restarts, an agent that restarts, a zone that
+// is parted; with engines that ignore fencing numbers among the ranks.
+func TestOneExpertMapPerStep(t *testing.T) {
+	s := defaultShape()
+	s.modelsPerZone, s.desksPerZone, s.ranks = 0, 0, 6
+	s.entriesPerZone = 2
+	c := prepareCluster(t, s)
+	group := c.startRanks()
+	for _, id := range c.order {
+		c.start(id)
+	}
+	c.awaitStarted()
+	c.roll()
+	c.awaitReady(c.order...)
+	switches := func(want uint64) {
+		from := group.Checker.Verdict(time.Time{}).Latest
+		c.eventually(20*time.Second, fmt.Sprintf("%d further maps in use", want), func() error {
+			if group.Checker.Verdict(time.Time{}).Latest < from+want {
+				return errNoWork
+			}
+			return nil
+		})
+	}
+	switches(3)
+	faults := []struct {
+		name  string
+		bound time.Duration
+		run   func()
+	}{
+		{"coordinator killed", standstillBound, func() {
+			id := c.coordinator()
+			c.kill(id)
+			switches(2)
+			c.start(id)
+		}},
+		{"coordinator frozen and woken", standstillBound, func() {
+			id := c.coordinator()
+			c.freeze(id)
+			switches(2)
+			c.thaw(id)
+			switches(2)
+		}},
+		{"store down and lost answers", standstillBound, func() {
+			c.must(c.kv.SetFaults(kvsim.Faults{Outage: kvsim.OutageRefuse}))
+			time.Sleep(2 * time.Second)
+			c.must(c.kv.SetFaults(kvsim.Faults{LoseProbability: 0.5}))
+			switches(2)
+			c.must(c.kv.SetFaults(kvsim.Faults{}))
+		}},
+		{"agent restarts", standstillBound, func() {
+			c.kill(rankID(1))
+			time.Sleep(time.Second)
+			c.start(rankID(1))
+			switches(2)
+		}},
+		{"zone parted", standstillBound, func() {
+			heal := c.cutZone("z2")
+			time.Sleep(4 * time.Second)
+			heal()
+			switches(2)
+		}},
+		// The rank needs 100 ms to restart and then loads the map in use.
+		{"rank restarts", 2 * time.Second, func() {
+			group.Restart(3)
+			switches(2)
+		}},
+	}
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			since := time.Now()
+			f.run()
+			v := group.Checker.Verdict(since)
+			t.Logf("%d steps, map %d, stood still at most %v", v.Steps, v.Latest, v.Standstill.Round(time.Millisecond))
+			for _, m := range v.Mixed {
+				t.Errorf("mixed maps: %s", m)
+			}
+			if v.Back > 0 {
+				t.Errorf("the group went back to an older map %d times", v.Back)
+			}
+			if v.Steps == 0 || v.Standstill > f.bound {
+				t.Errorf("the group stood still for %v, the bound is %v", v.Standstill, f.bound)
+			}
+		})
+	}
+}
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -90,6 +90,16 @@
 	Config Config
 }
 
+// AgentsArgs asks an entry for the agents of a service.
+type AgentsArgs struct {
+	Service string
+}
+
+// AgentsReply lists the ready agents that the entry hears from.
+type AgentsReply struct {
+	Agents []Node
+}
+
 // OrderOutcome is the recorded result of one order.
 type OrderOutcome struct {
 	Identity     string
