Test the agent's drain, hand-over and envelope decoder

Cause: a planned stop must interrupt no order and lose no outcome. Change: a test with three agents over HTTP and net/rpc, and a fuzz target for the execute envelope. Conclusion: the running order ended, new work was refused as not run, and both heirs answered for the stopped agent; a dead candidate was passed over.

--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,244 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/order"
+	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// fakeControl is a control loop with a view that is always confirmed.
+type fakeControl struct {
+	mu     sync.Mutex
+	self   wire.Node
+	peers  []*control.Endpoint
+	states []wire.State
+	heirs  []string
+}
+
+func (c *fakeControl) Snapshot() *control.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	svc := &bundle.Service{Name: "orders", ColdLimit: 4, WarmLimit: 8, QueueLimit: 24, TimeoutMS: 5000, NonIdempotentPaths: []string{"/orders"}}
+	return &control.Snapshot{
+		Self:        c.self,
+		Bundle:      &bundle.Bundle{Version: 1},
+		Services:    map[string]*bundle.Service{"orders": svc},
+		Endpoints:   map[string][]*control.Endpoint{"orders": c.peers},
+		ConfirmedAt: time.Now(),
+	}
+}
+
+func (c *fakeControl) Run(ctx context.Context) error { <-ctx.Done(); return nil }
+
+func (c *fakeControl) HandleNotify(args wire.NotifyArgs) wire.NotifyReply {
+	return wire.NotifyReply{Config: args.Config}
+}
+
+func (c *fakeControl) SetState(s wire.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.states = append(c.states, s)
+}
+
+func (c *fakeControl) SetHeirs(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heirs = ids
+}
+
+func (c *fakeControl) last() wire.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.states) == 0 {
+		return ""
+	}
+	return c.states[len(c.states)-1]
+}
+
+// testAgent is a running agent.
+type testAgent struct {
+	*Agent
+	control *fakeControl
+	self    wire.Node
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func startAgent(t *testing.T, id, zone, endpoint string) *testAgent {
+	t.Helper()
+	s := settings.Agent{Service: "orders", EndpointAddr: strings.TrimPrefix(endpoint, "http://")}
+	s.ID, s.VM, s.Zone = id, "vm-"+id, zone
+	s.HTTPAddr, s.RPCAddr = freeAddr(t), freeAddr(t)
+	s.AuthKey = base64.StdEncoding.EncodeToString(make([]byte, 32))
+	ta := &testAgent{control: &fakeControl{}, done: make(chan error, 1)}
+	deps := Deps{
+		NewControl: func(c ControlConfig) (Control, error) {
+			ta.control.self, ta.self = c.Self, c.Self
+			return ta.control, nil
+		},
+		NewRank: func(settings.Agent, logr.Logger) Rank { return nil },
+		Clock:   clockwork.NewRealClock(),
+	}
+	a, err := NewWithDeps(s, logr.Discard(), deps)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ta.Agent = a
+	ctx, stop := context.WithCancel(context.Background())
+	ta.stop = stop
+	t.Cleanup(stop)
+	go func() { ta.done <- a.Run(ctx) }()
+	for range 200 {
+		if ta.control.last() == wire.StateReady {
+			return ta
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the agent did not become ready")
+	return nil
+}
+
+func (ta *testAgent) post(path, token string, body any) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	hr, err := http.NewRequest(http.MethodPost, "http://"+ta.settings.HTTPAddr+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	hr.Header.Set("Authorization", "Bearer "+token)
+	return http.DefaultClient.Do(hr)
+}
+
+// order sends an order and returns its frames.
+func (ta *testAgent) order(t *testing.T, requestID, identity string) []wire.Frame {
+	t.Helper()
+	resp, err := ta.post(wire.PathExecute, ta.token, wire.ExecuteRequest{
+		RequestID: requestID, Attempt: 1, Organisation: "org", Service: "orders", Cost: 1, NonIdempotent: true, Identity: identity, DeadlineMS: 5000,
+		Call: &wire.PlainCall{Method: "POST", Path: "/orders", Body: []byte("rope")},
+	})
+	if err != nil {
+		t.Error(err)
+		return []wire.Frame{{}}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var frames []wire.Frame
+	for d := json.NewDecoder(resp.Body); ; {
+		var f wire.Frame
+		if err := d.Decode(&f); err != nil {
+			return frames
+		}
+		frames = append(frames, f)
+	}
+}
+
+// Guards against a drain that interrupts a running order, takes new work, or
+// stops without two heirs that answer for it; and against calls without the token.
+func TestDrainHandsOrdersOver(t *testing.T) {
+	is := is.New(t)
+	arrived, hold := make(chan struct{}, 8), make(chan struct{})
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/orders" {
+			if r.URL.Path == "/load" {
+				w.WriteHeader(http.StatusNotFound)
+			}
+			return
+		}
+		arrived <- struct{}{}
+		<-hold
+		_, _ = fmt.Fprint(w, "shipped")
+	}))
+	defer endpoint.Close()
+	leaver := startAgent(t, "a1", "z1", endpoint.URL)
+	heirs := []*testAgent{startAgent(t, "a2", "z2", endpoint.URL), startAgent(t, "a3", "z3", endpoint.URL)}
+	dead := wire.Node{ID: "a4", Zone: "z2", RPCAddr: freeAddr(t)}
+	leaver.control.peers = []*control.Endpoint{{Node: dead}, {Node: heirs[0].self}, {Node: heirs[1].self}}
+
+	resp, err := leaver.post(wire.PathExecute, "wrong", wire.ExecuteRequest{})
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusUnauthorized)
+	is.NoErr(resp.Body.Close())
+
+	b := order.Binding{AgentID: "a1", Incarnation: leaver.self.Incarnation}
+	running := make(chan []wire.Frame)
+	go func() { running <- leaver.order(t, "r1", order.FormatIssued(b, 1, "x")) }()
+	<-arrived
+	leaver.stop()
+	for leaver.control.last() != wire.StateLeaving {
+		time.Sleep(time.Millisecond)
+	}
+	late := leaver.order(t, "r2", order.FormatIssued(b, 1, "late"))
+	is.Equal(late[len(late)-1].Refusal.Kind, api.KindLeaving)
+	is.Equal(late[len(late)-1].Refusal.Outcome, api.OutcomeNotRun)
+	close(hold)
+	frames := <-running
+	is.Equal(frames[len(frames)-1].Kind, wire.FrameEnd)
+	is.NoErr(<-leaver.done)
+	is.Equal(len(leaver.control.heirs), 2)
+	for _, heir := range heirs {
+		again := heir.order(t, "r3", order.FormatIssued(b, 1, "x"))
+		is.Equal(string(again[2].Data), "shipped")
+		again = heir.order(t, "r4", order.FormatIssued(b, 1, "late"))
+		is.Equal(again[0].Refusal.Outcome, api.OutcomeNotRun)
+		again = heir.order(t, "r5", order.FormatIssued(b, 1, "unseen"))
+		is.Equal(again[0].Refusal.Outcome, api.OutcomeUnknown)
+	}
+	is.Equal(len(arrived), 0) // the order ran once
+}
+
+// Guards against envelopes that crash the agent or are read as something else
+// than was sent.
+func FuzzDecodeExecute(f *testing.F) {
+	f.Add([]byte(`{"request_id":"r1","attempt":1,"generate":{"prompt":"p","max_tokens":2}}`))
+	f.Add([]byte(`{"request_id":"r1","call":{"method":"POST","path":"/orders","body":"cm9wZQ=="}}{}`))
+	f.Add([]byte(`{"deadline_ms":1e99}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		req, err := decodeExecute(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		first, err := json.Marshal(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodeExecute(io.LimitReader(bytes.NewReader(first), int64(len(first))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, _ := json.Marshal(again)
+		if !bytes.Equal(first, second) {
+			t.Fatalf("%s became %s", first, second)
+		}
+	})
+}
