Take first-token time from model streams only; keep endpoint connections

Cause: the paths of a plain service differ in time, so a burst of slow ones would have turned the endpoint cold. A stream's connection was dropped after [DONE], because its body was not read to the end. A ready announcement could follow the announcement that the agent leaves. Change: plain calls give no first-token time; the body is read to its end for at most 10 ms; the drain waits for the end of the ready announcement; counters of admission decisions; a benchmark of a plain call.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,6 +47,9 @@
 
 	httpListener net.Listener
 	rpcListener  net.Listener
+	// announced is closed when the agent no longer waits to announce that it
+	// is ready, so that this cannot follow the announcement that it leaves.
+	announced chan struct{}
 }
 
 // New builds an agent from validated settings and opens its listeners.
@@ -60,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{settings: s, deps: deps, log: log, token: wire.ExecuteToken(key), pool: peer.NewPool(key)}
+	a := &Agent{settings: s, deps: deps, log: log, token: wire.ExecuteToken(key), pool: peer.NewPool(key), announced: make(chan struct{})}
 	if err := a.assemble(key); err != nil {
 		return nil, err
 	}
@@ -170,6 +173,7 @@
 
 // announceReady announces the agent once its endpoint may get work.
 func (a *Agent) announceReady(ctx, base context.Context) {
+	defer close(a.announced)
 	ticker := a.deps.Clock.NewTicker(readyPoll)
 	defer ticker.Stop()
 	for !a.gate.Ready() {
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -25,6 +25,7 @@
 func (a *Agent) drain(ctx context.Context) {
 	a.log.Info("leaving", "reason", "stop requested")
 	a.gate.Leave()
+	<-a.announced
 	a.control.SetState(wire.StateLeaving)
 	if err := a.gate.Drain(ctx); err != nil {
 		a.log.Error(err, "drain ended early")
--- a/gate/admission_test.go
+++ b/gate/admission_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"math/rand"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"github.com/wasabinotch/wasabinotch/api"
@@ -185,6 +188,29 @@
 	close(h.ep.hold)
 }
 
+// Guards against a refused request that runs when a late duplicate arrives, an
+// entry that cannot send it again, and unbounded memory.
+func TestClosedRequestsStayClosed(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	c := newClosedSet(h.clock)
+	req := stock("r1")
+	req.Attempt = 2
+	is.True(c.add(req))
+	for attempt, want := range []bool{true, true, true, false} {
+		late := *req
+		late.Attempt = attempt
+		is.Equal(c.contains(&late), want)
+	}
+	for i := len(c.order); i < maxClosed; i++ {
+		c.order = append(c.order, closedItem{key: uint64(i), at: h.clock.Now()})
+	}
+	is.True(!c.add(stock("r2"))) // no room: the refusal is reported as unknown
+	h.clock.Advance(closedFor + time.Second)
+	is.True(c.add(stock("r2")))
+	is.Equal(len(c.order), 1)
+}
+
 // Guards against a drain that interrupts or drops running work.
 func TestDrainFinishesRunningWork(t *testing.T) {
 	is := is.New(t)
@@ -264,3 +290,27 @@
 	is.Equal(refused["small"], 0)                  // a full queue does not keep small out
 	is.True(served["small"] > 0.99*asked["small"]) // small gets all it asks for
 }
+
+// Measures the gate's part of a plain call against a direct call.
+func BenchmarkPlainCall(b *testing.B) {
+	h := newHarnessWith(b, clockwork.NewRealClock())
+	for !h.Ready() {
+		h.poll(b.Context())
+	}
+	b.Run("gate", func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			h.view.change(func(s *control.Snapshot) { s.ConfirmedAt = time.Now() })
+			h.Execute(b.Context(), stock(strconv.Itoa(i)), func(wire.Frame) error { return nil })
+		}
+	})
+	b.Run("direct", func(b *testing.B) {
+		for b.Loop() {
+			resp, err := h.client.Get(h.ep.URL + "/stock")
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
+	})
+}
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -240,6 +240,7 @@
 
 func (g *Gate) refuse(s *stream, r *api.Refusal) {
 	limit, inFlight := g.occupancy()
+	refusedByKind.Add(string(r.Kind), 1)
 	g.cfg.Log.Info("refused", "request_id", s.req.RequestID, "attempt", s.req.Attempt, "organisation", s.req.Organisation,
 		"kind", r.Kind, "outcome", r.Outcome, "reason", r.Message)
 	s.refused(r, limit, inFlight)
@@ -247,6 +248,7 @@
 
 func (g *Gate) logAdmitted(req *wire.ExecuteRequest) {
 	limit, inFlight := g.occupancy()
+	admitted.Add(1)
 	g.cfg.Log.Info("admitted", "request_id", req.RequestID, "attempt", req.Attempt, "organisation", req.Organisation,
 		"reason", "a slot is free", "limit", limit, "in_flight", inFlight)
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -64,7 +64,7 @@
 	arrivals atomic.Int64
 }
 
-func newEndpoint(t *testing.T, now time.Time) *fakeEndpoint {
+func newEndpoint(t testing.TB, now time.Time) *fakeEndpoint {
 	e := &fakeEndpoint{orders: make(map[string]int), report: loadReport{BootID: "b1", ReportedAt: now.Add(time.Millisecond)}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/load", e.serveLoad)
@@ -130,16 +130,22 @@
 	*Gate
 	view  *fakeView
 	ep    *fakeEndpoint
-	clock *clockwork.FakeClock
+	clock *clockwork.FakeClock // nil with a real clock
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t testing.TB) *harness {
 	clock := clockwork.NewFakeClock()
+	h := newHarnessWith(t, clock)
+	h.clock = clock
+	return h
+}
+
+func newHarnessWith(t testing.TB, clock clockwork.Clock) *harness {
 	ep := newEndpoint(t, clock.Now())
 	view := newView(clock.Now())
 	table := order.NewTable(order.TableConfig{Self: order.Binding{AgentID: self.ID, Incarnation: self.Incarnation}, Clock: clock, Log: logr.Discard()})
 	g := New(Config{Self: self, Endpoint: strings.TrimPrefix(ep.URL, "http://"), View: view, Orders: table, Clock: clock, Log: logr.Discard()})
-	return &harness{Gate: g, view: view, ep: ep, clock: clock}
+	return &harness{Gate: g, view: view, ep: ep}
 }
 
 // frames runs a request and returns its frames.
--- a/gate/model.go
+++ b/gate/model.go
@@ -21,6 +21,9 @@
 	pathCancel      = "/cancel"
 	// maxEventBytes bounds one line of an endpoint's event stream.
 	maxEventBytes = 1 << 20
+	// closeWait bounds the wait for the end of the body after [DONE]. Reading
+	// to the end keeps the connection for the next request.
+	closeWait = 10 * time.Millisecond
 	// cancelTimeout bounds a cancel call, which outlives its request.
 	cancelTimeout = 2 * time.Second
 )
@@ -79,11 +82,18 @@
 	if err != nil || m.sendErr != nil {
 		return m.failed(ctx, true, err)
 	}
+	readToEnd(resp.Body)
 	m.res.good = true
 	m.res.reason = m.reason
 	return m.res
 }
 
+func readToEnd(body io.ReadCloser) {
+	timer := time.AfterFunc(closeWait, func() { _ = body.Close() })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxEventBytes)) // a failure only costs the connection
+}
+
 func (g *Gate) postCompletion(ctx context.Context, req *wire.ExecuteRequest) (*http.Response, error) {
 	body, err := json.Marshal(completion{
 		Model:      req.Service,
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -29,7 +29,6 @@
 
 // runPlain makes a plain call and relays its answer.
 func (g *Gate) runPlain(ctx context.Context, client *http.Client, req *wire.ExecuteRequest, out sink, sl *slot) result {
-	start := g.cfg.Clock.Now()
 	traced, sent := traceSent(ctx)
 	hr, err := g.plainRequest(traced, req)
 	if err != nil {
@@ -41,7 +40,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	g.taken(sl)
-	res := result{firstToken: g.cfg.Clock.Since(start), served: max(req.Cost, 1), reason: "stop"}
+	// Plain calls give no first-token time: paths of one service differ more
+	// than a cold endpoint differs from a warm one.
+	res := result{served: max(req.Cost, 1), reason: "stop"}
 	if err := relayBody(resp, out); err != nil {
 		failed := plainFailed(ctx, true, err)
 		failed.served = res.served
