Tell orders that never reached a stopped agent apart from lost ones

Cause: an identity issued for an agent that stopped as planned, but never sent to it, was answered as unknown by the heirs although it cannot have run. Change: the last HandOver call states that the outcomes of the incarnation are whole, with its oldest open epochs; heirs then answer not_run for identities without an outcome, until the first of its outcomes expires.

The result of the last check is passed from the dialling goroutine atomically.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -212,6 +212,9 @@
 		again = heir.order(t, "r4", order.FormatIssued(b, 1, "late"))
 		is.Equal(again[0].Refusal.Outcome, api.OutcomeNotRun)
 		again = heir.order(t, "r5", order.FormatIssued(b, 1, "unseen"))
+		is.Equal(again[0].Refusal.Outcome, api.OutcomeNotRun)
+		other := order.Binding{AgentID: "a1", Incarnation: leaver.self.Incarnation + 1}
+		again = heir.order(t, "r6", order.FormatIssued(other, 1, "x"))
 		is.Equal(again[0].Refusal.Outcome, api.OutcomeUnknown)
 	}
 	is.Equal(len(arrived), 0) // the order ran once
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -40,11 +40,12 @@
 
 // handOver gives the order outcomes to two other agents of the service.
 func (a *Agent) handOver(ctx context.Context) {
+	snap := a.control.Snapshot()
+	svc := snap.Services[snap.Self.Service]
 	outcomes := a.orders.Outcomes()
-	if len(outcomes) == 0 {
+	if len(outcomes) == 0 && (svc == nil || len(svc.NonIdempotentPaths) == 0) {
 		return
 	}
-	snap := a.control.Snapshot()
 	var heirs []string
 	for _, e := range heirCandidates(snap) {
 		if len(heirs) == wantedHeirs {
@@ -90,20 +91,27 @@
 	return list
 }
 
-// sendOutcomes sends all outcomes to one heir in bounded calls.
+// sendOutcomes sends all outcomes to one heir in bounded calls. The last call
+// states that they are whole, which holds since every part before was stored.
 func (a *Agent) sendOutcomes(ctx context.Context, self wire.Node, addr string, outcomes []wire.OrderOutcome) error {
-	for len(outcomes) > 0 {
+	for {
 		n, size := 0, 0
 		for n < len(outcomes) && (n == 0 || size < handOverBytes) {
 			size += len(outcomes[n].Identity) + len(outcomes[n].Body)
 			n++
 		}
-		if err := a.sendPart(ctx, addr, wire.HandOverArgs{From: self, Outcomes: outcomes[:n]}); err != nil {
+		args := wire.HandOverArgs{From: self, Outcomes: outcomes[:n]}
+		outcomes = outcomes[n:]
+		if len(outcomes) == 0 {
+			args.Whole = a.orders.Whole()
+		}
+		if err := a.sendPart(ctx, addr, args); err != nil {
 			return err
 		}
-		outcomes = outcomes[n:]
+		if len(outcomes) == 0 {
+			return nil
+		}
 	}
-	return nil
 }
 
 func (a *Agent) sendPart(ctx context.Context, addr string, args wire.HandOverArgs) error {
--- a/gate/admission_test.go
+++ b/gate/admission_test.go
@@ -53,6 +53,36 @@
 	is.Equal(h.Load().Limit, 2) // no growth while it reports cold
 }
 
+// Guards against new work on an endpoint that turned cold under load, and
+// against priorities that are ignored within an organisation.
+func TestColdEndpointGetsNoNewWorkUntilBelowTheLimit(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.poll(t.Context())
+	h.limit.set(4)
+	var running []*waiter
+	add := func(priority int) *waiter {
+		w := &waiter{org: "big", cost: 1, priority: priority, ready: make(chan struct{})}
+		is.Equal(h.enqueue(w), nil)
+		return w
+	}
+	for range 4 {
+		running = append(running, add(0))
+	}
+	h.ep.report.BootID, h.ep.report.Running = "b2", 4
+	h.poll(t.Context())
+	low, high := add(0), add(1)
+	for i, w := range running {
+		is.Equal(h.Load().InFlight, 4-i)
+		is.Equal(high.slot == nil, true)
+		h.release(w.slot, result{})
+		if i == 2 {
+			break
+		}
+	}
+	is.True(high.slot != nil && low.slot == nil) // 1 of 2 was in flight
+}
+
 // Guards against an endpoint that slowed down and keeps its full load.
 func TestSlowFirstTokenTurnsCold(t *testing.T) {
 	is := is.New(t)
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -94,8 +94,11 @@
 // marks as non-idempotent is one whatever the envelope says.
 func classify(req *wire.ExecuteRequest, svc *bundle.Service) (bool, *api.Refusal) {
 	if req.NonIdempotent {
-		if req.Call == nil || req.Identity == "" {
-			return true, api.NotRun(api.KindIdentityRequired, "an order needs a call and an identity", "send an Idempotency-Key from /v1/resolve")
+		if req.Identity == "" {
+			return true, api.NotRun(api.KindIdentityRequired, "an order needs an identity", "send an Idempotency-Key from /v1/resolve")
+		}
+		if req.Call == nil {
+			return true, api.Unknown(api.KindBadRequest, "an order needs a call", "set call")
 		}
 		return true, nil
 	}
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -124,18 +125,20 @@
 func (g *Gate) callOrder(ctx context.Context, req *wire.ExecuteRequest, o *order.Order, sl *slot) result {
 	ctx, cancel := g.withDeadline(ctx, g.timeout())
 	defer cancel()
-	var refused *api.Refusal
+	var refused atomic.Pointer[api.Refusal] // set by the transport's dial
 	ctx = context.WithValue(ctx, lastCheckKey{}, func() error {
-		if refused = g.checkView(g.cfg.View.Snapshot()); refused != nil {
-			return refused
+		r := g.checkView(g.cfg.View.Snapshot())
+		if r == nil {
+			return nil
 		}
-		return nil
+		refused.Store(r)
+		return r
 	})
 	rec := &recorder{}
 	res := g.runPlain(ctx, g.orders, req, rec, sl)
 	switch {
-	case res.unsent && refused != nil:
-		o.Close(refused)
+	case res.unsent && refused.Load() != nil:
+		o.Close(refused.Load())
 	case res.unsent:
 		o.Close(res.refusal)
 	case res.refusal != nil:
--- a/order/epoch.go
+++ b/order/epoch.go
@@ -12,19 +12,25 @@
 
 // Refresh reads the epoch record of a service and creates it if there is none.
 func (j *Journal) Refresh(ctx context.Context, service string) error {
-	entry, err := j.store.Get(ctx, epochKey(service))
-	if err != nil {
-		return err
-	}
-	if entry.Revision == 0 {
-		return j.writeEpoch(ctx, service, epochRecord{Epoch: 1}, 0)
-	}
-	r, err := decodeEpoch(entry)
-	if err != nil {
-		return err
+	for range maxTries {
+		entry, err := j.store.Get(ctx, epochKey(service))
+		if err != nil {
+			return err
+		}
+		if entry.Revision != 0 {
+			r, err := decodeEpoch(entry)
+			if err != nil {
+				return err
+			}
+			j.setEpoch(service, r)
+			return nil
+		}
+		err = j.writeEpoch(ctx, service, epochRecord{Epoch: 1}, 0)
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
+			return err
+		}
 	}
-	j.setEpoch(service, r)
-	return nil
+	return store.ErrConflict
 }
 
 // writeEpoch writes the record by compare-and-swap. The view follows with the
--- a/order/outcomes.go
+++ b/order/outcomes.go
@@ -93,11 +93,60 @@
 	return true
 }
 
+// Whole returns the statements that go with Outcomes. It may be called only
+// after the last order has ended and when no new one can be started.
+func (t *Table) Whole() []wire.WholeOutcomes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	oldest, current := uint64(0), t.Epoch()
+	if current > OpenAgentEpochs {
+		oldest = current - OpenAgentEpochs
+	}
+	out := make([]wire.WholeOutcomes, 0, len(t.own)+len(t.whole))
+	for incarnation := range t.own {
+		w := wire.WholeOutcomes{AgentID: t.cfg.Self.AgentID, Incarnation: incarnation, OldestAgentEpoch: oldest}
+		if t.highest > 0 {
+			w.OldestJournalEpoch = t.highest - 1
+		}
+		out = append(out, w)
+	}
+	for _, w := range t.whole {
+		out = append(out, w)
+	}
+	return out
+}
+
+// InheritWhole records that all outcomes of the incarnations were stored here.
+// An incarnation of which an outcome has expired again loses the statement.
+func (t *Table) InheritWhole(whole []wire.WholeOutcomes) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range whole {
+		if !t.own[w.Incarnation] {
+			t.whole[w.Incarnation] = w
+		}
+	}
+}
+
+// neverRan reports whether the order's incarnation has stopped without having
+// seen the identity.
+func (t *Table) neverRan(c Claim) bool {
+	w, found := t.whole[c.incarnation()]
+	if !found {
+		return false
+	}
+	if c.Identity.Issued {
+		return w.AgentID == c.Identity.Binding.AgentID && c.Identity.AgentEpoch >= w.OldestAgentEpoch
+	}
+	return c.Identity.Epoch >= w.OldestJournalEpoch
+}
+
 func (t *Table) pruneInherited() {
 	for key, h := range t.inherited {
 		if t.cfg.Clock.Since(h.at) > inheritedFor {
 			t.heirBytes -= h.bytes
 			delete(t.inherited, key)
+			delete(t.whole, key.incarnation) // its outcomes are no longer whole
 		}
 	}
 }
@@ -106,6 +155,9 @@
 // runs here.
 func (t *Table) fromInherited(c Claim) (*Order, *api.Refusal) {
 	h := t.inherited[inheritedKey{scoped: c.Identity.Scoped(), incarnation: c.incarnation()}]
+	if h == nil && t.neverRan(c) {
+		return nil, api.NotRun(api.KindIdentityClosed, "the agent of the order has stopped without having seen it", "send the order with a new identity from /v1/resolve")
+	}
 	if h == nil {
 		return nil, api.Unknown(api.KindIdentityClosed,
 			"the identity is bound to another agent incarnation, whose outcomes are not held here",
--- a/order/table.go
+++ b/order/table.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/wire"
 )
 
 const (
@@ -50,10 +51,11 @@
 	own       map[uint64]bool   // incarnations drawn by this process
 	orders    map[string]*Order // by scoped identity
 	inherited map[inheritedKey]*inheritedOutcome
-	used      int    // bytes of records and reservations
-	heirBytes int    // bytes of inherited outcomes
-	pruned    uint64 // agent epoch of the last prune
-	highest   uint64 // highest journal epoch seen in a bound key
+	whole     map[uint64]wire.WholeOutcomes // by incarnation
+	used      int                           // bytes of records and reservations
+	heirBytes int                           // bytes of inherited outcomes
+	pruned    uint64                        // agent epoch of the last prune
+	highest   uint64                        // highest journal epoch seen in a bound key
 }
 
 // NewTable returns an empty table of the incarnation cfg.Self.
@@ -67,6 +69,7 @@
 		own:       map[uint64]bool{cfg.Self.Incarnation: true},
 		orders:    make(map[string]*Order),
 		inherited: make(map[inheritedKey]*inheritedOutcome),
+		whole:     make(map[uint64]wire.WholeOutcomes),
 	}
 }
 
--- a/wire/rpc.go
+++ b/wire/rpc.go
@@ -95,6 +95,21 @@
 type HandOverArgs struct {
 	From     Node
 	Outcomes []OrderOutcome
+	// Whole is set in the last call of a hand-over. It names the incarnations
+	// of which the receiver now has all outcomes.
+	Whole []WholeOutcomes
+}
+
+// WholeOutcomes states that all outcomes of one incarnation were handed over
+// and that it runs no more orders: an identity in its open epochs without an
+// outcome did not run and never will.
+type WholeOutcomes struct {
+	AgentID     string
+	Incarnation uint64
+	// OldestAgentEpoch and OldestJournalEpoch are the lowest epochs of which
+	// the incarnation still had its records.
+	OldestAgentEpoch   uint64
+	OldestJournalEpoch uint64
 }
 
 // HandOverReply answers HandOverArgs.
