--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,6 +47,9 @@
 
 	httpListener net.Listener
 	rpcListener  net.Listener
+	// announced is closed when the agent no longer waits to announce that it
+	// is ready, so that this cannot follow the announcement that it leaves.
+	announced chan struct{}
 }
 
 // New builds an agent from validated settings and opens its listeners.
@@ -60,7 +63,14 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{settings: s, deps: deps, log: log, token: wire.ExecuteToken(key), pool: peer.NewPoolFrom(key, peer.DialFrom(s.SourceIP))}
+	a := &Agent{
+		settings:  s,
+		deps:      deps,
+		log:       log,
+		token:     wire.ExecuteToken(key),
+		pool:      peer.NewPoolFrom(key, peer.DialFrom(s.SourceIP)),
+		announced: make(chan struct{}),
+	}
 	if err := a.assemble(key); err != nil {
 		return nil, err
 	}
@@ -149,12 +159,12 @@
 	group, base := errgroup.WithContext(base)
 	group.Go(func() error { return ignoreStop(a.control.Run(base)) })
 	group.Go(func() error { a.gate.Run(base); return nil })
-	group.Go(func() error { return ignoreStop(a.http.Serve(a.httpListener)) })
-	group.Go(func() error { a.rpc.Serve(a.rpcListener); return nil })
-	group.Go(func() error { a.announceReady(ctx, base); return nil })
 	if a.rank != nil {
 		group.Go(func() error { return ignoreStop(a.rank.Run(base)) })
 	}
+	group.Go(func() error { return ignoreStop(a.http.Serve(a.httpListener)) })
+	group.Go(func() error { a.rpc.Serve(a.rpcListener); return nil })
+	group.Go(func() error { a.announceReady(ctx, base); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -173,6 +183,7 @@
 
 // announceReady announces the agent once its endpoint may get work.
 func (a *Agent) announceReady(ctx, base context.Context) {
+	defer close(a.announced)
 	ticker := a.deps.Clock.NewTicker(readyPoll)
 	defer ticker.Stop()
 	for !a.gate.Ready() {
--- a/gate/execute.go
+++ b/gate/execute.go
@@ -94,8 +94,11 @@
 // marks as non-idempotent is one whatever the envelope says.
 func classify(req *wire.ExecuteRequest, svc *bundle.Service) (bool, *api.Refusal) {
 	if req.NonIdempotent {
-		if req.Call == nil || req.Identity == "" {
-			return true, api.NotRun(api.KindIdentityRequired, "an order needs a call and an identity", "send an Idempotency-Key from /v1/resolve")
+		if req.Identity == "" {
+			return true, api.NotRun(api.KindIdentityRequired, "an order needs an identity", "send an Idempotency-Key from /v1/resolve")
+		}
+		if req.Call == nil {
+			return true, api.Unknown(api.KindBadRequest, "an order needs a call", "set call")
 		}
 		return true, nil
 	}
@@ -240,6 +243,7 @@
 
 func (g *Gate) refuse(s *stream, r *api.Refusal) {
 	limit, inFlight := g.occupancy()
+	refusedByKind.Add(string(r.Kind), 1)
 	g.cfg.Log.Info("refused", "request_id", s.req.RequestID, "attempt", s.req.Attempt, "organisation", s.req.Organisation,
 		"kind", r.Kind, "outcome", r.Outcome, "reason", r.Message)
 	s.refused(r, limit, inFlight)
@@ -247,6 +251,7 @@
 
 func (g *Gate) logAdmitted(req *wire.ExecuteRequest) {
 	limit, inFlight := g.occupancy()
+	admitted.Add(1)
 	g.cfg.Log.Info("admitted", "request_id", req.RequestID, "attempt", req.Attempt, "organisation", req.Organisation,
 		"reason", "a slot is free", "limit", limit, "in_flight", inFlight)
 }
