Give agents a deadline that ends before the entry's own

Cause: a request that waited at an agent until its deadline was reported as unknown by the entry, whose time-out ended at the same moment, although the agent knew that it had not run.

Change: the deadline sent to agents is 100 ms shorter, or half of a shorter rest.

Conclusion: such refusals arrive in time to be passed on as not run.

--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -23,6 +23,10 @@
 	silentLimit = 3 * time.Second
 	// watchInterval is the time between two checks for silence.
 	watchInterval = 500 * time.Millisecond
+	// deadlineMargin is the time by which an agent's deadline is shorter, so
+	// that its refusal of a request that waited too long arrives in time to
+	// be reported as not run.
+	deadlineMargin = 100 * time.Millisecond
 	// maxErrorBytes bounds an agent's answer that carries no frames.
 	maxErrorBytes = 64 << 10
 )
@@ -110,7 +114,8 @@
 		Call:              c.plain,
 	}
 	if deadline, ok := c.ctx.Deadline(); ok {
-		rq.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
+		left := time.Until(deadline)
+		rq.DeadlineMS = max(1, max(left/2, left-deadlineMargin).Milliseconds())
 	}
 	if c.generate != nil {
 		g := *c.generate
--- a/pipeline/orders_test.go
+++ b/pipeline/orders_test.go
@@ -53,6 +53,7 @@
 	is.Equal(rq.ExpectIncarnation, uint64(incarnation))
 	is.Equal(rq.Identity, issued)
 	is.True(rq.NonIdempotent)
+	is.True(rq.DeadlineMS > 4000 && rq.DeadlineMS <= 4900) // of 5 s: the agent answers first
 }
 
 // Guards against the wrong outcome of an order: "not run" although an earlier
@@ -161,7 +162,7 @@
 func TestOwnKeyBoundElsewhere(t *testing.T) {
 	is := is.New(t)
 	g := newRig(t, "desk", callOK, callOK)
-	g.binder.bound["batinah/e1.mine"] = order.Binding{AgentID: "agent-9", Incarnation: 1}
+	g.binder.bound[order.Identity{Organisation: "batinah", Raw: "e1.mine"}.Scoped()] = order.Binding{AgentID: "agent-9", Incarnation: 1}
 	is.Equal(g.order("e1.mine", first).refusal.Outcome, api.OutcomeUnknown)
 	is.Equal(g.executed(), 0)
 	g.binder.err = api.NotRun(api.KindStoreUnavailable, "store is down", "retry")
