Ask any agent of the service for the outcome of an order whose agent is gone

Cause: outcomes are handed to two heirs, which the stopped agent announces in its record. A new process on the same VM replaces that record, and a repeated key then got outcome unknown although the heirs hold the answer. Change: once the bound incarnation's record is gone, up to 16 agents of the service are asked; the order table answers unknown for incarnations it does not hold, and runs nothing.

--- a/pipeline/orders.go
+++ b/pipeline/orders.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/api"
@@ -18,6 +20,9 @@
 	// orderPause is the time between two rounds. It covers a reset
 	// connection; a lost agent is found by its silence.
 	orderPause = 200 * time.Millisecond
+	// maxHeirsAsked bounds the agents asked for the outcome of an order whose
+	// agent is gone.
+	maxHeirsAsked = 16
 	// boundSilentAfter is the age of the bound agent's last report beyond
 	// which it gets no new order.
 	boundSilentAfter = 2 * time.Second
@@ -177,12 +182,13 @@
 }
 
 // targets returns the agents to ask: the bound incarnation, then its heirs,
-// which answer from handed-over outcomes and run nothing.
+// which answer from handed-over outcomes and run nothing. Once the record of
+// the bound incarnation is gone, any agent of the service may be an heir.
 func (p *Pipeline) targets(c *call, b order.Binding) ([]*control.Endpoint, *failure) {
 	snap := p.View.Snapshot()
 	ep := snap.AgentByID[b.AgentID]
 	if ep == nil || ep.Node.Incarnation != b.Incarnation {
-		return nil, own(api.KindIdentityClosed, "the agent of this order is gone", p.remedy(c))
+		return p.possibleHeirs(c, snap)
 	}
 	if ep.Node.Service != c.service.Name {
 		return nil, own(api.KindBadRequest, "the order identity belongs to another service", remedyNewIdentity)
@@ -199,6 +205,21 @@
 	return list, nil
 }
 
+// possibleHeirs returns live agents of the service. A new order is not sent:
+// none of them may run it.
+func (p *Pipeline) possibleHeirs(c *call, snap *control.Snapshot) ([]*control.Endpoint, *failure) {
+	gone := own(api.KindIdentityClosed, "the agent of this order is gone", p.remedy(c))
+	if c.firstAttempt && !c.maybeRan {
+		return nil, gone
+	}
+	list := slices.Clone(snap.Endpoints[c.service.Name])
+	if len(list) == 0 {
+		return nil, gone
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxHeirsAsked)], nil
+}
+
 // mayGetOrder checks whether the bound agent may get a new order.
 func (p *Pipeline) mayGetOrder(snap *control.Snapshot, ep *control.Endpoint) *failure {
 	switch {
