Read the VM list in the format of the platform's stand-in

Cause: the control loop expected a bare list with the field vm, the stand-in serves an object with VMs by name; each side was tested against itself, so a leaving VM was never seen. Change: one format; the test reads from the stand-in.

--- a/control/confirm_test.go
+++ b/control/confirm_test.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/lab/vmlist"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
@@ -131,11 +130,12 @@
 // The VM list adds hints while it is fresh, and changes nothing when it fails.
 func TestVMList(t *testing.T) {
 	is := is.New(t)
-	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write([]byte(`[{"vm":"v1","zone":"a","state":"leaving"},{"vm":"v2","zone":"a","state":"live"}]`))
-	}))
+	list, err := vmlist.Listen("127.0.0.1:0", 0)
+	is.NoErr(err)
 	defer list.Close()
-	leaving, err := readVMs(t.Context(), http.DefaultClient, strings.TrimPrefix(list.URL, "http://"))
+	list.Put(vmlist.VM{Name: "v1", Zone: "a", State: vmlist.StateLeaving})
+	list.Put(vmlist.VM{Name: "v2", Zone: "a", State: vmlist.StateLive})
+	leaving, err := readVMs(t.Context(), http.DefaultClient, list.Addr())
 	is.NoErr(err)
 	is.Equal(leaving, map[string]bool{"v1": true})
 	now := time.Unix(1_000_000, 0)
--- a/control/vmlist.go
+++ b/control/vmlist.go
@@ -16,11 +16,15 @@
 	maxVMListBytes = 1 << 20
 )
 
-// vmEntry is one VM in the platform's list.
-type vmEntry struct {
-	VM    string `json:"vm"`
-	Zone  string `json:"zone"`
-	State string `json:"state"` // "live" or "leaving"
+// pathVMs is the path of the platform's list.
+const pathVMs = "/vms"
+
+// vmListing is the platform's list.
+type vmListing struct {
+	VMs []struct {
+		Name  string `json:"name"`
+		State string `json:"state"` // "live" or "leaving"
+	} `json:"vms"`
 }
 
 // vmList holds the VMs that the platform's list shows as leaving.
@@ -63,7 +67,7 @@
 }
 
 func readVMs(ctx context.Context, client *http.Client, addr string) (map[string]bool, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+pathVMs, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -72,14 +76,14 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var list []vmEntry
+	var list vmListing
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxVMListBytes)).Decode(&list); err != nil {
 		return nil, err
 	}
 	leaving := make(map[string]bool)
-	for _, v := range list {
+	for _, v := range list.VMs {
 		if v.State == "leaving" {
-			leaving[v.VM] = true
+			leaving[v.Name] = true
 		}
 	}
 	return leaving, nil
