--- a/cli/env.go
+++ b/cli/env.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"net/url"
 
 	"github.com/gravitational/trace"
 	"github.com/jessevdk/go-flags"
+
+	"github.com/wasabinotch/wasabinotch/api"
 )
 
 // Env is what the commands share: the output and the global options.
@@ -32,6 +36,26 @@
 	return c.do(http.MethodGet, path, nil, answer)
 }
 
+// decisions asks all entries, since only the one that served a request knows
+// its decisions.
+func (e *Env) decisions(requestID string) ([]api.Decision, error) {
+	var all []api.Decision
+	var errs []error
+	for _, entry := range e.Entries {
+		c := &client{entries: []string{entry}, apiKey: e.APIKey, http: &http.Client{}}
+		var found []api.Decision
+		if err := c.do(http.MethodGet, api.PathExplain+url.PathEscape(requestID), nil, &found); err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		all = append(all, found...)
+	}
+	if len(all) == 0 {
+		return nil, trace.NotFound("no entry knows request %s; name more entries with --entry, decisions are kept for recent requests only: %v", requestID, errors.Join(errs...))
+	}
+	return all, nil
+}
+
 func (e *Env) printJSON(v any) error {
 	enc := json.NewEncoder(e.Out)
 	enc.SetIndent("", "  ")
--- a/cli/show.go
+++ b/cli/show.go
@@ -77,8 +77,8 @@
 
 // Execute implements flags.Commander.
 func (x *ExplainCommand) Execute([]string) error {
-	var decisions []api.Decision
-	if err := x.env.get(api.PathExplain+x.Args.RequestID, &decisions); err != nil {
+	decisions, err := x.env.decisions(x.Args.RequestID)
+	if err != nil {
 		return err
 	}
 	for _, d := range decisions {
--- a/control/confirm_test.go
+++ b/control/confirm_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
