--- a/api/api.go
+++ b/api/api.go
@@ -114,12 +114,14 @@
 
 // ShareUsage compares agreed and served shares of one service.
 type ShareUsage struct {
-	Service       string  `json:"service"`
-	Organisation  string  `json:"organisation"`
-	AgreedShare   float64 `json:"agreed_share"` // fraction of 1
-	ServedShare   float64 `json:"served_share"` // fraction of 1 of the token cost served
-	ServedCost    float64 `json:"served_cost"`  // tokens
-	QueuedOrQuota int     `json:"queued"`       // requests waiting now
+	Service      string  `json:"service"`
+	Organisation string  `json:"organisation"`
+	AgreedShare  float64 `json:"agreed_share"` // fraction of 1
+	ServedShare  float64 `json:"served_share"` // fraction of 1 of the token cost served
+	ServedCost   float64 `json:"served_cost"`  // tokens
+	// Queued is the number of requests of the service that wait now, of all
+	// organisations.
+	Queued int `json:"queued"`
 }
 
 // Decision is one routing or placement decision as kept for explain.
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -47,12 +47,12 @@
 	var list []api.ShareUsage
 	for _, organisation := range slices.Sorted(maps.Keys(organisations)) {
 		list = append(list, api.ShareUsage{
-			Service:       s.Name,
-			Organisation:  organisation,
-			AgreedShare:   ratio(s.Shares[organisation], agreedTotal),
-			ServedShare:   ratio(served[organisation], servedTotal),
-			ServedCost:    served[organisation],
-			QueuedOrQuota: queued,
+			Service:      s.Name,
+			Organisation: organisation,
+			AgreedShare:  ratio(s.Shares[organisation], agreedTotal),
+			ServedShare:  ratio(served[organisation], servedTotal),
+			ServedCost:   served[organisation],
+			Queued:       queued,
 		})
 	}
 	return list
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
@@ -17,7 +18,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -113,9 +113,12 @@
 	return shape{zones: []string{"z1", "z2", "z3"}, entriesPerZone: 1, modelsPerZone: 1, desksPerZone: 1}
 }
 
-// clusters numbers the clusters of a test run, so that each has its own
-// loopback network.
-var clusters atomic.Int32
+// firstSubnet and subnets bound the second byte of a cluster's loopback
+// network, 127.SUBNET.0.0.
+const (
+	firstSubnet = 16
+	subnets     = 200
+)
 
 type cluster struct {
 	t       *testing.T
@@ -156,7 +159,7 @@
 func prepareCluster(t *testing.T, s shape) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, shape: s, subnet: byte(20 + clusters.Add(1)), dir: t.TempDir(), net: &network{},
+		t: t, shape: s, dir: t.TempDir(), net: &network{},
 		nodes: map[string]*node{}, engines: map[string]*enginesim.Engine{}, desks: map[string]*ordersim.Service{},
 		ledger: ordersim.NewLedger(), authKey: base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{7}, 32)),
 	}
@@ -188,11 +191,20 @@
 
 func (c *cluster) storeAddr() string { return fmt.Sprintf("%s:%d", c.ip(0, 1), portStore) }
 
+// startStore also claims a loopback network that no other cluster uses, in
+// this test run or in another at the same time.
 func (c *cluster) startStore() {
-	kv, err := kvsim.Listen(fmt.Sprintf("%s:%d", c.ip(0, 1), portStoreReal))
-	c.must(err)
-	c.kv = kv
-	c.proxy(c.storeAddr(), kv.Addr())
+	for range subnets {
+		c.subnet = byte(firstSubnet + rand.IntN(subnets))
+		kv, err := kvsim.Listen(fmt.Sprintf("%s:%d", c.ip(0, 1), portStoreReal))
+		if err != nil {
+			continue
+		}
+		c.kv = kv
+		c.proxy(c.storeAddr(), kv.Addr())
+		return
+	}
+	c.t.Fatal("no free loopback network; end other test runs")
 }
 
 func (c *cluster) addNodes() {
