--- /dev/null
+++ b/proof/settings_test.go
@@ -0,0 +1,75 @@
+package proof
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+	"github.com/wasabinotch/wasabinotch/settings"
+)
+
+func (c *cluster) writeSettings(n *node, index int) {
+	common := settings.Node{
+		ID: n.id, VM: "vm-" + n.id, Zone: n.zone,
+		HTTPAddr: n.addr(portHTTP), RPCAddr: n.addr(portRPC),
+		HTTPListen: n.addr(portHTTPListen), RPCListen: n.addr(portRPCListen), SourceIP: n.ip.String(),
+		Members:   []bundle.Key{{Name: "member", Public: base64.StdEncoding.EncodeToString(c.member.Public().(ed25519.PublicKey))}},
+		Threshold: 1, AuthKey: c.authKey,
+	}
+	for _, e := range c.entries() {
+		common.Entries = append(common.Entries, e.addr(portRPC))
+	}
+	var v any = settings.Entry{Node: common, StoreAddrs: []string{c.storeAddr()}, MapIntervalMS: mapInterval.Milliseconds()}
+	if n.program == "wasabinotch-agent" {
+		service := modelService
+		if strings.HasPrefix(n.id, "desk-") {
+			service = orderService
+		}
+		a := settings.Agent{Node: common, Service: service, EndpointAddr: n.addr(portEndpoint)}
+		if _, err := fmt.Sscanf(n.id, rankFormat, &a.Rank); err == nil {
+			a.Service, a.Group = rankService, rankGroup
+		}
+		v = a
+	}
+	data, err := json.Marshal(v)
+	c.must(err)
+	n.settings = filepath.Join(c.dir, fmt.Sprintf("%02d-%s.json", index, n.id))
+	c.must(os.WriteFile(n.settings, data, 0o600))
+}
+
+func (c *cluster) newBundle() bundle.Bundle {
+	c.orgs = []loadgen.Organisation{{Name: "batinah", Key: "key-batinah"}, {Name: "tidewrack", Key: "key-tidewrack"}}
+	b := bundle.Bundle{
+		Version: 1, Zones: c.shape.zones, Groups: c.groups(),
+		Operators: []bundle.Key{{Name: "operator", Public: base64.StdEncoding.EncodeToString(c.operator.Public().(ed25519.PublicKey))}},
+	}
+	shares := map[string]float64{}
+	for _, o := range c.orgs {
+		sum := sha256.Sum256([]byte(o.Key))
+		b.Organisations = append(b.Organisations, bundle.Organisation{Name: o.Name, KeyDigests: []string{hex.EncodeToString(sum[:])}})
+		shares[o.Name] = 1
+	}
+	model := bundle.Service{Name: modelService, Kind: bundle.KindModel, ColdLimit: 2, WarmLimit: 16, QueueLimit: 64, TimeoutMS: 20000, Shares: shares}
+	orders := bundle.Service{Name: orderService, Kind: bundle.KindPlain, NonIdempotentPaths: []string{"/orders"},
+		ColdLimit: 4, WarmLimit: 8, QueueLimit: 256, TimeoutMS: 10000, Shares: shares}
+	if c.shape.service != nil {
+		c.shape.service(&model)
+	}
+	if c.shape.orders != nil {
+		c.shape.orders(&orders)
+	}
+	b.Services = []bundle.Service{model, orders}
+	if c.shape.ranks > 0 {
+		b.Services = append(b.Services, bundle.Service{Name: rankService, Kind: bundle.KindModel,
+			ColdLimit: 1, WarmLimit: 1, QueueLimit: 1, TimeoutMS: 1000, Shares: shares})
+	}
+	return b
+}
