Write bundles and intents against the watched revision first

Change: an entry that watches the store writes against the revision that it last saw, and reads the key only after a conflict or before a refusal.

--- a/control/admin.go
+++ b/control/admin.go
@@ -30,12 +30,16 @@
 	raw     []byte
 	digest  string
 	intents bundle.Intents
+	// head and record are the store's entries as last watched, if seen is set.
+	head, record store.Entry
+	seen         bool
 }
 
 type configQuery struct{ answer chan configState }
 
 func (q configQuery) apply(l *Loop) {
-	q.answer <- configState{l.signed, l.signedRaw, l.digest, l.intents}
+	seen := l.stores.seen && l.stores.watching.Load()
+	q.answer <- configState{l.signed, l.signedRaw, l.digest, l.intents, l.stores.head, l.stores.record, seen}
 }
 
 func (l *Loop) current(ctx context.Context) (configState, *api.Refusal) {
@@ -103,16 +107,20 @@
 
 // writeBundle writes the bundle as the successor of the one in force.
 func (l *Loop) writeBundle(ctx context.Context, c *candidate) *api.Refusal {
-	if now, refusal := l.current(ctx); refusal != nil || now.digest == c.digest {
+	now, refusal := l.current(ctx)
+	if refusal != nil || now.digest == c.digest {
 		return refusal // already in force; the nodes restore it if the store lost it
 	}
 	unknown := false
-	for range writeAttempts {
-		entry, err := l.cfg.Store.Get(ctx, store.KeyBundle)
+	for i := range writeAttempts {
+		entry, err := l.readEntry(ctx, store.KeyBundle, now.head, now.seen && i == 0)
 		if err != nil {
 			return storeRefusal(err, unknown)
 		}
 		done, refusal := l.checkHead(ctx, c, entry)
+		if refusal != nil && now.seen && i == 0 {
+			continue // the watched entry may be old; decide on the current one
+		}
 		if done || refusal != nil {
 			return refusal
 		}
@@ -130,6 +138,16 @@
 	return storeRefusal(store.ErrUnknown, unknown)
 }
 
+// readEntry returns the entry as last watched if it may be used, which saves a
+// call of the node's budget, or else reads it. Compare-and-swap on an old entry
+// is a conflict.
+func (l *Loop) readEntry(ctx context.Context, key string, watched store.Entry, use bool) (store.Entry, error) {
+	if use {
+		return watched, nil
+	}
+	return l.cfg.Store.Get(ctx, key)
+}
+
 // checkHead compares the bundle with the head in the store and with the one in
 // force here, whichever is newer. It reports true if the bundle is in the store.
 func (l *Loop) checkHead(ctx context.Context, c *candidate, entry store.Entry) (bool, *api.Refusal) {
--- a/control/admin_intent.go
+++ b/control/admin_intent.go
@@ -55,12 +55,13 @@
 // record. While the store is down, an out is accepted without it.
 func (l *Loop) writeIntent(ctx context.Context, in bundle.Intent) (record bundle.Intents, inStore bool, refusal *api.Refusal) {
 	unknown := false
-	for range writeAttempts {
+	for i := range writeAttempts {
 		now, refusal := l.current(ctx)
 		if refusal != nil {
 			return record, false, refusal
 		}
-		entry, err := l.cfg.Store.Get(ctx, store.KeyIntents)
+		watched := now.seen && i == 0
+		entry, err := l.readEntry(ctx, store.KeyIntents, now.record, watched)
 		if err != nil {
 			return l.withoutStore(in, now, err, unknown)
 		}
@@ -70,6 +71,9 @@
 		}
 		known := bundle.Merge(stored, now.intents)
 		next, refusal := decide(in, known, now.signed.Bundle.Zones)
+		if refusal != nil && watched {
+			continue // the watched record may be old; decide on the current one
+		}
 		if refusal != nil {
 			return record, false, refusal
 		}
--- a/control/storeio.go
+++ b/control/storeio.go
@@ -36,7 +36,11 @@
 	reading  bool
 	writing  bool
 	failing  bool
-	backoff  store.Backoff
+	// head and record are the entries of the last watch; seen tells that there
+	// was one since this entry became a watcher.
+	head, record store.Entry
+	seen         bool
+	backoff      store.Backoff
 }
 
 // storeRead is the result of one watch or read.
@@ -165,6 +169,7 @@
 	}
 	metricStoreReads.Add("ok", 1)
 	l.stores.backoff.Reset()
+	l.stores.head, l.stores.record, l.stores.seen = r.head, r.record, !r.direct
 	if l.stores.failing {
 		l.stores.failing = false
 		l.log.Info("store answers again")
