Keep endpoints busy in the leaving proof; orders proof runs to a given number

Cause: with the leaving flag switched off, TestLeavingEndpointGetsNoNewWork still passed, because the agent was idle for a moment and its drain ended. Change: long requests keep the endpoints busy. -proof.orders repeats the faults until that many orders were placed.

--- a/proof/answer_test.go
+++ b/proof/answer_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"flag"
 	"net/netip"
 	"testing"
 	"time"
@@ -43,6 +44,9 @@
 	c.logSummary(t, summary)
 }
 
+// minOrders makes TestOrderRunsAtMostOnce repeat its faults for measurements.
+var minOrders = flag.Int("proof.orders", 0, "least number of orders placed under faults")
+
 // orderFaults brings about the faults under which orders must stay safe.
 func (c *cluster) orderFaults(t *testing.T) {
 	t.Helper()
@@ -101,6 +105,9 @@
 	load := c.startLoad(cfg)
 	time.Sleep(2 * time.Second)
 	c.orderFaults(t)
+	for load.gen.Summary(c.ledger.Counts()).Orders.Placed < *minOrders {
+		c.orderFaults(t)
+	}
 	summary := load.stop(c)
 	for _, v := range summary.Violations() {
 		t.Error(v)
--- a/proof/endpoint_test.go
+++ b/proof/endpoint_test.go
@@ -7,6 +7,7 @@
 	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/lab/enginesim"
 	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+	"github.com/wasabinotch/wasabinotch/lab/ordersim"
 )
 
 // modelLoad returns a load of model requests only.
@@ -84,8 +85,14 @@
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	s := defaultShape()
 	s.modelsPerZone = 2
+	// Long requests keep every endpoint busy, so that an agent that goes on
+	// taking work is never empty and its drain does not end by chance.
+	s.engine = enginesim.Options{StepBase: 30 * time.Millisecond}
+	s.desk = ordersim.Options{ServiceTime: 200 * time.Millisecond}
 	c := newCluster(t, s)
-	load := c.startLoad(c.load())
+	cfg := c.load()
+	cfg.ModelRate, cfg.MaxTokens = 2.5, 32
+	load := c.startLoad(cfg)
 	time.Sleep(3 * time.Second)
 
 	for _, id := range []string{"model-z1-1", "desk-z2-1"} {
