Shutdown proof: a kept address must serve until its validity ends

Cause: with the entry's drain wait switched off, the proof still passed, because the entry turned callers away with leaving and they went elsewhere. Change: for stock and model requests a refusal of kind leaving now fails it.

--- a/proof/endpoint_test.go
+++ b/proof/endpoint_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/lab/enginesim"
 	"github.com/wasabinotch/wasabinotch/lab/loadgen"
@@ -146,11 +147,12 @@
 	<-c.nodes["entry-z2-1"].exited
 	summary := load.stop(c)
 	c.check(t, summary, 0)
-	// Callers may keep an address for its validity: none may find it closed.
+	// Callers may keep an entry's address for its validity: none may find it
+	// closed, or be turned away there. Orders bound to a leaving agent may be.
 	for _, class := range summary.Classes {
 		for key, n := range class.Refusals {
-			if key.Kind == loadgen.KindConnect {
-				t.Errorf("%d attempts of class %s could not connect to an entry", n, class.Class)
+			if key.Kind == loadgen.KindConnect || (key.Kind == api.KindLeaving && class.Class != "order") {
+				t.Errorf("%d attempts of class %s met %s at an entry", n, class.Class, key.Kind)
 			}
 		}
 	}
