--- a/cmd/wasabinotch-lab/main.go
+++ b/cmd/wasabinotch-lab/main.go
@@ -28,6 +28,9 @@
 		{"orders", "run the stand-in for a plain service with orders", &ordersCommand{}},
 		{"load", "send load to entries and check the answers", &loadCommand{}},
 		{"demo", "run a small system in one process and check its guarantees", &demoCommand{}},
+		{"fleet", "measure the control part at several fleet sizes", &fleetCommand{}},
+		{"latency", "compare requests through entry and agent with direct ones", &latencyCommand{}},
+		{"rankgroup", "measure expert placement and the map switch", &rankgroupCommand{}},
 		{"settings", "write settings, bundle and keys of a deployment", &settingsCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
--- /dev/null
+++ b/cmd/wasabinotch-lab/rankgroup.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"os"
+
+	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/lab/rankgroup"
+)
+
+type rankgroupCommand struct {
+	Seeds  []uint64 `long:"seed" default:"1" default:"2" default:"3" description:"seed of a simulation; may be repeated"`
+	Faults bool     `long:"faults" description:"run the map switch under faults instead of the placement simulations"`
+}
+
+// Execute runs the simulations or the fault runs and reports each.
+func (c *rankgroupCommand) Execute([]string) error {
+	if c.Faults {
+		return rankgroup.RunFaults(os.Stdout, logr.Discard())
+	}
+	return rankgroup.RunAll(os.Stdout, c.Seeds...)
+}
--- a/control/bytes_test.go
+++ b/control/bytes_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
@@ -62,3 +65,42 @@
 		})
 	}
 }
+
+// BenchmarkRebuild measures building a snapshot: with the bundle already
+// indexed, as after a report, and with a new bundle of 500 organisations.
+func BenchmarkRebuild(b *testing.B) {
+	for _, changed := range []bool{false, true} {
+		b.Run(fmt.Sprintf("new bundle %v", changed), func(b *testing.B) {
+			l := rebuildLoop()
+			now := time.Now()
+			l.publish(now)
+			for b.Loop() {
+				if changed {
+					next := *l.signed
+					l.signed = &next
+				}
+				l.publish(now)
+			}
+		})
+	}
+}
+
+// rebuildLoop returns a loop of an entry at the design size.
+func rebuildLoop() *Loop {
+	const entries, agents, organisations = 350, 1200, 500
+	l := New(Config{Self: wire.Node{ID: "self", Role: wire.RoleEntry, Zone: "a"}, Log: logr.Discard()})
+	now := time.Now()
+	for i := range entries + agents {
+		n := wire.Node{ID: fmt.Sprint("node-", i), Role: wire.RoleEntry, Zone: "a", Incarnation: 1, Seq: 1, ContentSeq: 1, State: wire.StateReady}
+		if i >= entries {
+			n.Role, n.Service = wire.RoleAgent, fmt.Sprint("model-", i%4)
+		}
+		l.table.Apply(n, n.ID, now)
+	}
+	l.signed = &bundle.Signed{}
+	for i := range organisations {
+		name := fmt.Sprint("organisation-", i)
+		l.signed.Bundle.Organisations = append(l.signed.Bundle.Organisations, bundle.Organisation{Name: name, KeyDigests: []string{name}})
+	}
+	return l
+}
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/lab/kvsim"
+	"github.com/wasabinotch/wasabinotch/peer"
+	"github.com/wasabinotch/wasabinotch/store"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// seeds is the number of entries that each node contacts at its start.
+const seeds = 3
+
+// Size is the size of one measured fleet.
+type Size struct {
+	Entries, Agents, Zones, Organisations int
+}
+
+// fleet is a set of running control loops.
+type fleet struct {
+	size    Size
+	id      identities
+	authKey []byte
+	store   *kvsim.Server
+	seeds   []string
+	entries []*node
+	agents  []*node
+	traffic map[wire.Role]*traffic
+}
+
+// node is one control loop with its net/rpc server.
+type node struct {
+	loop *control.Loop
+	role wire.Role
+	stop func()
+}
+
+// agentService receives notifications as the agent's daemon does.
+type agentService struct{ loop *control.Loop }
+
+// Notify handles a notification of changed configuration.
+func (a *agentService) Notify(args *wire.NotifyArgs, reply *wire.NotifyReply) error {
+	*reply = a.loop.HandleNotify(*args)
+	return nil
+}
+
+func start(size Size) (*fleet, error) {
+	id, err := newIdentities()
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{size: size, id: id, authKey: make([]byte, 32),
+		traffic: map[wire.Role]*traffic{wire.RoleEntry: {}, wire.RoleAgent: {}}}
+	if f.store, err = kvsim.Listen("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	for i := range size.Entries {
+		if err := f.add(wire.RoleEntry, i); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	for i := range size.Agents {
+		if err := f.add(wire.RoleAgent, i); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) add(role wire.Role, i int) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	counted := f.traffic[role]
+	pool := peer.NewPoolFrom(f.authKey, counted.dial)
+	name := fmt.Sprintf("fleet-%s-%d", role, i)
+	self := wire.Node{ID: name, VM: "vm-" + name, Role: role, Zone: zoneName(i % f.size.Zones), RPCAddr: ln.Addr().String(), HTTPAddr: "127.0.0.1:8080"}
+	cfg := control.Config{Members: f.id.members(), Threshold: 1, Pool: pool, Log: logr.Discard()}
+	if role == wire.RoleEntry {
+		cfg.Store = store.NewConsul(store.Config{Addrs: []string{f.store.Addr()},
+			CallsPerSecond: store.DefaultCallsPerSecond, Burst: store.DefaultBurst})
+		if i < seeds {
+			f.seeds = append(f.seeds, self.RPCAddr)
+		}
+	} else {
+		self.Service = serviceName(i % services)
+		cfg.Load = f.load
+	}
+	cfg.Self, cfg.Seeds = self, f.seeds[:len(f.seeds):len(f.seeds)]
+	loop := control.New(cfg)
+	server := peer.NewServer(f.authKey, logr.Discard())
+	if role == wire.RoleEntry {
+		err = loop.Register(server)
+	} else {
+		err = server.Register(wire.AgentService, &agentService{loop})
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.run(&node{loop: loop, role: role}, server, pool, countedListener{ln, counted})
+	return nil
+}
+
+// run starts the node's loop and server.
+func (f *fleet) run(n *node, server *peer.Server, pool *peer.Pool, ln net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { server.Serve(ln) })
+	running.Go(func() { _ = n.loop.Run(ctx) }) // ends with ctx
+	n.stop = func() {
+		cancel()
+		_ = ln.Close()
+		server.Close()
+		running.Wait()
+		pool.Close()
+	}
+	if n.role == wire.RoleEntry {
+		f.entries = append(f.entries, n)
+	} else {
+		f.agents = append(f.agents, n)
+	}
+}
+
+// load is the report of an agent under load: some organisations are active on each.
+func (f *fleet) load() wire.Load {
+	const served = 10 // organisations active on one endpoint
+	l := wire.Load{Limit: 16, InFlight: 8, Served: make(map[string]float64, served)}
+	for i := range min(served, f.size.Organisations) {
+		l.Served[fmt.Sprintf("organisation-%03d", i)] = 1000
+	}
+	return l
+}
+
+func (f *fleet) nodes() []*node {
+	return append(f.entries[:len(f.entries):len(f.entries)], f.agents...)
+}
+
+func (f *fleet) close() {
+	for _, n := range f.agents {
+		n.stop()
+	}
+	for _, n := range f.entries {
+		n.stop()
+	}
+	f.store.Close()
+}
+
+// await waits until ok holds on all nodes and returns the time that took.
+func await(nodes []*node, limit time.Duration, what string, ok func(*control.Snapshot) bool) (time.Duration, error) {
+	const poll = 2 * time.Millisecond
+	began := time.Now()
+	for _, n := range nodes {
+		for !ok(n.loop.Snapshot()) {
+			if time.Since(began) > limit {
+				return 0, trace.LimitExceeded("%s: not on %s after %v", what, n.loop.Snapshot().Self.ID, limit)
+			}
+			time.Sleep(poll)
+		}
+	}
+	return time.Since(began), nil
+}
--- /dev/null
+++ b/lab/latency/system.go
@@ -0,0 +1,175 @@
+package latency
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/wasabinotch/wasabinotch/agent"
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/entry"
+	"github.com/wasabinotch/wasabinotch/lab/deploy"
+	"github.com/wasabinotch/wasabinotch/lab/enginesim"
+	"github.com/wasabinotch/wasabinotch/lab/kvsim"
+	"github.com/wasabinotch/wasabinotch/lab/ordersim"
+	"github.com/wasabinotch/wasabinotch/lab/vmlist"
+)
+
+// Names of the services.
+const (
+	modelService = "notes"
+	plainService = "desk"
+)
+
+// endpoints is the number of endpoints of each service.
+const endpoints = 2
+
+// serviceTime is the time of one plain call.
+const serviceTime = 5 * time.Millisecond
+
+// system is the running deployment.
+type system struct {
+	deployment *deploy.Deployment
+	client     *http.Client
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+	closers    []func()
+}
+
+func start(ctx context.Context) (*system, error) {
+	d, err := deploy.Plan{
+		Name: "latency", Zones: []string{"zone-a", "zone-b"}, Entries: 2,
+		ModelAgents: endpoints, OrderAgents: endpoints, Organisations: []string{"batinah"},
+		Members: []string{"batinah"}, Threshold: 1, Operators: []string{"operator"},
+		ModelService: modelService, PlainService: plainService, Addr: deploy.Free("127.0.0.1"),
+	}.Build()
+	if err != nil {
+		return nil, err
+	}
+	const idle = 1000 // connections kept per address
+	s := &system{deployment: d, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle}}}
+	var running context.Context
+	running, s.cancel = context.WithCancel(context.Background())
+	for _, step := range []func() error{
+		s.startStandIns,
+		func() error { return s.startDaemons(running) },
+		func() error { return s.roll(ctx) },
+	} {
+		if err := step(); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *system) startStandIns() error {
+	places := s.deployment.StandIns
+	store, err := kvsim.Listen(places.Store.Addr)
+	if err != nil {
+		return err
+	}
+	s.closers = append(s.closers, store.Close)
+	vms, err := vmlist.Listen(places.VMList.Addr, 0)
+	if err != nil {
+		return err
+	}
+	s.closers = append(s.closers, vms.Close)
+	for _, p := range places.Engines {
+		e, err := enginesim.Listen(p.Addr, enginesim.DefaultOptions())
+		if err != nil {
+			return err
+		}
+		s.closers = append(s.closers, e.Close)
+	}
+	for _, p := range places.Orders {
+		o, err := ordersim.Listen(p.Addr, ordersim.Options{ServiceTime: serviceTime})
+		if err != nil {
+			return err
+		}
+		s.closers = append(s.closers, o.Close)
+	}
+	return nil
+}
+
+func (s *system) startDaemons(ctx context.Context) error {
+	for _, set := range s.deployment.Entries {
+		e, err := entry.New(set, logr.Discard())
+		if err != nil {
+			return err
+		}
+		s.running.Go(func() { _ = e.Run(ctx) }) // ends with ctx
+	}
+	for _, set := range s.deployment.Agents {
+		a, err := agent.New(set, logr.Discard())
+		if err != nil {
+			return err
+		}
+		s.running.Go(func() { _ = a.Run(ctx) }) // ends with ctx
+	}
+	return nil
+}
+
+// roll rolls out the bundle, repeating the command until the entry has started.
+func (s *system) roll(ctx context.Context) error {
+	member := s.deployment.Members[0]
+	signed := bundle.Signed{Bundle: s.deployment.Bundle}
+	sig, err := signed.Bundle.Sign(member.Name, member.Private())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	signed.Signatures = []bundle.Signature{sig}
+	body, err := json.Marshal(signed)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	const attempts, pause = 100, 100 * time.Millisecond
+	for range attempts {
+		if err = s.post(ctx, s.deployment.Entries[0].HTTPAddr, api.PathAdminBundle, body, func(io.Reader) error { return nil }); err == nil {
+			return nil
+		}
+		time.Sleep(pause)
+	}
+	return err
+}
+
+// post sends a JSON request to addr and reads the answer with read.
+func (s *system) post(ctx context.Context, addr, path string, body []byte, read func(io.Reader) error) error {
+	return s.send(ctx, http.MethodPost, addr, path, body, read)
+}
+
+func (s *system) send(ctx context.Context, method, addr, path string, body []byte, read func(io.Reader) error) error {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+s.deployment.Callers[0].Key)
+	resp, err := s.client.Do(r)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body) // the status is reported in any case
+		return trace.BadParameter("%s: %s %s", fmt.Sprint(method, " ", path), resp.Status, text)
+	}
+	return read(resp.Body)
+}
+
+func (s *system) close() {
+	s.cancel()
+	s.running.Wait()
+	for _, c := range s.closers {
+		c()
+	}
+}
