Shutdown proof counts connections lost at a kept address

Cause: the proxies accept for a process that has ended, so callers saw a lost connection, which the proof did not count. Change: attempts that lost their connection fail the proof.

--- a/lab/loadgen/client.go
+++ b/lab/loadgen/client.go
@@ -16,7 +16,7 @@
 // Kinds of failures that the caller itself sees.
 const (
 	KindConnect    api.Kind = "caller_connect"    // no connection, nothing was sent
-	kindLost       api.Kind = "caller_lost"       // connection lost before the whole answer
+	KindLost       api.Kind = "caller_lost"       // connection lost before the whole answer
 	kindNotRefusal api.Kind = "caller_bad_answer" // an error status without a refusal
 )
 
@@ -56,7 +56,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return api.NotRun(KindConnect, err.Error(), "use another entry")
 	}
-	return api.Unknown(kindLost, err.Error(), "repeat with the same Idempotency-Key")
+	return api.Unknown(KindLost, err.Error(), "repeat with the same Idempotency-Key")
 }
 
 func readRefusal(resp *http.Response) *api.Refusal {
@@ -86,7 +86,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return api.Unknown(kindLost, err.Error(), "repeat the request")
+		return api.Unknown(KindLost, err.Error(), "repeat the request")
 	}
 	if err := json.Unmarshal(data, v); err != nil {
 		return api.Unknown(kindNotRefusal, err.Error(), "see the entry's log")
--- a/proof/endpoint_test.go
+++ b/proof/endpoint_test.go
@@ -148,10 +148,13 @@
 	summary := load.stop(c)
 	c.check(t, summary, 0)
 	// Callers may keep an entry's address for its validity: none may find it
-	// closed, or be turned away there. Orders bound to a leaving agent may be.
+	// closed, be cut off, or be turned away there. Orders bound to a leaving
+	// agent may be turned away.
 	for _, class := range summary.Classes {
 		for key, n := range class.Refusals {
-			if key.Kind == loadgen.KindConnect || (key.Kind == api.KindLeaving && class.Class != "order") {
+			switch {
+			case key.Kind == loadgen.KindConnect, key.Kind == loadgen.KindLost,
+				key.Kind == api.KindLeaving && class.Class != "order":
 				t.Errorf("%d attempts of class %s met %s at an entry", n, class.Class, key.Kind)
 			}
 		}
