Measure a small system under overload

There was no measurement that shows goodput, refusals and warm-up against the offered load.

Change: lab/overload and 'wasabinotch-lab overload' start entries, agents and engines in one process and offer multiples of the warm capacity, from cold and from warm engines, by a large organisation (0.9 of the requests) and a small one of equal share.

--- /dev/null
+++ b/cmd/wasabinotch-lab/overload.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/lab/overload"
+)
+
+type overloadCommand struct {
+	Loads    []float64     `long:"load" description:"offered load as a multiple of the warm capacity; may be repeated; default: 0.5, 1, 2, 4"`
+	Starts   []string      `long:"start" choice:"cold" choice:"warm" description:"state of the engines at the start; may be repeated; default: both"`
+	Step     time.Duration `long:"step" default:"30ms" description:"time of a decoding step"`
+	Timeout  time.Duration `long:"timeout" default:"20s" description:"time-out of the service"`
+	Duration time.Duration `long:"duration" default:"60s" description:"time for which load is offered"`
+	Attempts int           `long:"attempts" default:"1" description:"attempts of a caller for one request"`
+	Parallel int           `long:"parallel" default:"2" description:"systems measured at the same time"`
+}
+
+// Execute runs the measurement.
+func (c *overloadCommand) Execute([]string) error {
+	opt := overload.DefaultOptions()
+	opt.Step, opt.Timeout, opt.Duration = c.Step, c.Timeout, c.Duration
+	opt.Attempts, opt.Parallel = c.Attempts, c.Parallel
+	if len(c.Loads) > 0 {
+		opt.Loads = c.Loads
+	}
+	if len(c.Starts) > 0 {
+		opt.Starts = c.Starts
+	}
+	ctx, cancel := signalled()
+	defer cancel()
+	_, err := overload.Run(ctx, opt, os.Stdout)
+	return err
+}
--- /dev/null
+++ b/lab/overload/doc.go
@@ -0,0 +1,3 @@
+// Package overload measures a small system, in one process, under loads below
+// and above its capacity.
+package overload
--- /dev/null
+++ b/lab/overload/overload_test.go
@@ -0,0 +1,30 @@
+package overload
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a measurement that counts no answers, misses an organisation,
+// or overloads a cold engine.
+func TestMeasurementOfALightLoad(t *testing.T) {
+	is := is.New(t)
+	opt := DefaultOptions()
+	opt.Engines, opt.Loads, opt.Starts = 2, []float64{0.3}, []string{StartWarm}
+	opt.Step, opt.Timeout, opt.Duration = 2*time.Millisecond, 10*time.Second, 2*time.Second
+	var out bytes.Buffer
+	results, err := Run(t.Context(), opt, &out)
+	is.NoErr(err)
+	is.Equal(len(results), 1)
+	r := results[0]
+	is.True(r.Goodput > 0)
+	is.Equal(r.Crashes, 0)
+	for _, org := range []string{large, small} {
+		is.True(r.Orgs[org].Whole > 0)
+		is.True(strings.Contains(out.String(), org))
+	}
+}
--- /dev/null
+++ b/lab/overload/report.go
@@ -0,0 +1,56 @@
+package overload
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+)
+
+// write prints one line for each load and organisation.
+func write(w io.Writer, opt Options, results []Result) error {
+	_, _ = fmt.Fprintf(w, "%d engines, steps of %v, up to %d tokens, time-out %v, load for %v, capacity %.1f answers/s\n",
+		opt.Engines, opt.Step, opt.MaxTokens, opt.Timeout, opt.Duration, opt.Capacity()) // Flush reports errors
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) }
+	line("start\tload\tanswers/s\tgoodput\tengines warm\tlimits warm\tcrashes\torganisation\tsent\twhole\tcut\tfirst p95 ms\tp99 ms\tfailures")
+	for _, r := range results {
+		for _, org := range []string{large, small} {
+			c := r.Orgs[org]
+			line("%s\t%.1f\t%.1f\t%.2f\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%.0f\t%.0f\t%s", r.Start, r.Load, r.Goodput, r.Relative,
+				seen(r.Warm), seen(r.Full), r.Crashes, org, c.Sent, c.Whole, cut(c), c.FirstToken.P95, c.Latency.P99, failures(c))
+		}
+	}
+	return t.Flush()
+}
+
+func seen(d time.Duration) string {
+	if d == 0 {
+		return "no"
+	}
+	return fmt.Sprintf("%.1f s", d.Seconds())
+}
+
+// cut counts the requests that ended after they may have begun.
+func cut(c loadgen.ClassSummary) int {
+	n := c.Truncated
+	for k, count := range c.Failures {
+		if k.Outcome != "not_run" {
+			n += count
+		}
+	}
+	return n
+}
+
+func failures(c loadgen.ClassSummary) string {
+	var parts []string
+	for k, n := range c.Failures {
+		parts = append(parts, fmt.Sprintf("%s/%s %d", k.Kind, k.Outcome, n))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, ", ")
+}
