--- a/cmd/wasabinotch-lab/main.go
+++ b/cmd/wasabinotch-lab/main.go
@@ -31,6 +31,7 @@
 		{"fleet", "measure the control part at several fleet sizes", &fleetCommand{}},
 		{"latency", "compare requests through entry and agent with direct ones", &latencyCommand{}},
 		{"rankgroup", "measure expert placement and the map switch", &rankgroupCommand{}},
+		{"overload", "measure a small system in one process under overload", &overloadCommand{}},
 		{"settings", "write settings, bundle and keys of a deployment", &settingsCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
