Measure service while a zone is taken out and brought back

Cause: no run showed p99, first tokens, the last new work and the return of a zone under a load sized to the capacity that remains.

Change: lab/zonemove and the subcommand zonemove run three zones in one process with warmed engines, callers of moved and of other zones measured apart, the store up or down, a frozen agent, an entry that restarts, two moves in a row, and a probe of kept entry addresses.

--- a/cmd/wasabinotch-lab/main.go
+++ b/cmd/wasabinotch-lab/main.go
@@ -28,6 +28,7 @@
 		{"orders", "run the stand-in for a plain service with orders", &ordersCommand{}},
 		{"load", "send load to entries and check the answers", &loadCommand{}},
 		{"demo", "run a small system in one process and check its guarantees", &demoCommand{}},
+		{"zonemove", "measure service while a zone is taken out and brought back", &zoneMoveCommand{}},
 		{"settings", "write settings, bundle and keys of a deployment", &settingsCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -58,7 +58,7 @@
 // play runs the whole sequence against a started system.
 func play(ctx context.Context, parts Parts, opt Options, sys *system) (*report, error) {
 	r := &report{nodesWanted: len(sys.deployment.Entries) + len(sys.deployment.Agents)}
-	op := newOperator(parts, sys)
+	op := NewOperator(parts, sys.deployment)
 	if err := r.roll(ctx, op); err != nil {
 		return nil, err
 	}
@@ -68,7 +68,7 @@
 	}
 	g.SetPhase("first")
 	g.Once(ctx)
-	if err := r.moveZone(ctx, opt, op, g); err != nil {
+	if err := r.moveZone(ctx, opt, op, sys, g); err != nil {
 		return nil, err
 	}
 	if r.nodes, err = op.inForce(ctx, sys.deployment.Bundle.Version); err != nil {
@@ -78,12 +78,12 @@
 	return r, nil
 }
 
-func (r *report) roll(ctx context.Context, op *operator) error {
-	if _, err := op.roll(ctx); err != nil {
+func (r *report) roll(ctx context.Context, op *Operator) error {
+	if _, err := op.Roll(ctx); err != nil {
 		return err
 	}
 	accepted := time.Now()
-	nodes, err := op.awaitInForce(ctx, op.sys.deployment.Bundle.Version)
+	nodes, err := op.AwaitInForce(ctx, op.deployment.Bundle.Version)
 	r.nodes, r.inForce = nodes, time.Since(accepted)
 	return err
 }
@@ -109,7 +109,7 @@
 }
 
 // moveZone takes a zone out and back during load.
-func (r *report) moveZone(ctx context.Context, opt Options, op *operator, g *loadgen.Generator) error {
+func (r *report) moveZone(ctx context.Context, opt Options, op *Operator, sys *system, g *loadgen.Generator) error {
 	load, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var running sync.WaitGroup
@@ -119,40 +119,40 @@
 	defer cancel() // before the wait
 	sleep(ctx, opt.Phase)
 	g.SetPhase("out")
-	if err := r.takeOut(ctx, opt, op); err != nil {
+	if err := r.takeOut(ctx, opt, op, sys); err != nil {
 		return err
 	}
 	g.SetPhase("back")
-	if err := r.bringBack(ctx, opt, op); err != nil {
+	if err := r.bringBack(ctx, opt, op, sys); err != nil {
 		return err
 	}
 	running.Wait()
 	return ctx.Err()
 }
 
-func (r *report) takeOut(ctx context.Context, opt Options, op *operator) error {
+func (r *report) takeOut(ctx context.Context, opt Options, op *Operator, sys *system) error {
 	// The entry that takes the commands is in the first zone.
-	r.zone = op.sys.deployment.Entries[len(op.sys.deployment.Entries)-1].Zone
+	r.zone = sys.deployment.Entries[len(sys.deployment.Entries)-1].Zone
 	commanded := time.Now()
-	result, err := op.zone(ctx, r.zone, true)
+	result, err := op.Zone(ctx, r.zone, true)
 	if err != nil {
 		return err
 	}
 	r.outAnswered = time.Since(commanded)
 	r.outConfirmed = result.ConfirmedZones
 	sleep(ctx, opt.Phase-time.Since(commanded))
-	r.lastWork = max(op.sys.lastWork(r.zone).Sub(commanded), 0)
+	r.lastWork = max(sys.lastWork(r.zone).Sub(commanded), 0)
 	return nil
 }
 
-func (r *report) bringBack(ctx context.Context, opt Options, op *operator) error {
+func (r *report) bringBack(ctx context.Context, opt Options, op *Operator, sys *system) error {
 	commanded := time.Now()
-	if _, err := op.zone(ctx, r.zone, false); err != nil {
+	if _, err := op.Zone(ctx, r.zone, false); err != nil {
 		return err
 	}
 	r.backAnswered = time.Since(commanded)
 	for time.Since(commanded) < opt.Phase && ctx.Err() == nil {
-		if at := op.sys.lastWork(r.zone); at.After(commanded) {
+		if at := sys.lastWork(r.zone); at.After(commanded) {
 			r.firstWork = at.Sub(commanded)
 			return nil
 		}
--- a/lab/demo/operator.go
+++ b/lab/demo/operator.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/lab/deploy"
 )
 
 // Bounds of the operator's waits.
@@ -23,19 +24,20 @@
 	pollInterval = 20 * time.Millisecond
 )
 
-// operator sends commands to one entry.
-type operator struct {
-	entry string // IP:port
-	http  http.Client
-	parts Parts
-	sys   *system
+// Operator sends commands to the first entry of a deployment.
+type Operator struct {
+	entry      string // IP:port
+	http       http.Client
+	parts      Parts
+	deployment *deploy.Deployment
 }
 
-func newOperator(parts Parts, s *system) *operator {
-	return &operator{entry: s.deployment.Entries[0].HTTPAddr, http: http.Client{Timeout: callTimeout}, parts: parts, sys: s}
+// NewOperator returns an operator of the deployment.
+func NewOperator(parts Parts, d *deploy.Deployment) *Operator {
+	return &Operator{entry: d.Entries[0].HTTPAddr, http: http.Client{Timeout: callTimeout}, parts: parts, deployment: d}
 }
 
-func (o *operator) call(ctx context.Context, method, path string, in, out any) error {
+func (o *Operator) call(ctx context.Context, method, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return trace.Wrap(err)
@@ -45,7 +47,7 @@
 		return trace.Wrap(err)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set("Authorization", "Bearer "+o.sys.deployment.Callers[0].Key)
+	r.Header.Set("Authorization", "Bearer "+o.deployment.Callers[0].Key)
 	resp, err := o.http.Do(r)
 	if err != nil {
 		return trace.Wrap(err)
@@ -61,10 +63,10 @@
 	return trace.Wrap(json.Unmarshal(data, out))
 }
 
-// roll signs the bundle and rolls it out, repeating the call until the entry
+// Roll signs the bundle and rolls it out, repeating the call until the entry
 // has started. The same bundle can be sent again safely.
-func (o *operator) roll(ctx context.Context) (api.AdminResult, error) {
-	d := o.sys.deployment
+func (o *Operator) Roll(ctx context.Context) (api.AdminResult, error) {
+	d := o.deployment
 	signed, err := o.parts.SignBundle(d.Bundle, d.Members[:d.Entries[0].Threshold])
 	if err != nil {
 		return api.AdminResult{}, trace.Wrap(err)
@@ -76,10 +78,10 @@
 	return result, err
 }
 
-// awaitInForce waits until every node reports the bundle, and returns the number
+// AwaitInForce waits until every node reports the bundle, and returns the number
 // of nodes that do.
-func (o *operator) awaitInForce(ctx context.Context, version uint64) (int, error) {
-	want := len(o.sys.deployment.Entries) + len(o.sys.deployment.Agents)
+func (o *Operator) AwaitInForce(ctx context.Context, version uint64) (int, error) {
+	want := len(o.deployment.Entries) + len(o.deployment.Agents)
 	nodes := 0
 	err := poll(ctx, rollTimeout, func() (err error) {
 		if nodes, err = o.inForce(ctx, version); err != nil {
@@ -94,7 +96,7 @@
 }
 
 // inForce counts the ready nodes with the bundle in force.
-func (o *operator) inForce(ctx context.Context, version uint64) (int, error) {
+func (o *Operator) inForce(ctx context.Context, version uint64) (int, error) {
 	var status api.Status
 	if err := o.call(ctx, http.MethodGet, api.PathStatus, nil, &status); err != nil {
 		return 0, err
@@ -116,14 +118,14 @@
 	return count, nil
 }
 
-// zone takes a zone out or brings it back in.
-func (o *operator) zone(ctx context.Context, zone string, out bool) (api.AdminResult, error) {
+// Zone takes a zone out or brings it back in.
+func (o *Operator) Zone(ctx context.Context, zone string, out bool) (api.AdminResult, error) {
 	var status api.Status
 	if err := o.call(ctx, http.MethodGet, api.PathStatus, nil, &status); err != nil {
 		return api.AdminResult{}, err
 	}
 	in := bundle.Intent{Kind: bundle.TargetZone, Target: zone, Out: out, Revision: status.IntentsRev + 1, Reason: "demo"}
-	key := o.sys.deployment.Operators[0]
+	key := o.deployment.Operators[0]
 	in.Operator = key.Name
 	signed, err := o.parts.SignIntent(in, key)
 	if err != nil {
--- /dev/null
+++ b/lab/zonemove/report.go
@@ -0,0 +1,169 @@
+package zonemove
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+)
+
+// Targets.
+const (
+	maxRatio         = 1.5
+	maxLastWork      = 2 * time.Second
+	maxLastWorkNoKV  = 3 * time.Second
+	phaseBefore      = "before"
+	minRatioRequests = 50 // p99 of fewer requests is one or two requests
+)
+
+// ratio is the p99 of a phase in the other zones, compared with before.
+type ratio struct {
+	phase, class string
+	value        float64
+	count        int64
+}
+
+// ratios returns the ratios of the callers in zones that are not moved.
+func (r *Result) ratios() []ratio {
+	var list []ratio
+	before := make(map[string]float64)
+	for _, c := range r.groups[0].summary.Classes {
+		if c.Phase == phaseBefore {
+			before[c.Class] = c.Latency.P99
+			continue
+		}
+		if b := before[c.Class]; b > 0 && c.Latency.Count >= minRatioRequests {
+			list = append(list, ratio{c.Phase, c.Class, c.Latency.P99 / b, c.Latency.Count})
+		}
+	}
+	return list
+}
+
+// missed lists the targets that the run missed.
+func (r *Result) missed() []string {
+	var list []string
+	add := func(bad bool, format string, args ...any) {
+		if bad {
+			list = append(list, fmt.Sprintf(format, args...))
+		}
+	}
+	add(r.failed > 0, "%d requests failed", r.failed)
+	for _, x := range r.ratios() {
+		add(x.value > maxRatio, "p99 of %s in phase %s is %.2f times the value before", x.class, x.phase, x.value)
+	}
+	bound := maxLastWork
+	if r.opt.StoreDown {
+		bound = maxLastWorkNoKV
+	}
+	for _, m := range r.moves {
+		add(m.lastWork > bound, "zone %s got new work %v after the command", m.zone, round(m.lastWork))
+		add(m.normal == 0 && r.opt.Gap == 0, "zone %s did not take its normal part again", m.zone)
+	}
+	add(r.crashes > 0 || r.overload > 0, "%d crashes of cold engines, highest overload %d", r.crashes, r.overload)
+	add(r.orders.Duplicated > 0, "%d orders ran more than once", r.orders.Duplicated)
+	add(r.orders.Lost > 0, "%d confirmed orders did not run", r.orders.Lost)
+	add(r.orders.FalseNot > 0, "%d orders refused as not run have run", r.orders.FalseNot)
+	for _, g := range r.groups {
+		for _, c := range g.summary.Classes {
+			add(c.Wrong+c.Truncated > 0, "%d wrong and %d truncated %s answers in phase %s", c.Wrong, c.Truncated, c.Class, c.Phase)
+		}
+	}
+	return list
+}
+
+func (r *Result) write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) } // Flush reports errors
+	r.writeLoad(line)
+	for _, g := range r.groups {
+		r.writeGroup(line, g)
+	}
+	r.writeRatios(line)
+	for _, m := range r.moves {
+		r.writeMove(line, m)
+	}
+	o := r.orders
+	line("orders\tplaced %d, ran %d, duplicated %d, lost %d, unknown %d (ran %d), not run %d, false not run %d",
+		o.Placed, o.Ran, o.Duplicated, o.Lost, o.Unknown, o.UnknownRan, o.NotRun, o.FalseNot)
+	line("cold engines\t%d crashes, highest overload %d (crashes during the warm-up: %d)", r.crashes, r.overload, r.warming)
+	line("failed requests\t%d", r.failed)
+	missed := "none"
+	if list := r.missed(); len(list) > 0 {
+		missed = strings.Join(list, "; ")
+	}
+	line("targets missed\t%s", missed)
+	return t.Flush()
+}
+
+func (r *Result) writeLoad(line func(string, ...any)) {
+	o, x := r.opt, r.opt.rates()
+	of := "remaining"
+	if o.OfWhole {
+		of = "whole"
+	}
+	line("per zone\t%d entries, %d model agents, %d order agents", o.Entries, o.ModelAgents, o.OrderAgents)
+	line("capacity\t%.1f requests/s for each warm engine (%d slots), %.0f calls/s for each plain service (%d slots)",
+		o.engineCapacity(), modelSlots, o.plainCapacity(), plainSlots)
+	line("load\t%.2f of the %s capacity: %.0f model, %.0f stock, %.0f order requests/s; seed %d", o.Load, of, x.model, x.stock, x.order, o.Seed)
+}
+
+func (r *Result) writeGroup(line func(string, ...any), g groupResult) {
+	line("\ncallers in %s", g.name)
+	line("phase\tclass\tsent\twhole\tfailed\tp50 ms\tp99 ms\tmax ms\tfirst p95 ms\trefused attempts")
+	for _, c := range g.summary.Classes {
+		first := "-"
+		if c.FirstToken.Count > 0 {
+			first = fmt.Sprintf("%.1f", c.FirstToken.P95)
+		}
+		line("%s\t%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%s\t%s", c.Phase, c.Class, c.Sent, c.Whole, c.Failed,
+			c.Latency.P50, c.Latency.P99, c.Latency.Max, first, refusals(c))
+	}
+}
+
+func refusals(c loadgen.ClassSummary) string {
+	var list []string
+	for k, n := range c.Refusals {
+		list = append(list, fmt.Sprintf("%s/%s %d", k.Kind, k.Outcome, n))
+	}
+	sort.Strings(list)
+	if len(list) == 0 {
+		return "-"
+	}
+	return strings.Join(list, ", ")
+}
+
+func (r *Result) writeRatios(line func(string, ...any)) {
+	line("\np99 in %s compared with before", r.groups[0].name)
+	for _, x := range r.ratios() {
+		line("%s\t%s\t%.2f\t(%d requests)", x.phase, x.class, x.value, x.count)
+	}
+}
+
+func (r *Result) writeMove(line func(string, ...any), m *move) {
+	line("\nzone out\t%s, answered after %v, confirmed in %s, in store: %v", m.zone, round(m.outAnswered), strings.Join(m.confirmed, " "), m.inStore)
+	line("last new work\t%s", after(m.lastWork))
+	if r.opt.Freeze > 0 && m == r.moves[0] {
+		line("at the frozen agent\t%s (frozen for %v)", after(m.lastFrozen), r.opt.Freeze)
+	}
+	line("zone back\tanswered after %v, normal part of the load (%.2f) %s", round(m.backAnswered), m.normalPart, after(m.normal))
+	d := m.redirects
+	line("kept entries\t%d lookups redirected, %d answered without, %d failed; refusal p50 %v p99 %v, with the second attempt p50 %v p99 %v",
+		len(d.refused), d.direct, d.failed, micros(quantile(d.refused, 0.5)), micros(quantile(d.refused, 0.99)),
+		micros(quantile(d.whole, 0.5)), micros(quantile(d.whole, 0.99)))
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+func micros(d time.Duration) time.Duration { return d.Round(10 * time.Microsecond) }
+
+// after says how long after a command something was seen; 0 means not at all.
+func after(d time.Duration) string {
+	if d == 0 {
+		return "not seen after the command"
+	}
+	return fmt.Sprintf("%v after the command", round(d))
+}
