Replace load figures that are old against the holding time by the mean

Cause: entries see reports of other entries' requests up to 300 ms old, while lookups and orders take 40 ms. An endpoint that a report shows as full was avoided by every entry until its next report, which overloaded the others: p99 of lookups was above that of a choice without any figures.

Change: an entry measures how long its own requests stay at an endpoint. The part of a load figure that counts other entries' requests fades with that time to the mean over all endpoints. Considered as well: a choice by the own count alone, which ignores figures that are still good for long model requests; it was not measured.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -67,6 +67,7 @@
 	// Reason says why the endpoint was chosen, for logs and explain.
 	Reason string
 	st     *state
+	since  time.Time
 	done   sync.Once
 }
 
@@ -84,7 +85,10 @@
 
 // Done ends the request's count on the endpoint.
 func (p *Pick) Done() {
-	p.done.Do(func() { p.st.own.Add(-1) })
+	p.done.Do(func() {
+		p.st.own.Add(-1)
+		p.st.released(time.Since(p.since))
+	})
 }
 
 // Hold counts a request on an endpoint that is not a free choice, such as
@@ -97,7 +101,7 @@
 
 func take(ep *control.Endpoint, st *state, reason string) *Pick {
 	st.own.Add(1)
-	return &Pick{Endpoint: ep, Reason: reason, st: st}
+	return &Pick{Endpoint: ep, Reason: reason, st: st, since: time.Now()}
 }
 
 // chooser is one choice in progress.
@@ -105,6 +109,8 @@
 	snap    *control.Snapshot
 	rq      *Request
 	entries int
+	// others is the part of a limit that other entries use on average.
+	others float64
 }
 
 // candidate is an endpoint that passed the checks of one choice.
@@ -117,7 +123,7 @@
 // Choose returns an endpoint, or nil if none can take the request.
 func (b *Balancer) Choose(snap *control.Snapshot, rq Request) *Pick {
 	p := b.pool(snap, rq.Service, rq.Now)
-	c := &chooser{snap: snap, rq: &rq, entries: min(len(snap.Entries)+1, maxCrowd)}
+	c := &chooser{snap: snap, rq: &rq, entries: min(len(snap.Entries)+1, maxCrowd), others: p.others}
 	if pick := c.byPrefix(p, b.prefixHash(&rq)); pick != nil {
 		return pick
 	}
@@ -160,7 +166,7 @@
 	if !c.usable(ep) || st.failedSince(ep.HeardAt) {
 		return candidate{}, false
 	}
-	est := st.estimate(ep, c.rq.Now, c.entries)
+	est := st.estimate(ep, c.rq.Now, c.entries, c.others)
 	if !accept(est) {
 		return candidate{}, false
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -189,3 +189,30 @@
 		balancer.build(snap, "s", now, nil)
 	}
 }
+
+// Guards against an endpoint that all entries avoid until its next report,
+// because an old figure shows it as full, while the others are overloaded.
+func TestOldFigureIsReplacedByTheMean(t *testing.T) {
+	is := is.New(t)
+	snap := fleet(3, "a")
+	for _, ep := range snap.Endpoints["s"] {
+		ep.HeardAt = now.Add(-250 * time.Millisecond)
+		ep.Load.InFlight = 2
+	}
+	snap.Endpoints["s"][0].Load.InFlight = 8 // of 8
+	for _, held := range []time.Duration{40 * time.Millisecond, time.Minute} {
+		b := New("entry-1", "a")
+		for range heldSamples {
+			for _, ep := range snap.Endpoints["s"] {
+				pick := b.Hold(ep, "sample")
+				pick.since = time.Now().Add(-held)
+				pick.Done()
+			}
+		}
+		placed := map[string]int{}
+		for range 12 { // the two others have room for 6 each
+			placed[b.Choose(snap, Request{Service: "s", Now: now}).Endpoint.Node.ID]++
+		}
+		is.Equal(placed["agent-0"] > 0, held < time.Second)
+	}
+}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -38,7 +38,9 @@
 	subset  []*state
 	// load and limit are totals over all endpoints.
 	load, limit int
-	owners      *owners
+	// others is the part of the limits in use by other entries.
+	others float64
+	owners *owners
 }
 
 // owners caches the preferred endpoint of each prefix bucket.
@@ -93,6 +95,7 @@
 		others = append(others, st)
 	}
 	p.own, p.subset = b.selectSubset(own, others)
+	p.others = usedByOthers(append(own, others...), snap)
 	p.owners = &owners{}
 	if old != nil && old.members == p.members && old.size == p.size {
 		p.owners = old.owners
@@ -101,6 +104,22 @@
 	return p
 }
 
+// usedByOthers returns the part of the limits that requests of other entries
+// use, from 0 upward.
+func usedByOthers(states []*state, snap *control.Snapshot) float64 {
+	load, limit := 0, 0
+	for _, st := range states {
+		ep := snap.AgentByID[st.id]
+		if ep == nil {
+			continue
+		}
+		b := st.current(ep)
+		load += max(b.load-int(b.own), 0)
+		limit += b.limit
+	}
+	return float64(load) / float64(max(limit, 1))
+}
+
 // selectSubset returns the endpoints of the own zone and the whole subset.
 // One side fills the places that the other does not use.
 func (b *Balancer) selectSubset(own, others []*state) (near, subset []*state) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,6 +21,34 @@
 	base atomic.Pointer[base]
 	// failedAt is when an attempt last failed; nil for never.
 	failedAt atomic.Pointer[time.Time]
+	// held is the mean time that this entry's requests stay at the endpoint,
+	// in nanoseconds, and ended the number of samples in it.
+	held  atomic.Int64
+	ended atomic.Int64
+}
+
+const (
+	// heldGain is the weight of a new sample in the mean holding time.
+	heldGain = 0.1
+	// heldSamples is the number of samples before the mean is used.
+	heldSamples = 16
+)
+
+// released adds the holding time of a request that has ended.
+func (s *state) released(d time.Duration) {
+	gain := max(heldGain, 1/float64(s.ended.Add(1)))
+	old := s.held.Load()
+	s.held.CompareAndSwap(old, old+int64(gain*float64(int64(d)-old))) // a sample lost to another one does no harm
+}
+
+// freshness is the weight, 1 to 0, of a load figure of the given age. Requests
+// of other entries that it counts have ended after about one holding time.
+func (s *state) freshness(age time.Duration) float64 {
+	held := s.held.Load()
+	if held <= 0 || age <= 0 || s.ended.Load() < heldSamples {
+		return 1
+	}
+	return math.Exp(-float64(age) / float64(held))
 }
 
 // base is the latest load figure of the agent, from a report or an answer.
@@ -89,14 +117,20 @@
 	ramping bool
 }
 
-func (s *state) estimate(ep *control.Endpoint, now time.Time, entries int) estimate {
+// estimate combines the last load figure with what is known since. others is
+// the mean part of a limit that other entries use at all endpoints: a figure
+// that is old compared with the holding time is replaced by it, since a full
+// endpoint would otherwise be avoided by all entries until its next report.
+func (s *state) estimate(ep *control.Endpoint, now time.Time, entries int, others float64) estimate {
 	b := s.current(ep)
 	own := int(s.own.Load())
 	since := own - int(b.own)
-	load := max(own, b.load+since, 0)
+	fresh := s.freshness(now.Sub(b.at))
+	foreign := fresh*float64(max(b.load-int(b.own), 0)) + (1-fresh)*others*float64(b.limit)
+	load := own + int(math.Round(foreign))
 	crowd := load
 	if since > 0 {
-		crowd += since * (entries - 1)
+		crowd += int(fresh * float64(since*(entries-1)))
 	}
 	limit := rampedLimit(b.limit, ep.InSince, now)
 	return estimate{load: load, limit: limit, crowd: crowd, ramping: limit < b.limit}
