--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -79,7 +79,13 @@
 		}
 		return names
 	}
-	return order.NewJournal(store.NewConsul(budget), order.JournalConfig{Clock: clock, Log: log.WithName("journal"), Services: services})
+	return order.NewJournal(store.NewConsul(budget), order.JournalConfig{
+		Clock:            clock,
+		Log:              log.WithName("journal"),
+		Services:         services,
+		BatchesPerSecond: journalCallsPerSecond / 2,
+		Burst:            journalBurst / 2,
+	})
 }
 
 // newCoordinator polls the ranks at least once in each interval of plans.
--- a/order/batch.go
+++ b/order/batch.go
@@ -92,6 +92,10 @@
 
 func (w *writer) run() {
 	for {
+		if w.waiting() > 0 {
+			// Operations that come during the wait join the batch.
+			_ = w.journal.pace.Wait(context.Background()) // the context does not end
+		}
 		ops := w.take()
 		if len(ops) == 0 {
 			return
@@ -116,7 +120,11 @@
 func (w *writer) flush(ops []*operation) {
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
-	for range maxTries {
+	for i := range maxTries {
+		if i > 0 && w.journal.pace.Wait(ctx) != nil {
+			endAll(ops, unavailable(store.ErrBudget))
+			return
+		}
 		retry, err := w.try(ctx, ops)
 		if err != nil {
 			endAll(ops, unavailable(err))
--- a/order/journal.go
+++ b/order/journal.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/store"
@@ -36,6 +37,12 @@
 	Log   logr.Logger
 	// Services lists the services with non-idempotent paths in the bundle in force.
 	Services func() []string
+	// BatchesPerSecond and Burst bound the batches begun, each of a read and a
+	// write. Half of the store client's call budget keeps a batch from waiting
+	// for the budget between its read and its write, where the writes of other
+	// entries make it conflict. 0 for no bound.
+	BatchesPerSecond float64
+	Burst            int
 }
 
 // Journal binds callers' own keys to agent incarnations in the store. It
@@ -54,6 +61,7 @@
 	writers map[string]*writer // by segment key
 	full    map[string]bool    // services whose epoch should advance
 	wake    chan struct{}
+	pace    *rate.Limiter // of batches
 }
 
 // epochView is an entry's view of a service's epoch.
@@ -66,7 +74,12 @@
 
 // NewJournal returns a journal over s. Run keeps its epochs current.
 func NewJournal(s store.Store, cfg JournalConfig) *Journal {
+	pace := rate.NewLimiter(rate.Inf, 0)
+	if cfg.BatchesPerSecond > 0 {
+		pace = rate.NewLimiter(rate.Limit(cfg.BatchesPerSecond), max(cfg.Burst, 1))
+	}
 	return &Journal{
+		pace:    pace,
 		store:   s,
 		cfg:     cfg,
 		epochs:  make(map[string]epochView),
--- /dev/null
+++ b/order/pace_test.go
@@ -0,0 +1,75 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"golang.org/x/time/rate"
+
+	"github.com/wasabinotch/wasabinotch/store"
+)
+
+// budgetStore is one entry's client with a call budget.
+type budgetStore struct {
+	store.Store
+	budget    *rate.Limiter
+	conflicts *atomic.Int64
+}
+
+func (s budgetStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if s.budget.Wait(ctx) != nil {
+		return store.Entry{}, store.ErrBudget
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s budgetStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision uint64) error {
+	if s.budget.Wait(ctx) != nil {
+		return store.ErrBudget
+	}
+	err := s.Store.CompareAndSwap(ctx, key, value, revision)
+	if errors.Is(err, store.ErrConflict) {
+		s.conflicts.Add(1)
+	}
+	return err
+}
+
+// Guards against batches that wait for the call budget between their read and
+// their write, and so conflict with other entries until orders are refused.
+func TestSpentBudgetCausesNoConflicts(t *testing.T) {
+	is := is.New(t)
+	const calls, burst, entries, keys = 400, 40, 4, 300
+	shared := &faultyStore{entries: map[string]store.Entry{}}
+	var conflicts atomic.Int64
+	var group sync.WaitGroup
+	for e := range entries {
+		client := budgetStore{Store: shared, budget: rate.NewLimiter(calls, burst), conflicts: &conflicts}
+		j := NewJournal(client, JournalConfig{
+			Clock: clockwork.NewRealClock(), Log: logr.Discard(), Services: func() []string { return []string{"svc"} },
+			BatchesPerSecond: calls / 2, Burst: burst / 2,
+		})
+		is.NoErr(j.Refresh(context.Background(), "svc"))
+		arrivals := rate.NewLimiter(calls, 1) // twice as many as the budget bears without batches
+		group.Go(func() {
+			for k := range keys {
+				_ = arrivals.Wait(context.Background()) // the context does not end
+				group.Go(func() {
+					id, _ := ParseIdentity(fmt.Sprintf("e1.k%d-%d", e, k))
+					if _, err := j.Bind(context.Background(), "svc", id, Binding{AgentID: "a", Incarnation: 1}); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d conflicts, %d writes", conflicts.Load(), shared.writes)
+	is.True(conflicts.Load() < int64(shared.writes)/4)
+}
