--- a/cmd/wasabinotch-lab/main.go
+++ b/cmd/wasabinotch-lab/main.go
@@ -32,6 +32,7 @@
 		{"latency", "compare requests through entry and agent with direct ones", &latencyCommand{}},
 		{"rankgroup", "measure expert placement and the map switch", &rankgroupCommand{}},
 		{"overload", "measure a small system in one process under overload", &overloadCommand{}},
+		{"zonemove", "measure service while a zone is taken out and brought back", &zoneMoveCommand{}},
 		{"settings", "write settings, bundle and keys of a deployment", &settingsCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
