--- a/control/bytes_test.go
+++ b/control/bytes_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"bytes"
+	"encoding/gob"
 	"expvar"
 	"fmt"
 	"strconv"
@@ -11,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/membership"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
@@ -91,7 +94,9 @@
 	l := New(Config{Self: wire.Node{ID: "self", Role: wire.RoleEntry, Zone: "a"}, Log: logr.Discard()})
 	now := time.Now()
 	for i := range entries + agents {
-		n := wire.Node{ID: fmt.Sprint("node-", i), Role: wire.RoleEntry, Zone: "a", Incarnation: 1, Seq: 1, ContentSeq: 1, State: wire.StateReady}
+		n := wire.Node{ID: fmt.Sprint("batinah-entry-", i), VM: fmt.Sprint("batinah-vm-entry-", i), Role: wire.RoleEntry,
+			Zone: "zone-a", HTTPAddr: "10.123.123.123:12345", RPCAddr: "10.123.123.123:12346",
+			Incarnation: uint64(now.UnixNano()), Seq: 1000, ContentSeq: 2, State: wire.StateReady}
 		if i >= entries {
 			n.Role, n.Service = wire.RoleAgent, fmt.Sprint("model-", i%4)
 		}
@@ -104,3 +109,27 @@
 	}
 	return l
 }
+
+// BenchmarkExchangeBytes reports the size of the records of an exchange at the
+// design size: all of them, as after the start of an entry, and as heartbeats.
+func BenchmarkExchangeBytes(b *testing.B) {
+	l := rebuildLoop()
+	var beats []wire.Node
+	whole := l.table.Since(0, "", time.Time{})
+	for _, n := range whole {
+		beats = append(beats, membership.ToHeartbeat(n))
+	}
+	var raw bytes.Buffer
+	for b.Loop() {
+		raw.Reset()
+		if err := gob.NewEncoder(&raw).Encode(wire.ExchangeReply{Updates: whole}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(raw.Len())/float64(len(whole)), "B/record")
+	raw.Reset()
+	if err := gob.NewEncoder(&raw).Encode(wire.ExchangeReply{Updates: beats}); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(raw.Len())/float64(len(beats)), "B/heartbeat")
+}
--- a/lab/fleet/measure.go
+++ b/lab/fleet/measure.go
@@ -39,6 +39,8 @@
 	CPU                    float64 // cores of the whole process
 	// Calls per second of the whole fleet.
 	StoreReads, StoreWatches, StoreWrites float64
+	// StoreBytes are the bytes per second between all entries and the store.
+	StoreBytes float64
 }
 
 // Result is the measurement of one size.
@@ -59,6 +61,7 @@
 	entry, agent   int64
 	reads, watches int64
 	writes         int64
+	storeBytes     int64
 }
 
 func (f *fleet) read() (reading, error) {
@@ -69,7 +72,7 @@
 	c := f.store.Counters()
 	return reading{at: time.Now(), cpu: time.Duration(u.Utime.Nano() + u.Stime.Nano()),
 		entry: f.traffic[wire.RoleEntry].total(), agent: f.traffic[wire.RoleAgent].total(),
-		reads: c.Reads, watches: c.Watches, writes: c.Writes}, nil
+		reads: c.Reads, watches: c.Watches, writes: c.Writes, storeBytes: f.toStore.total()}, nil
 }
 
 // usage returns what was consumed during run.
@@ -91,6 +94,7 @@
 		StoreReads:   float64(b.reads-a.reads) / s,
 		StoreWatches: float64(b.watches-a.watches) / s,
 		StoreWrites:  float64(b.writes-a.writes) / s,
+		StoreBytes:   float64(b.storeBytes-a.storeBytes) / s,
 	}, err
 }
 
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -13,13 +13,13 @@
 func Write(w io.Writer, results []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	// Flush reports errors.
-	_, _ = fmt.Fprintf(t, "entries\tagents\tzones\torgs\tbundle B\tentry B/s\tagent B/s\tcpu %%/node\theap MB/node\tstore reads/s\twatches/s\tper change: entry B\tagent B\tcore ms/node\troll median\tmax\tout median\tmax\tin median\tmax\n")
+	_, _ = fmt.Fprintf(t, "entries\tagents\tzones\torgs\tbundle B\tentry B/s\tagent B/s\tcpu %%/node\theap MB/node\tstore reads/s\twatches/s\tstore KB/s\tper change: entry B\tagent B\tcore ms/node\troll median\tmax\tout median\tmax\tin median\tmax\n")
 	for _, r := range results {
 		nodes := float64(r.Entries + r.Agents)
 		q, c, n := r.Quiet, r.Changed, max(len(r.Rolled), 1)
-		_, _ = fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.3f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.2f\t%v\t%v\t%v\t%v\t%v\t%v\n",
+		_, _ = fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.3f\t%.2f\t%.2f\t%.2f\t%.1f\t%.0f\t%.0f\t%.2f\t%v\t%v\t%v\t%v\t%v\t%v\n",
 			r.Entries, r.Agents, r.Zones, r.Organisations, r.BundleBytes, q.EntryBytes, q.AgentBytes, 100*q.CPU/nodes, r.Heap,
-			q.StoreReads, q.StoreWatches,
+			q.StoreReads, q.StoreWatches, q.StoreBytes/1000,
 			perChange(q.EntryBytes, c.EntryBytes, c.Seconds, n), perChange(q.AgentBytes, c.AgentBytes, c.Seconds, n),
 			1000*perChange(q.CPU, c.CPU, c.Seconds, n)/nodes,
 			ms(median(r.Rolled)), ms(longest(r.Rolled)), ms(median(r.Out)), ms(longest(r.Out)), ms(median(r.In)), ms(longest(r.In)))
--- a/lab/latency/measure.go
+++ b/lab/latency/measure.go
@@ -24,9 +24,12 @@
 	CallRate   float64 // calls per second
 	StreamRate float64 // streams per second
 	Tokens     int     // per stream
-	Phase      time.Duration
-	Phases     int // of each way and kind
-	Seed       uint64
+	// WarmUp is the time of routed load before each kind, in which the agents
+	// raise the limits of their cold endpoints.
+	WarmUp time.Duration
+	Phase  time.Duration
+	Phases int // of each way and kind
+	Seed   uint64
 }
 
 // Way is the measurement of one way to the endpoints.
@@ -52,9 +55,6 @@
 	maxMicros         = int64(time.Minute / time.Microsecond)
 	significantDigits = 3
 	requestTimeout    = 20 * time.Second
-	// warmUp is the time of routed load at the start, in which the agents raise
-	// the limits of their cold endpoints.
-	warmUp = 5 * time.Second
 )
 
 func newWay() *Way {
@@ -90,7 +90,7 @@
 
 func (m *measurement) compare(ctx context.Context, kind string, rate float64, direct, routed request) (Comparison, error) {
 	c := Comparison{Kind: kind, Rate: rate, Direct: newWay(), Routed: newWay()}
-	if err := m.phase(ctx, newWay(), rate/4, warmUp, routed); err != nil {
+	if err := m.phase(ctx, newWay(), rate/4, m.opt.WarmUp, routed); err != nil {
 		return c, err
 	}
 	for range m.opt.Phases {
