Watch key names and read values on a change; linter findings in proof

Cause: each watch of the store returned the whole configuration every second also without a change: a watching entry took 131 KB/s with a bundle of 500 organisations (lab fleet). The linter found FailNow in goroutines of two proofs. Change: waiting queries ask for key names; values are read when the index has changed. Proofs send the signal and wait in the test's goroutine.

--- a/proof/answer_test.go
+++ b/proof/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,12 +83,12 @@
 	c.start("entry-z3-1")
 	heal()
 	t.Log("graceful restart of an agent, part a zone")
-	go c.terminate("desk-z2-1", 30*time.Second)
+	c.signal("desk-z2-1", syscall.SIGTERM)
 	heal = c.cutZone("z3")
 	pause()
 	pause()
 	heal()
-	<-c.nodes["desk-z2-1"].exited
+	c.awaitExit("desk-z2-1", 30*time.Second)
 	c.start("desk-z2-1")
 	pause()
 }
--- a/proof/bundle_test.go
+++ b/proof/bundle_test.go
@@ -12,8 +12,8 @@
 	"github.com/wasabinotch/wasabinotch/lab/kvsim"
 )
 
-// withinSeconds is the bound for "within seconds" in the guarantees on bundles.
-const withinSeconds = 5 * time.Second
+// soon is the bound for "within seconds" in the guarantees on bundles.
+const soon = 5 * time.Second
 
 // versionWatch polls the bundle version of every entry and reports a decrease.
 type versionWatch struct {
@@ -107,7 +107,7 @@
 
 func (c *cluster) awaitVersion(t *testing.T, start time.Time) {
 	t.Helper()
-	c.eventually(withinSeconds-time.Since(start), fmt.Sprintf("bundle %d in force on all nodes", c.bundle.Version), func() error {
+	c.eventually(soon-time.Since(start), fmt.Sprintf("bundle %d in force on all nodes", c.bundle.Version), func() error {
 		return c.checkReady(c.entries()[0].id, c.order)
 	})
 	t.Logf("bundle %d seen in force on %d nodes %v after the command", c.bundle.Version, len(c.order), time.Since(start).Round(time.Millisecond))
@@ -168,5 +168,5 @@
 	c.kill(id)
 	c.start(id)
 	c.awaitStarted()
-	c.eventually(withinSeconds, id+" takes the bundle from its peers", func() error { return c.checkReady(id, []string{id}) })
+	c.eventually(soon, id+" takes the bundle from its peers", func() error { return c.checkReady(id, []string{id}) })
 }
--- a/proof/endpoint_test.go
+++ b/proof/endpoint_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"syscall"
 	"testing"
 	"time"
 
@@ -142,9 +143,9 @@
 	c.terminate("entry-z1-1", 60*time.Second)
 	c.terminate("model-z2-1", 60*time.Second)
 	c.terminate("desk-z3-1", 60*time.Second)
-	go c.terminate("entry-z2-1", 60*time.Second)
+	c.signal("entry-z2-1", syscall.SIGTERM)
 	c.terminate("model-z3-2", 60*time.Second)
-	<-c.nodes["entry-z2-1"].exited
+	c.awaitExit("entry-z2-1", 60*time.Second)
 	summary := load.stop(c)
 	c.check(t, summary, 0)
 	// Callers may keep an entry's address for its validity: none may find it
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -88,6 +88,11 @@
 func (c *cluster) terminate(id string, within time.Duration) {
 	c.t.Helper()
 	c.signal(id, syscall.SIGTERM)
+	c.awaitExit(id, within)
+}
+
+func (c *cluster) awaitExit(id string, within time.Duration) {
+	c.t.Helper()
 	select {
 	case <-c.nodes[id].exited:
 	case <-time.After(within):
--- a/proof/zone_test.go
+++ b/proof/zone_test.go
@@ -133,7 +133,7 @@
 		t.Error("a zone was brought back in without the store")
 	}
 	c.must(c.kv.SetFaults(kvsim.Faults{}))
-	c.eventually(withinSeconds, "the out is written to the store once it is back", func() error {
+	c.eventually(soon, "the out is written to the store once it is back", func() error {
 		return c.checkStoredOut("z3")
 	})
 	c.bringBack(t, "z3")
@@ -182,7 +182,7 @@
 	time.Sleep(8 * time.Second)
 	c.checkNoWorkAfter(t, "z3", out, partedWithin)
 	heal()
-	c.eventually(withinSeconds, "the parted zone learns that it is out", func() error {
+	c.eventually(soon, "the parted zone learns that it is out", func() error {
 		s, err := c.status("entry-z3-1")
 		if err == nil && len(s.ZonesOut) == 0 {
 			err = errNoWork
--- a/store/consul.go
+++ b/store/consul.go
@@ -11,7 +11,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +40,7 @@
 	current atomic.Int64 // index of the address that answered last
 	limiter *rate.Limiter
 	http    *http.Client
+	seen    seenPrefixes
 }
 
 // Config configures a Consul client.
@@ -109,13 +112,26 @@
 
 // Watch implements Store. An index that goes backwards is returned as 0, as
 // Consul's documentation asks, so that the next call returns at once.
+//
+// A waiting query asks for the names of the keys only, and the values are read
+// when the index has changed: an answer without a change would otherwise carry
+// the whole configuration, 131 KB for 500 organisations, each second.
 func (c *Consul) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error) {
-	query := url.Values{"recurse": {"true"}}
-	if after > 0 {
-		query.Set("index", strconv.FormatUint(after, 10))
-		query.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10)+"ms")
+	if known, found := c.seen.get(prefix, after); found {
+		query := url.Values{
+			"keys":  {"true"},
+			"index": {strconv.FormatUint(after, 10)},
+			"wait":  {strconv.FormatInt(wait.Milliseconds(), 10) + "ms"},
+		}
+		a, err := c.call(ctx, http.MethodGet, prefix, query, nil, wait+wait/16) // Consul adds up to wait/16
+		if err != nil {
+			return nil, after, err
+		}
+		if a.index == after {
+			return known, after, nil
+		}
 	}
-	a, err := c.call(ctx, http.MethodGet, prefix, query, nil, wait+wait/16) // Consul adds up to wait/16
+	a, err := c.call(ctx, http.MethodGet, prefix, url.Values{"recurse": {"true"}}, nil, 0)
 	if err != nil {
 		return nil, after, err
 	}
@@ -126,9 +142,41 @@
 	if a.index < after {
 		return entries, 0, nil
 	}
+	c.seen.set(prefix, a.index, entries)
 	return entries, a.index, nil
 }
 
+// seenPrefixes keeps the values of the last read of each watched prefix.
+type seenPrefixes struct {
+	mu       sync.Mutex
+	prefixes map[string]seenPrefix
+}
+
+type seenPrefix struct {
+	index   uint64
+	entries []Entry
+}
+
+// get returns the values as of index, if they are known.
+func (s *seenPrefixes) get(prefix string, index uint64) ([]Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, found := s.prefixes[prefix]
+	if !found || index == 0 || p.index != index {
+		return nil, false
+	}
+	return slices.Clone(p.entries), true
+}
+
+func (s *seenPrefixes) set(prefix string, index uint64, entries []Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.prefixes == nil {
+		s.prefixes = make(map[string]seenPrefix)
+	}
+	s.prefixes[prefix] = seenPrefix{index: index, entries: slices.Clone(entries)}
+}
+
 func (c *Consul) write(ctx context.Context, method, key string, query url.Values, value []byte) error {
 	a, err := c.call(ctx, method, key, query, value, 0)
 	if err != nil {
