Confirm a cold endpoint by its token gap; exempt resumed streams from the wait bound

Cause: agents of warm engines still fell to the cold limit on a busy machine, since scheduling noise and prefill raise first-token time without the engine being cold. A stream that is resumed on another endpoint could be refused for its wait although its caller has a part of it.

A report of cold, a new boot ID and a lost connection act at once as before. A resumed request is bound by its deadline only.

--- a/gate/limit.go
+++ b/gate/limit.go
@@ -13,6 +13,10 @@
 	recentGain   = 0.1
 	// baselineFloor keeps scheduling noise of a busy VM from looking like a cold endpoint.
 	baselineFloor = 5 * time.Millisecond
+	// gapFactor is the rise of the token gap over the warm baseline that
+	// confirms a rise of first-token time. A busy VM or longer prompts raise
+	// first-token time alone; a full batch raises the gap by half.
+	gapFactor = 2
 )
 
 // limit is the adaptive number of concurrent requests. It is not safe for
@@ -29,6 +33,8 @@
 	samples  int
 	baseline float64 // seconds
 	recent   float64 // seconds
+	// gap is the recent token gap and baselineGap the warm one, in seconds; 0 if unknown.
+	gap, baselineGap float64
 }
 
 // configure sets the bounds from the bundle. The first call sets the limit to cold.
@@ -99,7 +105,14 @@
 	known := l.samples >= baselineSamples
 	if l.current >= l.warm && (!known || s <= bound) {
 		l.samples++
-		l.baseline += (s - l.baseline) * max(baselineGain, 1/float64(l.samples))
+		gain := max(baselineGain, 1/float64(l.samples))
+		l.baseline += (s - l.baseline) * gain
+		l.baselineGap += (l.gap - l.baselineGap) * gain
 	}
-	return known && l.current > l.cold && l.recent > bound
+	return known && l.current > l.cold && l.recent > bound && !l.steady()
+}
+
+// steady reports whether tokens come about as fast as from the warm endpoint.
+func (l *limit) steady() bool {
+	return l.baselineGap > 0 && l.gap < gapFactor*l.baselineGap
 }
--- a/gate/shed.go
+++ b/gate/shed.go
@@ -20,7 +20,8 @@
 // shed refuses queued requests that cannot be finished before their deadline,
 // in the order in which they would be served, so that slots go to requests
 // whose answers arrive in time. arriving is the request that was queued last,
-// or nil. One request is let through at an idle endpoint, so that a pace
+// or nil. A stream that is resumed here is bound by its deadline only, since
+// its caller has a part of it already. One request is let through at an idle endpoint, so that a pace
 // measured under other conditions is measured again.
 func (g *Gate) shed(arriving *waiter) {
 	if g.queue.length == 0 || !g.pace.known() {
@@ -54,7 +55,7 @@
 	}
 	left := w.deadline.Sub(now)
 	late := wait + hold - left
-	if arriving {
+	if arriving && w.resumed == 0 {
 		late = max(late, wait-left/waitPart)
 	}
 	return late
@@ -82,6 +83,9 @@
 		g.pace.step(g.cfg.Clock.Since(s.since), res.served)
 	}
 	g.pace.answered(s.cost-s.resumed, res.served)
+	if res.stepped {
+		g.limit.gap = g.pace.gap
+	}
 }
 
 // tokenAfter takes the time to the first token of a request, or the gap
--- a/gate/shed_test.go
+++ b/gate/shed_test.go
@@ -45,9 +45,12 @@
 		is.Equal(r.Outcome, api.OutcomeNotRun)
 		is.Equal(r.RetryAfterMS, int64(1000)) // the wait of 2 s is 1 s too long
 	}
-	is.True(h.offer("big", 0, 2900*time.Millisecond).refusal != nil)  // would wait 2 s and run 1 s
-	is.True(h.offer("small", 0, 4*time.Second).refusal == nil)        // within its share
-	is.True(h.offer("big", 1, 4*time.Second).refusal == nil)          // of higher priority
+	is.True(h.offer("big", 0, 2900*time.Millisecond).refusal != nil) // would wait 2 s and run 1 s
+	is.True(h.offer("small", 0, 4*time.Second).refusal == nil)       // within its share
+	is.True(h.offer("big", 1, 4*time.Second).refusal == nil)         // of higher priority
+	resumed := &waiter{org: "big", cost: 10, resumed: 5, ready: make(chan struct{}), deadline: h.clock.Now().Add(7 * time.Second)}
+	is.Equal(h.enqueue(resumed), nil)
+	is.True(resumed.refusal == nil)                                   // its caller has a part of the answer
 	is.True(h.offer("other", 0, 500*time.Millisecond).refusal != nil) // shorter than a request takes
 }
 
@@ -91,6 +94,27 @@
 	is.Equal(h.limit.samples, 0)
 }
 
+// Guards against a warm endpoint that falls to the cold limit since its VM is
+// busy or prompts are longer, and against a slow one that does not.
+func TestSlowFirstTokenIsConfirmedByTheTokenGap(t *testing.T) {
+	for gap, want := range map[float64]bool{0.015: false, 0.04: true} {
+		is := is.New(t)
+		l := limit{gap: 0.01}
+		l.configure(2, 8)
+		l.set(8)
+		for range 2 * baselineSamples {
+			l.completed(l.generation, 20*time.Millisecond)
+		}
+		l.gap = gap
+		fell := false
+		for range 20 {
+			l.completed(l.generation, 200*time.Millisecond)
+			fell = fell || l.current == 2
+		}
+		is.Equal(fell, want)
+	}
+}
+
 // Guards against estimates that hold every request to its bound, and against
 // ones that expect no answer to be longer than the mean.
 func TestHoldFollowsTheLengthOfAnswers(t *testing.T) {
