--- a/gate/shed.go
+++ b/gate/shed.go
@@ -21,8 +21,8 @@
 // in the order in which they would be served, so that slots go to requests
 // whose answers arrive in time. arriving is the request that was queued last,
 // or nil. A stream that is resumed here is bound by its deadline only, since
-// its caller has a part of it already. One request is let through at an idle endpoint, so that a pace
-// measured under other conditions is measured again.
+// its caller has a part of it already. One request is let through at an idle
+// endpoint, so that a pace measured under other conditions is measured again.
 func (g *Gate) shed(arriving *waiter) {
 	if g.queue.length == 0 || !g.pace.known() {
 		return
@@ -44,7 +44,14 @@
 		}
 		probe = false
 		free[0] = wait + mean
-		slices.Sort(free)
+		sortFirst(free)
+	}
+}
+
+// sortFirst moves the first element of a list that is sorted otherwise to its place.
+func sortFirst(list []time.Duration) {
+	for i := 1; i < len(list) && list[i] < list[i-1]; i++ {
+		list[i], list[i-1] = list[i-1], list[i]
 	}
 }
 
@@ -101,7 +108,7 @@
 }
 
 func tooLate(wait, retryAfter time.Duration) *api.Refusal {
-	r := api.NotRun(api.KindOverloaded, fmt.Sprintf("the endpoint is overloaded: the request would wait %v and not end in time", wait.Round(time.Millisecond)), "retry later, or with a longer deadline")
+	r := api.NotRun(api.KindOverloaded, fmt.Sprintf("the endpoint is overloaded: the request would wait %v, too long for its deadline", wait.Round(time.Millisecond)), "retry later, or with a longer deadline")
 	r.RetryAfterMS = retryAfter.Milliseconds()
 	return r
 }
