--- a/gate/shed.go
+++ b/gate/shed.go
@@ -20,8 +20,9 @@
 // shed refuses queued requests that cannot be finished before their deadline,
 // in the order in which they would be served, so that slots go to requests
 // whose answers arrive in time. arriving is the request that was queued last,
-// or nil. One request is let through at an idle endpoint, so that a pace
-// measured under other conditions is measured again.
+// or nil. A stream that is resumed here is bound by its deadline only, since
+// its caller has a part of it already. One request is let through at an idle
+// endpoint, so that a pace measured under other conditions is measured again.
 func (g *Gate) shed(arriving *waiter) {
 	if g.queue.length == 0 || !g.pace.known() {
 		return
@@ -43,7 +44,14 @@
 		}
 		probe = false
 		free[0] = wait + mean
-		slices.Sort(free)
+		sortFirst(free)
+	}
+}
+
+// sortFirst moves the first element of a list that is sorted otherwise to its place.
+func sortFirst(list []time.Duration) {
+	for i := 1; i < len(list) && list[i] < list[i-1]; i++ {
+		list[i], list[i-1] = list[i-1], list[i]
 	}
 }
 
@@ -54,7 +62,7 @@
 	}
 	left := w.deadline.Sub(now)
 	late := wait + hold - left
-	if arriving {
+	if arriving && w.resumed == 0 {
 		late = max(late, wait-left/waitPart)
 	}
 	return late
@@ -82,6 +90,9 @@
 		g.pace.step(g.cfg.Clock.Since(s.since), res.served)
 	}
 	g.pace.answered(s.cost-s.resumed, res.served)
+	if res.stepped {
+		g.limit.gap = g.pace.gap
+	}
 }
 
 // tokenAfter takes the time to the first token of a request, or the gap
@@ -97,7 +108,7 @@
 }
 
 func tooLate(wait, retryAfter time.Duration) *api.Refusal {
-	r := api.NotRun(api.KindOverloaded, fmt.Sprintf("the endpoint is overloaded: the request would wait %v and not end in time", wait.Round(time.Millisecond)), "retry later, or with a longer deadline")
+	r := api.NotRun(api.KindOverloaded, fmt.Sprintf("the endpoint is overloaded: the request would wait %v, too long for its deadline", wait.Round(time.Millisecond)), "retry later, or with a longer deadline")
 	r.RetryAfterMS = retryAfter.Milliseconds()
 	return r
 }
