Give a returning zone one in 100 choices until it is half warm

Cause: cold engines answer four times slower, and each needs about 14 answers to warm up. All entries sent them about one in eleven choices at once and several requests to one engine, so that more than 1% of all answers were slow and some waited for two of them: p99 of model requests in other zones rose to 1.8 to 2.4 times the value before.

Change: an endpoint that came back and has less than half of its warm limit gets one in 100 choices, and only while it is idle, for a minute at most or until the others have no room. Picks that only name an endpoint no longer count as holding time. Considered as well: sending only the zone's own callers to it, which makes their answers slow instead; it was not measured.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -68,11 +68,15 @@
 	Reason string
 	st     *state
 	since  time.Time
-	done   sync.Once
+	// dispatched is set once the endpoint answered. Other picks only name an
+	// endpoint, and their time is no holding time.
+	dispatched atomic.Bool
+	done       sync.Once
 }
 
 // Answered records the limit and the in-flight count of the agent's answer.
 func (p *Pick) Answered(now time.Time, limit, inFlight int) {
+	p.dispatched.Store(true)
 	p.st.answered(now, limit, inFlight)
 }
 
@@ -87,7 +91,9 @@
 func (p *Pick) Done() {
 	p.done.Do(func() {
 		p.st.own.Add(-1)
-		p.st.released(time.Since(p.since))
+		if p.dispatched.Load() {
+			p.st.released(time.Since(p.since))
+		}
 	})
 }
 
@@ -111,6 +117,7 @@
 	entries int
 	// others is the part of a limit that other entries use on average.
 	others float64
+	warm   int // warm limit of the service; 0 if not known
 }
 
 // candidate is an endpoint that passed the checks of one choice.
@@ -124,13 +131,24 @@
 func (b *Balancer) Choose(snap *control.Snapshot, rq Request) *Pick {
 	p := b.pool(snap, rq.Service, rq.Now)
 	c := &chooser{snap: snap, rq: &rq, entries: min(len(snap.Entries)+1, maxCrowd), others: p.others}
+	if service := snap.Services[rq.Service]; service != nil {
+		c.warm = service.WarmLimit
+	}
+	if rand.IntN(warmingTrickle) == 0 {
+		if pick := c.better(p.subset, estimate.hasWarmingRoom, "warming up"); pick != nil {
+			return pick
+		}
+	}
 	if pick := c.byPrefix(p, b.prefixHash(&rq)); pick != nil {
 		return pick
 	}
 	if pick := c.better(p.own, estimate.hasZoneRoom, "own zone"); pick != nil {
 		return pick
 	}
-	if pick := c.better(p.subset, estimate.hasRoom, "any zone"); pick != nil {
+	if pick := c.better(p.subset, estimate.hasWarmRoom, "any zone"); pick != nil {
+		return pick
+	}
+	if pick := c.better(p.subset, estimate.hasRoom, "any zone, warming up"); pick != nil {
 		return pick
 	}
 	if pick := c.probe(p.all, estimate.hasRoom, "outside the subset"); pick != nil {
@@ -166,7 +184,7 @@
 	if !c.usable(ep) || st.failedSince(ep.HeardAt) {
 		return candidate{}, false
 	}
-	est := st.estimate(ep, c.rq.Now, c.entries, c.others)
+	est := st.estimate(ep, c.rq.Now, c.entries, c.others, c.warm)
 	if !accept(est) {
 		return candidate{}, false
 	}
@@ -195,7 +213,7 @@
 	st := p.preferred(hash % prefixBuckets)
 	within := func(e estimate) bool {
 		mean := float64(p.load+1) * float64(e.limit) / float64(p.limit)
-		return e.hasRoom() && e.load+1 <= int(math.Ceil(boundedLoad*mean))
+		return e.hasWarmRoom() && e.load+1 <= int(math.Ceil(boundedLoad*mean))
 	}
 	found, ok := c.check(st, within)
 	if !ok {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/control"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
@@ -206,7 +207,9 @@
 			for _, ep := range snap.Endpoints["s"] {
 				pick := b.Hold(ep, "sample")
 				pick.since = time.Now().Add(-held)
+				pick.dispatched.Store(true)
 				pick.Done()
+				b.Hold(ep, "names the endpoint only").Done()
 			}
 		}
 		placed := map[string]int{}
@@ -216,3 +219,34 @@
 		is.Equal(placed["agent-0"] > 0, held < time.Second)
 	}
 }
+
+// Guards against callers that get slow answers of cold engines after a zone
+// has returned, and against engines that are never warmed up or not used
+// when all others are full.
+func TestWarmingZoneGetsTrickle(t *testing.T) {
+	is := is.New(t)
+	snap := fleet(6, "a", "b")
+	snap.Services = map[string]*bundle.Service{"s": {Name: "s", WarmLimit: 8}}
+	for _, ep := range snap.Endpoints["s"] {
+		if ep.Node.Zone == "b" {
+			ep.InSince, ep.Load.Limit, ep.Load.InFlight = now.Add(-rampUp), 2, 0
+		}
+	}
+	b := New("entry-1", "b")
+	choose := func() *Pick { return b.Choose(snap, Request{Service: "s", Now: now}) }
+	trickled := 0
+	const choices = 20000
+	for range choices {
+		pick := choose()
+		if pick.Endpoint.Node.Zone == "b" {
+			trickled++
+		}
+		pick.Done()
+	}
+	is.True(trickled > choices/warmingTrickle/2 && trickled < choices/warmingTrickle*2)
+	placed := map[string]int{}
+	for pick := choose(); pick != nil; pick = choose() {
+		placed[pick.Endpoint.Node.Zone]++
+	}
+	is.Equal(placed, map[string]int{"a": 3 * 4, "b": 3 * 2})
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -12,6 +12,19 @@
 // full load again, since all of its endpoints are cold.
 const rampUp = 10 * time.Second
 
+const (
+	// warmingTrickle is the part of the choices, one in this many, that may use
+	// an endpoint that is warming up although others have room. Answers of cold
+	// engines are slow, and with fewer than one in 100 p99 does not show them.
+	warmingTrickle = 100
+	// warmingPart is the part of the warm limit from which an endpoint counts
+	// as warm enough for its share of the load.
+	warmingPart = 0.5
+	// warmingTime bounds the time after the return in which an endpoint may
+	// count as warming up, so that a service with little traffic uses it again.
+	warmingTime = time.Minute
+)
+
 // state is what this entry knows about one endpoint beyond the snapshot.
 type state struct {
 	id   string
@@ -115,13 +128,15 @@
 	crowd int
 	// ramping is true while the endpoint's zone or VM comes back.
 	ramping bool
+	// warming is true while it is still cold after that.
+	warming bool
 }
 
 // estimate combines the last load figure with what is known since. others is
 // the mean part of a limit that other entries use at all endpoints: a figure
 // that is old compared with the holding time is replaced by it, since a full
 // endpoint would otherwise be avoided by all entries until its next report.
-func (s *state) estimate(ep *control.Endpoint, now time.Time, entries int, others float64) estimate {
+func (s *state) estimate(ep *control.Endpoint, now time.Time, entries int, others float64, warm int) estimate {
 	b := s.current(ep)
 	own := int(s.own.Load())
 	since := own - int(b.own)
@@ -133,7 +148,13 @@
 		crowd += int(fresh * float64(since*(entries-1)))
 	}
 	limit := rampedLimit(b.limit, ep.InSince, now)
-	return estimate{load: load, limit: limit, crowd: crowd, ramping: limit < b.limit}
+	return estimate{load: load, limit: limit, crowd: crowd, ramping: limit < b.limit, warming: warming(b.limit, warm, ep.InSince, now)}
+}
+
+// warming reports whether an endpoint that came back at inSince has far less
+// than its warm limit.
+func warming(limit, warm int, inSince, now time.Time) bool {
+	return !inSince.IsZero() && now.Sub(inSince) < warmingTime && float64(limit) < warmingPart*float64(warm)
 }
 
 // rampedLimit is the limit of an endpoint whose zone came back at inSince.
@@ -162,6 +183,17 @@
 	return e.load < e.limit
 }
 
+// hasWarmRoom reports whether the endpoint has room and is not warming up.
+func (e estimate) hasWarmRoom() bool {
+	return e.hasRoom() && !e.warming
+}
+
+// hasWarmingRoom reports whether the endpoint is idle and warming up. A request
+// that waits behind another one on a cold engine would take twice as long.
+func (e estimate) hasWarmingRoom() bool {
+	return e.warming && e.crowd == 0 && e.limit > 0
+}
+
 // zoneRoom is the share of the limit up to which the own zone is preferred.
 // Above it the view's lag would fill endpoints to the limit before other
 // zones are used.
@@ -171,5 +203,5 @@
 // own zone. The entries of a returning zone would otherwise fill its cold
 // endpoints.
 func (e estimate) hasZoneRoom() bool {
-	return e.hasRoom() && !e.ramping && (e.load == 0 || float64(e.load+1) <= zoneRoom*float64(e.limit))
+	return e.hasWarmRoom() && !e.ramping && (e.load == 0 || float64(e.load+1) <= zoneRoom*float64(e.limit))
 }
