Name no order epoch that a starting entry has not read

Change: resolve of a service with orders is refused, not run, for up to 3 s from the first time the epoch is missed; callers ask another entry. After that it answers without an epoch, since issued identities need none while the store is down. Tried before: announcing the entry as ready only once the epoch is read.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport/http"
@@ -49,6 +50,9 @@
 	pipeline *pipeline.Pipeline
 	listener net.Listener
 	server   *http.Server
+	// epochMissed is when resolve first found that the order epoch was not
+	// read; nil for never.
+	epochMissed atomic.Pointer[time.Time]
 }
 
 // New returns an entry with the real parts.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,9 +61,18 @@
 	return api.AdminResult{Accepted: true, Revision: in.Revision}, nil
 }
 
-type fakeBinder struct{ order.Binder }
+// fakeBinder reads the epoch 4 unless it is told that it was not read yet.
+type fakeBinder struct {
+	order.Binder
+	unread *atomic.Bool
+}
 
-func (fakeBinder) Epoch(string) uint64 { return 4 }
+func (b fakeBinder) Epoch(string) uint64 {
+	if b.unread != nil && b.unread.Load() {
+		return 0
+	}
+	return 4
+}
 
 // agent is a fake agent that answers once it is released.
 type agent struct{ started, release chan struct{} }
--- a/entry/resolve.go
+++ b/entry/resolve.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -45,6 +46,9 @@
 	}
 	if len(service.NonIdempotentPaths) > 0 {
 		answer.OrderEpoch = e.deps.Binder.Epoch(service.Name)
+		if answer.OrderEpoch == 0 && e.mayReadEpoch(now) {
+			return nil, api.NotRun(api.KindNoEndpoint, "this entry is starting and has not read the order epoch", "ask another entry")
+		}
 		if confirmed {
 			answer.OrderIdentity = e.issue(snap, service.Name)
 		}
@@ -52,6 +56,18 @@
 	return answer, nil
 }
 
+// epochWait is the time for which resolve is refused because the order epoch was
+// not read. Keys of epoch 0 are refused for good; issued identities need no
+// epoch, so that they are served after it although the store is down. The read
+// takes about 0.3 s while the store is up.
+const epochWait = 3 * time.Second
+
+// mayReadEpoch reports whether the order epoch was first missed a short time ago.
+func (e *Entry) mayReadEpoch(now time.Time) bool {
+	e.epochMissed.CompareAndSwap(nil, &now)
+	return now.Sub(*e.epochMissed.Load()) < epochWait
+}
+
 // issue returns an order identity bound to a live, ready agent, or "" if
 // there is none.
 func (e *Entry) issue(snap *control.Snapshot, service string) string {
