--- a/entry/resolve.go
+++ b/entry/resolve.go
@@ -58,8 +58,8 @@
 
 // epochWait is the time for which resolve is refused because the order epoch was
 // not read. Keys of epoch 0 are refused for good; issued identities need no
-// epoch, so that they are served after it although the store is down. The read
-// takes about 0.3 s while the store is up.
+// epoch, so that they are served after it although the store is down. A starting
+// journal looks every 250 ms for the services whose epochs it reads.
 const epochWait = 3 * time.Second
 
 // mayReadEpoch reports whether the order epoch was first missed a short time ago.
