--- a/agent/http.go
+++ b/agent/http.go
@@ -84,13 +84,20 @@
 	lines := json.NewEncoder(w)
 	flush := http.NewResponseController(w)
 	a.gate.Execute(r.Context(), req, func(f wire.Frame) error {
-		if err := lines.Encode(f); err != nil {
+		if err := lines.Encode(f); err != nil || buffered(f.Kind) {
 			return err
 		}
 		return flush.Flush()
 	})
 }
 
+// buffered reports whether a frame may wait for the next one. The entry holds
+// plain answers back until their end, and a head says nothing without what
+// follows, so that each flush saved is a system call and a wake-up less.
+func buffered(kind wire.FrameKind) bool {
+	return kind == wire.FrameHead || kind == wire.FrameData
+}
+
 func (a *Agent) cancel(w http.ResponseWriter, r *http.Request) {
 	var req wire.CancelRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEnvelopeBytes)).Decode(&req); err != nil {
