Start the example deployments as processes; keep proofs from stale test results

Cause: no test started daemons from the settings in examples/. And go test took a cached result of proof after the agent had changed, because the test builds the daemons by a command that the cache does not see. Change: TestExampleDeployments; proof imports entry and agent.

--- /dev/null
+++ b/proof/examples_test.go
@@ -0,0 +1,158 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/lab/deploy"
+	"github.com/wasabinotch/wasabinotch/lab/enginesim"
+	"github.com/wasabinotch/wasabinotch/lab/kvsim"
+	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+	"github.com/wasabinotch/wasabinotch/lab/ordersim"
+	"github.com/wasabinotch/wasabinotch/settings"
+)
+
+// example is one deployment of examples/.
+type example struct {
+	name, model, plain string
+}
+
+// Guards against example settings and bundles that the daemons do not take, or
+// with which no request and no order is served.
+func TestExampleDeployments(t *testing.T) {
+	for _, e := range []example{
+		{"batinah", "repair-notes", "parts"},
+		{"tidewrack", "knot-helper", "desk"},
+	} {
+		t.Run(e.name, func(t *testing.T) { e.run(t) })
+	}
+}
+
+func (e example) run(t *testing.T) {
+	c := &cluster{t: t, dir: t.TempDir(), net: &network{}, nodes: map[string]*node{},
+		engines: map[string]*enginesim.Engine{}, desks: map[string]*ordersim.Service{}, ledger: ordersim.NewLedger()}
+	t.Cleanup(c.stop)
+	addr := deploy.Free("127.0.0.1")
+	free := func() string {
+		a, err := addr()
+		c.must(err)
+		return a
+	}
+	kv, err := kvsim.Listen(free())
+	c.must(err)
+	c.kv = kv
+	var b bundle.Bundle
+	e.read(c, "bundle.json", &b)
+
+	var entries, rpcs []string
+	var list []*settings.Entry
+	for i, zone := range b.Zones {
+		s := &settings.Entry{}
+		e.read(c, "entry.json", s)
+		s.ID, s.VM, s.Zone = fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("vm-entry-%d", i+1), zone
+		s.HTTPAddr, s.RPCAddr, s.StoreAddrs, s.VMListAddr = free(), free(), []string{kv.Addr()}, ""
+		entries, rpcs = append(entries, s.HTTPAddr), append(rpcs, s.RPCAddr)
+		list = append(list, s)
+	}
+	for _, s := range list {
+		s.Entries = rpcs
+		e.start(c, s.ID, "wasabinotch-entry", s)
+	}
+	for i, service := range []string{e.model, e.model, e.plain, e.plain} {
+		s := &settings.Agent{}
+		e.read(c, "agent-"+service+".json", s)
+		s.ID, s.VM, s.Zone = fmt.Sprintf("agent-%d", i+1), fmt.Sprintf("vm-agent-%d", i+1), b.Zones[i%len(b.Zones)]
+		s.HTTPAddr, s.RPCAddr, s.EndpointAddr, s.Entries = free(), free(), free(), rpcs
+		c.startEndpoint(s, service == e.model)
+		e.start(c, s.ID, "wasabinotch-agent", s)
+	}
+	e.serve(c, b, list[0].Node, entries)
+}
+
+// read decodes a file of the example.
+func (e example) read(c *cluster, file string, into any) {
+	c.t.Helper()
+	data, err := os.ReadFile(filepath.Join("..", "examples", e.name, file))
+	c.must(err)
+	c.must(json.Unmarshal(data, into))
+}
+
+func (e example) start(c *cluster, id, program string, s any) {
+	data, err := json.Marshal(s)
+	c.must(err)
+	n := &node{id: id, program: program, settings: filepath.Join(c.dir, id+".json")}
+	c.must(os.WriteFile(n.settings, data, 0o600))
+	c.nodes[id] = n
+	c.start(id)
+}
+
+func (c *cluster) startEndpoint(s *settings.Agent, model bool) {
+	if model {
+		engine, err := enginesim.Listen(s.EndpointAddr, enginesim.Options{})
+		c.must(err)
+		c.engines[s.ID] = engine
+		return
+	}
+	desk, err := ordersim.Listen(s.EndpointAddr, ordersim.Options{Ledger: c.ledger})
+	c.must(err)
+	c.desks[s.ID] = desk
+}
+
+// serve signs the bundle with the example keys, rolls it out and checks that
+// requests and orders are served.
+func (e example) serve(c *cluster, b bundle.Bundle, trusted settings.Node, entries []string) {
+	c.t.Helper()
+	plan := deploy.Plan{Name: e.name, Zones: b.Zones, Entries: 1, Addr: deploy.Free("127.0.0.1"), ExampleKeys: true,
+		ModelService: e.model, PlainService: e.plain, ModelAgents: 1, OrderAgents: 1, Threshold: trusted.Threshold}
+	for _, m := range trusted.Members {
+		plan.Members = append(plan.Members, m.Name)
+	}
+	for _, o := range b.Operators {
+		plan.Operators = append(plan.Operators, o.Name)
+	}
+	for _, o := range b.Organisations {
+		plan.Organisations = append(plan.Organisations, o.Name)
+	}
+	d, err := plan.Build()
+	c.must(err)
+	signed := &bundle.Signed{Bundle: b}
+	for _, m := range d.Members[:trusted.Threshold] {
+		sig, err := b.Sign(m.Name, m.Private())
+		c.must(err)
+		signed.Signatures = append(signed.Signatures, sig)
+	}
+	var result api.AdminResult
+	c.eventually(10*time.Second, "the example bundle is rolled out", func() error {
+		return c.post(entries[0], api.PathAdminBundle, signed, &result)
+	})
+	c.orgs = d.Callers
+	c.eventually(15*time.Second, "all example nodes are ready", func() error {
+		var s api.Status
+		if err := c.get(entries[0], api.PathStatus, &s); err != nil {
+			return err
+		}
+		ready := 0
+		for _, n := range s.Nodes {
+			if n.State == "ready" {
+				ready++
+			}
+		}
+		if ready < len(c.nodes) {
+			return fmt.Errorf("%d of %d nodes are ready", ready, len(c.nodes))
+		}
+		return nil
+	})
+	gen, err := loadgen.New(loadgen.Config{Entries: entries, Organisations: d.Callers, Zones: b.Zones,
+		ModelService: e.model, PlainService: e.plain, ModelRate: 3, StockRate: 20, OrderRate: 20, OwnKeyShare: 0.5,
+		MaxTokens: 16, PreambleBytes: 256, Duration: 3 * time.Second, Seed: 1})
+	c.must(err)
+	gen.Run(context.Background())
+	c.check(c.t, gen.Summary(c.ledger.Counts()), 0)
+}
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -1,6 +1,11 @@
 package proof
 
 import (
+	// The daemons are built by a command, which the test cache does not see.
+	// These imports make a change to them invalidate cached results.
+	_ "github.com/wasabinotch/wasabinotch/agent"
+	_ "github.com/wasabinotch/wasabinotch/entry"
+
 	"fmt"
 	"net/netip"
 	"os"
