--- a/api/refusal.go
+++ b/api/refusal.go
@@ -43,6 +43,7 @@
 	KindLastZone          Kind = "last_zone"
 	KindTimeout           Kind = "timeout"
 	KindCancelled         Kind = "cancelled"
+	KindRequestTimeout    Kind = "request_timeout"
 	KindInternal          Kind = "internal"
 )
 
@@ -67,6 +68,7 @@
 	KindUnsigned:          http.StatusForbidden,
 	KindLastZone:          http.StatusConflict,
 	KindTimeout:           http.StatusGatewayTimeout,
+	KindRequestTimeout:    http.StatusRequestTimeout,
 	KindCancelled:         499, // client closed request, as nginx reports it
 }
 
@@ -105,12 +107,13 @@
 	return http.StatusInternalServerError
 }
 
-// WriteHTTP writes the refusal as the HTTP answer.
+// WriteHTTP writes the refusal as the HTTP answer. A Retry-After header that is
+// set already stays.
 func (r *Refusal) WriteHTTP(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, string(r.Outcome))
-	if r.RetryAfterMS > 0 {
+	if r.RetryAfterMS > 0 && h.Get("Retry-After") == "" {
 		h.Set("Retry-After", strconv.FormatInt((r.RetryAfterMS+999)/1000, 10))
 	}
 	w.WriteHeader(r.Status())
--- /dev/null
+++ b/cmd/wasabinotch-node/main.go
@@ -0,0 +1,89 @@
+// Command wasabinotch-node runs an entry or an agent on a platform of the
+// users' own. The settings file is named by --settings or by the platform's
+// environment variable.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/wasabinotch/wasabinotch/logs"
+	"github.com/wasabinotch/wasabinotch/node"
+	"github.com/wasabinotch/wasabinotch/platform"
+	"github.com/wasabinotch/wasabinotch/settings"
+)
+
+// gcPercent trades processor time for memory, which is dear on these VMs.
+const gcPercent = 50
+
+type options struct {
+	Settings string `long:"settings" value-name:"FILE" description:"JSON settings file; by default the one that the platform names"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+	Args     struct {
+		Role string `positional-arg-name:"entry|agent"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func main() {
+	debug.SetGCPercent(gcPercent)
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	var o options
+	if _, err := flags.ParseArgs(&o, args); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		return settings.ExitCode
+	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	var err error
+	switch o.Args.Role {
+	case "entry":
+		err = runEntry(ctx, &o)
+	case "agent":
+		err = runAgent(ctx, &o)
+	default:
+		err = &settings.Error{Field: "(command line)", Reason: fmt.Sprintf("unknown role %q", o.Args.Role), Remedy: "name entry or agent"}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		var invalid *settings.Error
+		if errors.As(err, &invalid) {
+			return settings.ExitCode
+		}
+		return 1
+	}
+	return 0
+}
+
+func runEntry(ctx context.Context, o *options) error {
+	var s settings.DirectEntry
+	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
+		return err
+	}
+	return node.NewEntry(s, logs.New(os.Stdout).WithName("entry")).Run(ctx)
+}
+
+func runAgent(ctx context.Context, o *options) error {
+	var s settings.DirectAgent
+	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
+		return err
+	}
+	return node.NewAgent(s, logs.New(os.Stdout).WithName("agent")).Run(ctx)
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,384 @@
+// Package fleet decides which endpoint gets a request when several entries
+// share the endpoints and none of them has a gate of its own in front of one.
+// Load is known from reports that are fractions of a second old; what this
+// entry sent since is added to them.
+package fleet
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Record is what an endpoint says about itself in the store.
+type Record struct {
+	ID, Service, Address, Zone string
+	Slots                      int
+	Draining                   bool
+	// Cold is how much longer the endpoint bears little load.
+	Cold time.Duration
+	// Incarnation tells two starts under one ID apart.
+	Incarnation int64
+}
+
+// Load is a report of an endpoint's load.
+type Load struct {
+	Running, Waiting, Slots int
+	// Broken says that the endpoint's rank group can't serve.
+	Broken bool
+	// Cold is how much longer the endpoint bears little load.
+	Cold time.Duration
+}
+
+const (
+	// reportValidity is the age at which a load report says less about an
+	// endpoint than this entry's own requests there.
+	reportValidity = time.Second
+	// avoidMin and avoidMax bound the pause after an endpoint that didn't
+	// answer; the pause doubles with each failure in a row.
+	avoidMin = 500 * time.Millisecond
+	avoidMax = 4 * time.Second
+	// failureGain is the part of one answer in the moving average of failures,
+	// so that an endpoint that fails 4 of 10 requests shows within about ten.
+	failureGain = 0.15
+	// failureHalfLife forgets failures of an endpoint that gets no requests.
+	failureHalfLife = 4 * time.Second
+	// failureCost is the load, in parts of the slots, at which an endpoint
+	// without failures is as good as an idle one that always fails.
+	failureCost = 3.0
+	// zoneCost is what crossing a zone costs in the same unit; traffic between
+	// zones is priced, but a slower answer costs more than that.
+	zoneCost = 0.1
+	// tieNoise spreads the entries' choices between nearly equal endpoints.
+	tieNoise = 0.06
+)
+
+// Endpoint is one endpoint as this entry knows it. Its fields are protected by
+// the fleet's lock.
+type Endpoint struct {
+	Record
+	gone      bool
+	coldUntil time.Time
+	inFlight  int
+	// report is the last load report; inFlightThen is inFlight at that time.
+	report       Load
+	reportAt     time.Time
+	inFlightThen int
+	failures     int
+	avoidUntil   time.Time
+	failureRate  float64
+	failureAt    time.Time
+	sent         []time.Time
+}
+
+// Limits are the figures of a service that bound its endpoints' load.
+type Limits struct {
+	// ColdPerSecond is the request rate that a cold endpoint bears, 0 for any.
+	ColdPerSecond float64
+	// ColdBurst is the number of requests in one second that no cold endpoint
+	// may exceed, over all entries.
+	ColdBurst      float64
+	MaxConnections int
+}
+
+// Fleet holds the endpoints. It is safe for concurrent use.
+type Fleet struct {
+	zone string
+
+	mu        sync.Mutex
+	byID      map[string]*Endpoint
+	byService map[string][]*Endpoint
+	evacuated map[string]bool
+	limits    map[string]Limits
+	entries   int
+	queues    map[string]*queue
+	onGone    func(addr string)
+}
+
+// entriesUnknown is the number of entries assumed before they are counted;
+// shared limits are divided by it.
+const entriesUnknown = 64
+
+// New returns an empty fleet for an entry in zone. onGone is called with the
+// address of each endpoint that is removed.
+func New(zone string, onGone func(addr string)) *Fleet {
+	return &Fleet{
+		zone: zone, onGone: onGone, entries: entriesUnknown,
+		byID: make(map[string]*Endpoint), byService: make(map[string][]*Endpoint),
+		evacuated: make(map[string]bool), limits: make(map[string]Limits), queues: make(map[string]*queue),
+	}
+}
+
+// Update adds or changes an endpoint and reports whether it became known,
+// began to drain or started again.
+func (f *Fleet) Update(r Record) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ep := f.byID[r.ID]
+	if ep != nil && (ep.Incarnation != r.Incarnation || ep.Address != r.Address || ep.Service != r.Service) {
+		f.remove(ep)
+		ep = nil
+	}
+	changed := ep == nil
+	if ep == nil {
+		ep = &Endpoint{}
+		f.byID[r.ID] = ep
+		f.byService[r.Service] = append(f.byService[r.Service], ep)
+	}
+	changed = changed || ep.Draining != r.Draining
+	ep.Record = r
+	ep.coldUntil = time.Now().Add(r.Cold)
+	f.wake(r.Service)
+	return changed
+}
+
+// Remove drops an endpoint and reports whether it was known.
+func (f *Fleet) Remove(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ep := f.byID[id]
+	if ep != nil {
+		f.remove(ep)
+	}
+	return ep != nil
+}
+
+func (f *Fleet) remove(ep *Endpoint) {
+	ep.gone = true
+	delete(f.byID, ep.ID)
+	f.byService[ep.Service] = slices.DeleteFunc(f.byService[ep.Service], func(e *Endpoint) bool { return e == ep })
+	if f.onGone != nil {
+		f.onGone(ep.Address)
+	}
+}
+
+// Known returns the records of all endpoints.
+func (f *Fleet) Known() []Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make([]Record, 0, len(f.byID))
+	for _, ep := range f.byID {
+		all = append(all, ep.Record)
+	}
+	return all
+}
+
+// SetEvacuated takes a zone's endpoints out of use or back.
+func (f *Fleet) SetEvacuated(zone string, out bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if out {
+		f.evacuated[zone] = true
+	} else {
+		delete(f.evacuated, zone)
+	}
+}
+
+// SetLimits sets a service's limits.
+func (f *Fleet) SetLimits(service string, l Limits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits[service] = l
+}
+
+// SetEntries sets the number of entries that share the endpoints.
+func (f *Fleet) SetEntries(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = max(1, n)
+}
+
+// Entries returns the number of entries that share the endpoints.
+func (f *Fleet) Entries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries
+}
+
+// Report records a load report.
+func (f *Fleet) Report(id string, l Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ep := f.byID[id]; ep != nil {
+		f.record(ep, l)
+	}
+}
+
+func (f *Fleet) record(ep *Endpoint, l Load) {
+	now := time.Now()
+	ep.report, ep.reportAt, ep.inFlightThen = l, now, ep.inFlight
+	if l.Cold > 0 {
+		ep.coldUntil = now.Add(l.Cold)
+	}
+	f.wake(ep.Service)
+}
+
+// load estimates the requests at the endpoint.
+func (ep *Endpoint) load(now time.Time) int {
+	if now.Sub(ep.reportAt) > reportValidity {
+		return ep.inFlight
+	}
+	return max(ep.inFlight, ep.report.Running+ep.report.Waiting+ep.inFlight-ep.inFlightThen)
+}
+
+// Full says why no endpoint was chosen.
+type Full int
+
+// The reasons.
+const (
+	// Free means that an endpoint was chosen.
+	Free Full = iota
+	// Busy means that all endpoints have their slots taken.
+	Busy
+	// Down means that there is no endpoint that could take the request, now or soon.
+	Down
+)
+
+// Pick is a request's place at an endpoint. Exactly one of its methods ends it.
+type Pick struct {
+	Endpoint *Endpoint
+	fleet    *Fleet
+	done     bool
+	// Load and Age are the load that decided the choice and its age.
+	Load int
+	Age  time.Duration
+}
+
+// choose returns the best endpoint of a service.
+func (f *Fleet) choose(service string, exclude []*Endpoint) (*Pick, Full) {
+	now := time.Now()
+	limits := f.limits[service]
+	var best, fallback *Endpoint
+	var bestCost, fallbackCost float64
+	why := Down
+	for _, ep := range f.byService[service] {
+		if ep.Draining || f.evacuated[ep.Zone] || slices.Contains(exclude, ep) {
+			continue
+		}
+		fresh := now.Sub(ep.reportAt) <= reportValidity
+		if fresh && ep.report.Broken {
+			continue
+		}
+		load := ep.load(now)
+		if load >= ep.Slots || !f.mayConnect(ep, limits) || !f.mayWarm(ep, limits, now) {
+			why = Busy
+			continue
+		}
+		cost := float64(load)/float64(ep.Slots) + failureCost*ep.failing(now) + tieNoise*rand.Float64()
+		if ep.Zone != f.zone {
+			cost += zoneCost
+		}
+		if now.Before(ep.avoidUntil) {
+			if fallback == nil || cost < fallbackCost {
+				fallback, fallbackCost = ep, cost
+			}
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = ep, cost
+		}
+	}
+	if best == nil && why == Down {
+		// Only endpoints that failed a moment ago are left.
+		best = fallback
+	}
+	if best == nil {
+		return nil, why
+	}
+	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), Age: now.Sub(best.reportAt)}
+	best.inFlight++
+	best.sent = append(best.sent, now)
+	return p, Free
+}
+
+func (f *Fleet) mayConnect(ep *Endpoint, l Limits) bool {
+	return l.MaxConnections <= 0 || ep.inFlight < max(1, l.MaxConnections/f.entries)
+}
+
+// mayWarm keeps this entry's part of the rate that a cold endpoint bears. The
+// burst limit holds for warm endpoints too, since any may turn cold unnoticed.
+func (f *Fleet) mayWarm(ep *Endpoint, l Limits, now time.Time) bool {
+	ep.sent = slices.DeleteFunc(ep.sent, func(t time.Time) bool { return now.Sub(t) > time.Second })
+	if l.ColdPerSecond <= 0 {
+		return true
+	}
+	allowed := l.ColdBurst
+	if now.Before(ep.coldUntil) {
+		allowed = min(allowed, l.ColdPerSecond)
+	}
+	return len(ep.sent) < max(1, int(allowed/float64(f.entries)))
+}
+
+func (ep *Endpoint) failing(now time.Time) float64 {
+	if ep.failureRate == 0 {
+		return 0
+	}
+	halves := float64(now.Sub(ep.failureAt)) / float64(failureHalfLife)
+	return ep.failureRate / (1 + halves*halves)
+}
+
+func (p *Pick) end(f func(ep *Endpoint, now time.Time)) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if p.done {
+		return
+	}
+	p.done = true
+	p.Endpoint.inFlight--
+	if f != nil {
+		f(p.Endpoint, time.Now())
+	}
+	p.fleet.wake(p.Endpoint.Service)
+}
+
+func (ep *Endpoint) observe(failed float64, now time.Time) {
+	rate := ep.failing(now)
+	ep.failureRate = rate + failureGain*(failed-rate)
+	ep.failureAt = now
+}
+
+// Done ends a request that got a proper answer, or that the caller left.
+func (p *Pick) Done() {
+	p.end(func(ep *Endpoint, now time.Time) {
+		ep.failures = 0
+		ep.observe(0, now)
+	})
+}
+
+// Left ends a request that says nothing about the endpoint.
+func (p *Pick) Left() { p.end(nil) }
+
+// Failed ends a request that the endpoint ran and failed.
+func (p *Pick) Failed() {
+	p.end(func(ep *Endpoint, now time.Time) { ep.observe(1, now) })
+}
+
+// Unreachable ends a request to which the endpoint gave no answer.
+func (p *Pick) Unreachable() {
+	p.end(func(ep *Endpoint, now time.Time) {
+		ep.observe(1, now)
+		ep.avoidUntil = now.Add(min(avoidMin<<min(ep.failures, 8), avoidMax))
+		ep.failures++
+	})
+}
+
+// Rejected ends a request that the endpoint didn't run because it is full.
+func (p *Pick) Rejected() {
+	p.end(func(ep *Endpoint, now time.Time) {
+		ep.avoidUntil = now.Add(rejectedPause)
+	})
+}
+
+// rejectedPause is the pause after a rejection for want of room, about the time
+// in which a slot of a busy endpoint gets free.
+const rejectedPause = 150 * time.Millisecond
+
+// Answered records the load that an answer carried.
+func (p *Pick) Answered(l Load) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if time.Since(p.Endpoint.reportAt) > reportValidity/4 {
+		p.fleet.record(p.Endpoint, l)
+	}
+}
--- /dev/null
+++ b/fleet/queue.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"sort"
+	"time"
+)
+
+// Ask describes a request that needs an endpoint.
+type Ask struct {
+	Service string
+	// Priority orders waiting requests; 0 goes first.
+	Priority int
+	// Exclude names endpoints that were tried already.
+	Exclude []*Endpoint
+	// MaxWait bounds the time in the queue.
+	MaxWait time.Duration
+}
+
+type waiter struct {
+	ask     *Ask
+	arrived time.Time
+	got     chan *Pick
+}
+
+// queue holds the waiting requests of one service, most urgent first.
+type queue struct {
+	waiters []*waiter
+	busy    bool
+}
+
+// maxQueue bounds the waiting requests of one service at one entry; more than
+// this can't be served within any useful wait.
+const maxQueue = 64
+
+// Acquire returns an endpoint for a request, waiting for a free one if need be.
+func (f *Fleet) Acquire(ctx context.Context, ask *Ask) (*Pick, Full) {
+	f.mu.Lock()
+	q := f.queues[ask.Service]
+	if q == nil {
+		q = &queue{}
+		f.queues[ask.Service] = q
+	}
+	if !q.blocks(ask) {
+		if p, why := f.choose(ask.Service, ask.Exclude); p != nil || why == Down {
+			f.mu.Unlock()
+			return p, why
+		}
+	}
+	if ask.MaxWait <= 0 || len(q.waiters) >= maxQueue {
+		f.mu.Unlock()
+		return nil, Busy
+	}
+	w := &waiter{ask: ask, arrived: time.Now(), got: make(chan *Pick, 1)}
+	at := sort.Search(len(q.waiters), func(i int) bool { return q.waiters[i].ask.Priority > ask.Priority })
+	q.waiters = append(q.waiters, nil)
+	copy(q.waiters[at+1:], q.waiters[at:])
+	q.waiters[at] = w
+	f.mu.Unlock()
+
+	timer := time.NewTimer(ask.MaxWait)
+	defer timer.Stop()
+	tick := time.NewTicker(queueTick)
+	defer tick.Stop()
+	for {
+		select {
+		case p := <-w.got:
+			return p, Free
+		case <-tick.C:
+			f.mu.Lock()
+			f.wake(ask.Service)
+			f.mu.Unlock()
+		case <-timer.C:
+			return f.leave(q, w)
+		case <-ctx.Done():
+			return f.leave(q, w)
+		}
+	}
+}
+
+// queueTick is the interval at which waiting requests look for an endpoint
+// that time alone made usable.
+const queueTick = 40 * time.Millisecond
+
+// blocks reports whether a waiting request goes before ask.
+func (q *queue) blocks(ask *Ask) bool {
+	return len(q.waiters) > 0 && q.waiters[0].ask.Priority <= ask.Priority
+}
+
+// leave takes a waiter out of the queue; it may have got an endpoint meanwhile.
+func (f *Fleet) leave(q *queue, w *waiter) (*Pick, Full) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, other := range q.waiters {
+		if other == w {
+			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
+			return nil, Busy
+		}
+	}
+	return <-w.got, Free
+}
+
+// wake gives free endpoints to waiting requests. The lock is held.
+func (f *Fleet) wake(service string) {
+	q := f.queues[service]
+	if q == nil || q.busy {
+		return
+	}
+	q.busy = true
+	defer func() { q.busy = false }()
+	kept := q.waiters[:0]
+	for i, w := range q.waiters {
+		p, why := f.choose(service, w.ask.Exclude)
+		if p != nil {
+			w.got <- p
+			continue
+		}
+		kept = append(kept, w)
+		if why == Busy && len(w.ask.Exclude) == 0 {
+			kept = append(kept, q.waiters[i+1:]...)
+			break
+		}
+	}
+	clear(q.waiters[len(kept):])
+	q.waiters = kept
+}
+
+// Waiting returns the number of waiting requests of a service.
+func (f *Fleet) Waiting(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if q := f.queues[service]; q != nil {
+		return len(q.waiters)
+	}
+	return 0
+}
--- /dev/null
+++ b/forward/send.go
@@ -0,0 +1,252 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/upstream"
+)
+
+const (
+	// minRemaining is the least time left for which a request is still sent;
+	// no endpoint answers sooner.
+	minRemaining = 15 * time.Millisecond
+	// maxUnreached bounds the endpoints that are tried without reaching one.
+	maxUnreached = 3
+	// minRetryAfter and maxRetryAfter bound the pause asked of a refused caller.
+	minRetryAfter = 300 * time.Millisecond
+	maxRetryAfter = 2500 * time.Millisecond
+)
+
+// verdict says what one attempt means for the request.
+type verdict int
+
+const (
+	// delivered: the caller has its answer, or left.
+	delivered verdict = iota
+	// unreached: the endpoint never got the request.
+	unreached
+	// rejected: the endpoint didn't run the request.
+	rejected
+	// lost: the endpoint may have run the request; there is no usable answer.
+	lost
+	// failed: the endpoint ran the request and answered with a failure.
+	failed
+)
+
+// serve sends the request to endpoints until one answers or no other may be tried.
+func (x *exchange) serve() *api.Refusal {
+	ctx, cancel := x.context()
+	defer cancel()
+	budget := x.h.budget(x.service)
+	budget.Request()
+	misses := 0
+	var last verdict
+	for {
+		if x.remaining() < minRemaining {
+			return x.giveUp(last)
+		}
+		pick, why := x.place(ctx)
+		if pick == nil {
+			return x.noPlace(why, last)
+		}
+		if x.attempts > 0 && !budget.Repeat(x.h.cfg.Fleet.Entries()) {
+			pick.Left()
+			return x.giveUp(last)
+		}
+		last = x.attempt(ctx, pick)
+		switch last {
+		case delivered:
+			return nil
+		case unreached:
+			if misses++; misses >= maxUnreached {
+				return x.giveUp(last)
+			}
+		case rejected:
+			x.attempts++
+		case lost, failed:
+			x.attempts++
+			x.mayHaveRun = true
+			if !x.route.Repeatable() {
+				return x.giveUp(last)
+			}
+		}
+		x.tried = append(x.tried, pick.Endpoint)
+		if x.attempts >= x.route.MaxAttempts || x.callerLeft() {
+			return x.giveUp(last)
+		}
+	}
+}
+
+// place waits for an endpoint.
+func (x *exchange) place(ctx context.Context) (*fleet.Pick, fleet.Full) {
+	began := time.Now()
+	ask := &fleet.Ask{Service: x.service, Priority: x.priority, Exclude: x.tried, MaxWait: x.maxWait()}
+	pick, why := x.h.cfg.Fleet.Acquire(ctx, ask)
+	x.waited += time.Since(began)
+	if pick != nil {
+		x.endpoint, x.load, x.age = pick.Endpoint.ID, pick.Load, pick.Age
+	}
+	return pick, why
+}
+
+// maxWait is how long a request may wait for an endpoint: while its answer can
+// still be on time, but no longer than it is worth to the caller.
+func (x *exchange) maxWait() time.Duration {
+	return min(x.route.TargetLatency-time.Since(x.arrived), x.remaining()/4)
+}
+
+// noPlace refuses a request for which there is no endpoint.
+func (x *exchange) noPlace(why fleet.Full, last verdict) *api.Refusal {
+	if x.attempts > 0 || x.mayHaveRun {
+		return x.giveUp(last)
+	}
+	if x.callerLeft() {
+		return api.NotRun(api.KindCancelled, "the caller left", "none")
+	}
+	if why == fleet.Down {
+		x.retryAfter(x.pause())
+		return api.NotRun(api.KindNoEndpoint, "no endpoint of the service can take the request", "try again after the given time")
+	}
+	x.retryAfter(x.pause())
+	return api.NotRun(api.KindOverloaded, "all endpoints of the service are busy", "try again after the given time")
+}
+
+// pause is when a refused caller should come back: later the more requests wait.
+func (x *exchange) pause() time.Duration {
+	waiting := x.h.cfg.Fleet.Waiting(x.service)
+	d := minRetryAfter + time.Duration(waiting)*50*time.Millisecond
+	return min(d, maxRetryAfter, x.remaining()/4)
+}
+
+// giveUp ends a request that no endpoint answered.
+func (x *exchange) giveUp(last verdict) *api.Refusal {
+	switch {
+	case x.callerLeft():
+		return api.Unknown(api.KindCancelled, "the caller left", "none")
+	case !x.mayHaveRun && x.remaining() < minRemaining:
+		return api.NotRun(api.KindOverloaded, "no endpoint could take the request in time", "send it again with a later deadline")
+	case !x.mayHaveRun:
+		x.retryAfter(x.pause())
+		return api.NotRun(api.KindOverloaded, "no endpoint took the request", "try again after the given time")
+	case x.remaining() < minRemaining:
+		return api.Unknown(api.KindTimeout, "no answer came in time", "check whether the request ran before sending it again")
+	}
+	return api.Unknown(api.KindEndpointFailed, "the endpoint gave no whole answer", "check whether the request ran before sending it again")
+}
+
+// attempt sends the request to one endpoint and passes its answer on.
+func (x *exchange) attempt(ctx context.Context, pick *fleet.Pick) verdict {
+	x.offered = true
+	resp, err := x.h.cfg.Client.Do(ctx, pick.Endpoint.Address, x.request(pick.Endpoint.ID))
+	if err != nil {
+		x.cause = err
+		switch {
+		case upstream.NotSent(err) && ctx.Err() == nil:
+			pick.Unreachable()
+			return unreached
+		case upstream.NotSent(err):
+			pick.Left()
+			return unreached
+		case x.callerLeft():
+			pick.Left()
+			return delivered
+		}
+		pick.Unreachable()
+		return lost
+	}
+	defer resp.Close()
+	names := &x.h.cfg.Headers
+	if load, ok := x.h.cfg.ParseLoad(resp.Header.Get(names.Load)); ok {
+		pick.Answered(load)
+	}
+	if resp.Header.Get(names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
+		x.drainRejection(resp)
+		if resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(names.FailedAt) != "" {
+			pick.Unreachable()
+		} else {
+			pick.Rejected()
+		}
+		return rejected
+	}
+	if id := resp.Header.Get(names.RequestID); id != x.id {
+		// The answer belongs to another request; the connection is out of step.
+		pick.Unreachable()
+		return lost
+	}
+	return x.deliver(ctx, pick, resp)
+}
+
+// drainRejection reads a short rejection so that its connection can be kept.
+func (x *exchange) drainRejection(resp *upstream.Response) {
+	if _, err := resp.ReadAll(maxBuffered); err != nil {
+		x.cause = err
+	}
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true,
+}
+
+// connectionTokens returns the headers that a Connection header names.
+func connectionTokens(h http.Header) map[string]bool {
+	values := h.Values("Connection")
+	if len(values) == 0 {
+		return nil
+	}
+	named := make(map[string]bool)
+	for _, v := range values {
+		for _, token := range strings.Split(v, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	return named
+}
+
+// request builds the request to an endpoint.
+func (x *exchange) request(endpoint string) *upstream.Request {
+	names := &x.h.cfg.Headers
+	named := connectionTokens(x.r.Header)
+	header := make(http.Header, len(x.r.Header)+3)
+	for name, values := range x.r.Header {
+		if hopHeaders[name] || named[name] && !x.ownHeader(name) {
+			continue
+		}
+		header[name] = values
+	}
+	header.Del("Authorization")
+	header.Del(names.Priority)
+	header.Del(names.Organisation)
+	if x.organisation != nil {
+		header.Set(names.Organisation, x.organisation.Name)
+	}
+	header.Set(names.Target, endpoint)
+	header.Set(names.Deadline, strconv.FormatInt(max(1, x.remaining().Milliseconds()), 10))
+	if x.relay.lastEvent != "" {
+		header.Set(names.LastEvent, x.relay.lastEvent)
+	}
+	target := x.r.URL.RequestURI()
+	if strings.HasPrefix(x.r.RequestURI, "/") {
+		target = x.r.RequestURI
+	}
+	return &upstream.Request{Method: x.r.Method, Target: target, Host: x.r.Host, Header: header, Body: x.body}
+}
+
+// ownHeader reports whether a header of the request must reach the endpoint
+// even if the caller's Connection header names it.
+func (x *exchange) ownHeader(name string) bool {
+	names := &x.h.cfg.Headers
+	switch name {
+	case names.RequestID, names.Usage, names.PromptParts, names.LastEvent, names.ExpectVersion, "Model":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,251 @@
+package node
+
+import (
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/forward"
+	"github.com/wasabinotch/wasabinotch/platform"
+	"github.com/wasabinotch/wasabinotch/routing"
+	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/store"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// watched is the part of a store.Follower that all followers share.
+type watched struct{ health *storeHealth }
+
+// Lost implements store.Follower.
+func (w watched) Lost(err error) { w.health.fail(err) }
+
+// Regained implements store.Follower.
+func (w watched) Regained(time.Duration) { w.health.ok() }
+
+// operator puts the operator's writes in force: the configuration, and the
+// availability zones that are taken out.
+type operator struct {
+	watched
+	handler *forward.Handler
+	fleet   *fleet.Fleet
+	bounds  settings.Bounds
+	log     logr.Logger
+
+	mu    sync.Mutex
+	state wire.OperatorState
+}
+
+// Reset implements store.Follower.
+func (o *operator) Reset(entries []store.Entry, revision uint64) {
+	next := wire.OperatorState{Revision: revision}
+	for _, e := range entries {
+		if zone, ok := platform.EvacuatedZone(e.Key); ok {
+			next.ZonesOut = append(next.ZonesOut, zone)
+		} else if platform.IsConfig(e.Key) {
+			next.Config = e.Value
+		}
+	}
+	o.adopt(next)
+}
+
+// Apply implements store.Follower.
+func (o *operator) Apply(e store.Event) {
+	next := o.snapshot()
+	next.Revision = max(next.Revision, e.Revision)
+	if zone, ok := platform.EvacuatedZone(e.Key); ok {
+		next.ZonesOut = slices.DeleteFunc(slices.Clone(next.ZonesOut), func(z string) bool { return z == zone })
+		if !e.Deleted {
+			next.ZonesOut = append(next.ZonesOut, zone)
+		}
+	} else if platform.IsConfig(e.Key) && !e.Deleted {
+		next.Config = e.Value
+	}
+	o.adopt(next)
+}
+
+func (o *operator) snapshot() wire.OperatorState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state
+}
+
+// adopt puts a state in force unless a newer one is.
+func (o *operator) adopt(next wire.OperatorState) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if next.Revision < o.state.Revision {
+		return
+	}
+	for _, zone := range o.state.ZonesOut {
+		if !slices.Contains(next.ZonesOut, zone) {
+			o.fleet.SetEvacuated(zone, false)
+			o.log.Info("Zone is back.", "zone", zone, "revision", next.Revision)
+		}
+	}
+	for _, zone := range next.ZonesOut {
+		if !slices.Contains(o.state.ZonesOut, zone) {
+			o.fleet.SetEvacuated(zone, true)
+			o.log.Info("Zone is taken out.", "zone", zone, "revision", next.Revision)
+		}
+	}
+	if next.Config != nil && string(next.Config) != string(o.state.Config) {
+		o.configure(next.Config, next.Revision)
+	}
+	if next.Config == nil {
+		next.Config = o.state.Config
+	}
+	o.state = next
+}
+
+func (o *operator) configure(b []byte, revision uint64) {
+	c, err := platform.DecodeConfig(b)
+	if err != nil {
+		o.log.Error(err, "Configuration ignored.", "revision", revision)
+		return
+	}
+	c.Services(func(s *routing.Service) {
+		o.fleet.SetLimits(s.Name, fleet.Limits{
+			ColdPerSecond: s.ColdPerSecond, ColdBurst: s.ColdPerSecond*o.bounds.ColdOverage + o.bounds.ColdSlack,
+			MaxConnections: s.MaxConnections,
+		})
+	})
+	if o.handler.SetConfig(c) {
+		o.log.Info("Configuration in force.", "version", c.Version, "revision", revision)
+	}
+}
+
+// endpoints keeps the fleet up to date with the endpoints' records.
+type endpoints struct {
+	watched
+	fleet  *fleet.Fleet
+	lapses *lapses
+	log    logr.Logger
+}
+
+func newEndpoints(f *fleet.Fleet, health *storeHealth, log logr.Logger) *endpoints {
+	e := &endpoints{watched: watched{health}, fleet: f, log: log}
+	e.lapses = newLapses(health, e.remove)
+	return e
+}
+
+func (e *endpoints) remove(key string) {
+	if id := platform.EndpointID(key); e.fleet.Remove(id) {
+		e.log.Info("Endpoint is gone.", "endpoint", id)
+	}
+}
+
+// Reset implements store.Follower.
+func (e *endpoints) Reset(entries []store.Entry, revision uint64) {
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.Key] = true
+		e.Apply(store.Event{Entry: entry})
+	}
+	for _, r := range e.fleet.Known() {
+		if key := platform.PrefixEndpoints + r.ID; !listed[key] {
+			e.lapses.gone(key)
+		}
+	}
+}
+
+// Apply implements store.Follower.
+func (e *endpoints) Apply(ev store.Event) {
+	if ev.Deleted {
+		e.lapses.gone(ev.Key)
+		return
+	}
+	e.lapses.back(ev.Key)
+	r, err := platform.DecodeEndpoint(ev.Key, ev.Value)
+	if err != nil {
+		e.log.Info("Record ignored.", "key", ev.Key, "cause", err.Error())
+		e.remove(ev.Key)
+		return
+	}
+	if e.fleet.Update(r) {
+		e.log.Info("Endpoint changed.", "endpoint", r.ID, "service", r.Service, "address", r.Address, "zone", r.Zone,
+			"draining", r.Draining, "cold_ms", r.Cold.Milliseconds(), "revision", ev.Revision)
+	}
+}
+
+// entryRecord is what an entry writes about itself in the store.
+type entryRecord struct {
+	Callers string `json:"callers"`
+	Peer    string `json:"peer"`
+	Zone    string `json:"zone"`
+}
+
+// entries keeps the list of live entries.
+type entries struct {
+	watched
+	fleet  *fleet.Fleet
+	lapses *lapses
+	log    logr.Logger
+
+	mu    sync.Mutex
+	known map[string]entryRecord
+}
+
+func newEntries(f *fleet.Fleet, health *storeHealth, log logr.Logger) *entries {
+	e := &entries{watched: watched{health}, fleet: f, log: log, known: make(map[string]entryRecord)}
+	e.lapses = newLapses(health, e.remove)
+	return e
+}
+
+func (e *entries) remove(key string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.known[key]; ok {
+		delete(e.known, key)
+		e.log.Info("Entry is gone.", "entry", key)
+	}
+	e.fleet.SetEntries(len(e.known))
+}
+
+// Reset implements store.Follower.
+func (e *entries) Reset(list []store.Entry, revision uint64) {
+	listed := make(map[string]bool, len(list))
+	for _, entry := range list {
+		listed[entry.Key] = true
+		e.Apply(store.Event{Entry: entry})
+	}
+	for key := range e.all() {
+		if !listed[key] {
+			e.lapses.gone(key)
+		}
+	}
+}
+
+// Apply implements store.Follower.
+func (e *entries) Apply(ev store.Event) {
+	if ev.Deleted {
+		e.lapses.gone(ev.Key)
+		return
+	}
+	e.lapses.back(ev.Key)
+	var r entryRecord
+	if err := json.Unmarshal(ev.Value, &r); err != nil {
+		e.log.Error(err, "Entry record ignored.", "key", ev.Key)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if old, ok := e.known[ev.Key]; !ok || old != r {
+		e.known[ev.Key] = r
+		e.log.Info("Entry is up.", "entry", ev.Key, "callers", r.Callers)
+	}
+	e.fleet.SetEntries(len(e.known))
+}
+
+func (e *entries) all() map[string]entryRecord {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := make(map[string]entryRecord, len(e.known))
+	for k, v := range e.known {
+		all[k] = v
+	}
+	return all
+}
--- /dev/null
+++ b/node/loads.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+const (
+	// subscribeInterval is the interval at which an entry renews its
+	// subscriptions; subscriptionLife is when an agent forgets it.
+	subscribeInterval = 2 * time.Second
+	subscriptionLife  = 5 * time.Second
+	// maxDatagram bounds datagrams in bytes; they stay below the smallest link unit.
+	maxDatagram = 1200
+)
+
+// subscribeLoads asks the agents of all endpoints for load reports and feeds
+// them to the fleet. Services without agents answer nothing; for them the
+// loads on answers count.
+func (e *Entry) subscribeLoads(ctx context.Context) {
+	conn, err := net.ListenPacket("udp", e.peerAddr())
+	if err != nil {
+		e.log.Error(err, "No load reports: the port can't be opened.", "address", e.peerAddr())
+		return
+	}
+	defer conn.Close()
+	go e.receiveLoads(conn)
+	hello, _ := json.Marshal(wire.LoadSubscription{Entry: e.s.ID}) // a string always encodes
+	ticker := time.NewTicker(subscribeInterval)
+	defer ticker.Stop()
+	subscribed := make(map[string]time.Time)
+	fast := time.NewTicker(subscribeInterval / 8)
+	defer fast.Stop()
+	for {
+		now := time.Now()
+		for _, r := range e.fleet.Known() {
+			if now.Sub(subscribed[r.Address]) < subscribeInterval-subscribeInterval/16 || !e.hasAgent(r.Service) {
+				continue
+			}
+			subscribed[r.Address] = now
+			if addr, err := agentAddr(r.Address, e.s.PeerPort); err == nil {
+				e.send(conn, hello, addr)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for addr, at := range subscribed {
+				if now.Sub(at) > subscriptionLife {
+					delete(subscribed, addr)
+				}
+			}
+		case <-fast.C:
+		}
+	}
+}
+
+// hasAgent reports whether a service's endpoints are model engines, beside
+// which agents run.
+func (e *Entry) hasAgent(service string) bool {
+	c := e.handler.Config()
+	if c == nil {
+		return false
+	}
+	s := c.Service(service)
+	return s != nil && s.Engine != nil
+}
+
+func (e *Entry) send(conn net.PacketConn, b []byte, to netip.AddrPort) {
+	if _, err := conn.WriteTo(b, net.UDPAddrFromAddrPort(to)); err != nil {
+		e.log.V(1).Info("Datagram not sent.", "to", to.String(), "cause", err.Error())
+	}
+}
+
+func (e *Entry) receiveLoads(conn net.PacketConn) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFrom(buf)
+		if err != nil {
+			e.log.Info("Load reports end.", "cause", err.Error())
+			return
+		}
+		var r wire.LoadReport
+		if err := json.Unmarshal(buf[:n], &r); err != nil {
+			e.log.V(1).Info("Datagram ignored.", "cause", err.Error())
+			continue
+		}
+		e.fleet.Report(r.Endpoint, fleet.Load{
+			Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Broken: r.Broken,
+			Cold: time.Duration(r.ColdMS) * time.Millisecond,
+		})
+	}
+}
--- /dev/null
+++ b/node/register.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/store"
+)
+
+const (
+	// entryLease is the time after which an entry that stopped renewing leaves
+	// the directory; callers lose up to a connect time-out on a dead address.
+	entryLease = 3 * time.Second
+	// renewInterval leaves time for two failed renewals.
+	renewInterval = 900 * time.Millisecond
+	// registerRetry is the pause after a failed call.
+	registerRetry = 250 * time.Millisecond
+)
+
+// registration keeps this entry's record in the store while it is ready.
+type registration struct {
+	leaser store.Leaser
+	health *storeHealth
+	key    string
+	value  []byte
+	log    logr.Logger
+	lease  uint64
+}
+
+// run registers until ctx ends, then gives the lease back.
+func (r *registration) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := renewInterval
+		if err := r.step(ctx); err != nil {
+			pause = registerRetry
+			if ctx.Err() == nil && !errors.Is(err, store.ErrNoLease) {
+				r.health.fail(err)
+			}
+		} else {
+			r.health.ok()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	r.leave()
+}
+
+func (r *registration) step(ctx context.Context) error {
+	if r.lease != 0 {
+		err := r.leaser.Renew(ctx, r.lease)
+		if !errors.Is(err, store.ErrNoLease) {
+			return err
+		}
+		r.log.Info("Lease lost; registering again.", "lease", r.lease)
+		r.lease = 0
+	}
+	lease, err := r.leaser.Grant(ctx, entryLease)
+	if err != nil {
+		return err
+	}
+	if err := r.leaser.Put(ctx, r.key, r.value, lease); err != nil {
+		return err
+	}
+	r.lease = lease
+	r.log.Info("Registered.", "key", r.key, "lease", lease)
+	return nil
+}
+
+// leave ends the lease, with which the record goes.
+func (r *registration) leave() {
+	if r.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := r.leaser.Revoke(ctx, r.lease); err != nil {
+		r.log.Info("Lease not ended; the record goes when it expires.", "cause", err.Error())
+	}
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,189 @@
+// Package routing holds the operator's configuration in the form in which an
+// entry uses it: routes by host and prefix, services, organisations by key.
+package routing
+
+import (
+	"fmt"
+	"hash/maphash"
+	"net"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated of a request.
+type Kind int
+
+// The kinds of requests.
+const (
+	NonIdempotent Kind = iota
+	Idempotent
+	Streaming
+)
+
+// Target is one service of a route and its part of the traffic.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Route says how requests below one prefix of a host are handled.
+type Route struct {
+	Name, Host, Prefix string
+	Kind               Kind
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// TargetLatency is the time to an answer, or to the first event, that is on time.
+	TargetLatency time.Duration
+	// TargetGap is the longest pause between two events that is on time.
+	TargetGap time.Duration
+	// Priority is the rank of the route's requests; 0 is the most urgent.
+	Priority       int
+	Targets        []Target
+	MaxAttempts    int
+	AllowAnonymous bool
+	// Resumable streams may be continued at another endpoint.
+	Resumable bool
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Service is a set of equal endpoints.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+	// ColdPerSecond is the request rate that a cold endpoint tolerates; 0 means no limit.
+	ColdPerSecond float64
+	// Engine is nil for services that aren't model engines.
+	Engine *Engine
+}
+
+// Engine holds the published figures of a service's model engines.
+type Engine struct {
+	Slots int
+	// StepTime is the time of one token step of an empty engine, StepPerSlot
+	// what each writing request adds.
+	StepTime, StepPerSlot time.Duration
+	// ReadPerSecond is the rate of reading prompts, in tokens.
+	ReadPerSecond float64
+	// UsualPrompt and UsualAnswer are mean token counts.
+	UsualPrompt, UsualAnswer float64
+	ExpertSets, Experts      int
+	// Places is the number of experts of a set that a rank can hold, Spares
+	// how many of them one new map may replace.
+	Places, Spares int
+	// ExpertBytes is the size of one expert, LinkBytesPerSecond the rate of copying.
+	ExpertBytes, LinkBytesPerSecond float64
+}
+
+// Limits bounds what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Organisation is the holder of API keys.
+type Organisation struct {
+	Name string
+	// Priority replaces the priority of the route if it isn't nil.
+	Priority *int
+	Keys     []string
+}
+
+// Config is one version of the configuration. It doesn't change once built.
+type Config struct {
+	Version  uint64
+	Limits   Limits
+	services map[string]*Service
+	hosts    map[string][]*Route
+	keys     map[string]*Organisation
+	seed     maphash.Seed
+}
+
+// New builds a configuration. A configuration without organisations asks for no keys.
+func New(version uint64, routes []*Route, services []*Service, organisations []*Organisation, limits Limits) (*Config, error) {
+	c := &Config{
+		Version: version, Limits: limits, seed: maphash.MakeSeed(),
+		services: make(map[string]*Service, len(services)),
+		hosts:    make(map[string][]*Route),
+	}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	for _, r := range routes {
+		for _, t := range r.Targets {
+			if c.services[t.Service] == nil {
+				return nil, fmt.Errorf("configuration %d: route %q names unknown service %q; add the service or correct the route", version, r.Name, t.Service)
+			}
+		}
+		host := strings.ToLower(r.Host)
+		c.hosts[host] = append(c.hosts[host], r)
+	}
+	for _, list := range c.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for i, o := range organisations {
+		if i == 0 {
+			c.keys = make(map[string]*Organisation)
+		}
+		for _, k := range o.Keys {
+			c.keys[k] = o
+		}
+	}
+	return c, nil
+}
+
+// Match returns the route with the longest prefix of path, or nil.
+func (c *Config) Match(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range c.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (c *Config) Service(name string) *Service { return c.services[name] }
+
+// Services calls f for each service.
+func (c *Config) Services(f func(*Service)) {
+	for _, s := range c.services {
+		f(s)
+	}
+}
+
+// Organisation returns the holder of a key, or nil.
+func (c *Config) Organisation(key string) *Organisation { return c.keys[key] }
+
+// NeedsKey reports whether requests on the route must carry a known key.
+func (c *Config) NeedsKey(r *Route) bool { return c.keys != nil && !r.AllowAnonymous }
+
+// Target returns the service for a request. The choice depends on the
+// request's ID only, so that repeats within one configuration go to one service.
+func (c *Config) Target(r *Route, requestID string) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	point := float64(maphash.String(c.seed, requestID)>>11) / (1 << 53) * total
+	for _, t := range r.Targets {
+		if point < t.Weight {
+			return t.Service
+		}
+		point -= t.Weight
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- a/store/backoff.go
+++ b/store/backoff.go
@@ -14,16 +14,19 @@
 // Backoff draws growing delays with full jitter, so that the nodes do not all
 // call at once when the service returns. The zero value is ready for use.
 type Backoff struct {
+	// Max bounds the delays; 0 means backoffMax.
+	Max      time.Duration
 	failures int
 }
 
 // Fail records a failed call and returns the delay before the next one.
 func (b *Backoff) Fail() time.Duration {
-	limit := backoffMax
-	if b.failures < 4 {
-		limit = backoffMin << b.failures
-		b.failures++
+	ceiling := backoffMax
+	if b.Max > 0 {
+		ceiling = b.Max
 	}
+	limit := min(backoffMin<<min(b.failures, 4), ceiling)
+	b.failures++
 	return limit/4 + rand.N(limit)
 }
 
