--- a/node/agent.go
+++ b/node/agent.go
@@ -2,24 +2,212 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/wasabinotch/wasabinotch/platform"
+	"github.com/wasabinotch/wasabinotch/rankgroup"
 	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/upstream"
+	"github.com/wasabinotch/wasabinotch/wire"
 )
 
-// Agent is the process beside a model engine.
+const (
+	// reportInterval is the interval at which an agent reads its endpoint's
+	// load; an endpoint gets a new request about as often.
+	reportInterval = 100 * time.Millisecond
+	// quietReports is the number of rounds after which an unchanged load is
+	// sent again; entries forget a load after a second.
+	quietReports = 5
+)
+
+// Agent is the process beside a model engine. It reports the engine's load to
+// the entries, serves coordinators, and coordinates its rank group if no other
+// agent does.
 type Agent struct {
-	s   settings.DirectAgent
-	log logr.Logger
+	s      settings.DirectAgent
+	log    logr.Logger
+	client *upstream.Client
+	store  *platform.Store
+	engine *platform.Engine
+	lead   leadership
+
+	mu          sync.Mutex
+	subscribers map[string]subscriber
+	endpointID  string
+	// coordinating is set while a coordinator runs.
+	coordinating bool
+}
+
+type subscriber struct {
+	addr  net.Addr
+	heard time.Time
 }
 
 // NewAgent assembles an agent.
-func NewAgent(s settings.DirectAgent, log logr.Logger) *Agent { return &Agent{s: s, log: log} }
+func NewAgent(s settings.DirectAgent, log logr.Logger) *Agent {
+	a := &Agent{s: s, log: log, client: upstream.NewClient(dialTimeout), subscribers: make(map[string]subscriber)}
+	a.store = platform.NewStore(s.StoreAddr, a.client)
+	a.engine = platform.NewEngine(s.EndpointAddr, a.client)
+	a.lead.heard = time.Now()
+	return a
+}
+
+func (a *Agent) peerAddr() string {
+	return net.JoinHostPort(a.s.IP, strconv.Itoa(a.s.PeerPort+agentPortOffset))
+}
 
-// Run runs until ctx ends.
+// Run works until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	a.log.Info("Agent starts.", "id", a.s.ID, "endpoint", a.s.EndpointAddr)
-	<-ctx.Done()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathRank, a.serveRank)
+	ln, err := settings.Listen("peer_port", a.peerAddr())
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: log.New(io.Discard, "", 0)}
+	go func() {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			a.log.Error(err, "Listener ended.")
+		}
+	}()
+	defer server.Close()
+	conn, err := net.ListenPacket("udp", a.peerAddr())
+	if err != nil {
+		return &settings.Error{Field: "peer_port", Reason: err.Error(), Remedy: "use the first of four free ports"}
+	}
+	defer conn.Close()
+	go a.receiveSubscriptions(conn)
+	a.reportLoads(ctx, conn)
+	a.log.Info("Agent ended.", "id", a.s.ID)
 	return nil
 }
+
+func (a *Agent) receiveSubscriptions(conn net.PacketConn) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := conn.ReadFrom(buf)
+		if err != nil {
+			a.log.Info("Subscriptions end.", "cause", err.Error())
+			return
+		}
+		var s wire.LoadSubscription
+		if err := json.Unmarshal(buf[:n], &s); err != nil || s.Endpoint == "" {
+			a.log.V(1).Info("Datagram ignored.", "from", from.String())
+			continue
+		}
+		a.mu.Lock()
+		a.subscribers[from.String()] = subscriber{addr: from, heard: time.Now()}
+		a.endpointID = s.Endpoint
+		a.mu.Unlock()
+	}
+}
+
+// reportLoads reads the engine's load at short intervals, sends it to the
+// entries, and watches over the group's coordination.
+func (a *Agent) reportLoads(ctx context.Context, conn net.PacketConn) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	var last wire.LoadReport
+	quiet := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		report, err := a.engine.Report(ctx)
+		if err != nil {
+			a.log.V(1).Info("Engine gave no report.", "cause", err.Error())
+			continue
+		}
+		a.mu.Lock()
+		next := wire.LoadReport{Endpoint: a.endpointID, Running: report.Running, Waiting: report.Waiting,
+			Broken: report.Group != "" && !report.Open, ColdMS: report.Cold.Milliseconds()}
+		a.mu.Unlock()
+		if quiet++; next != last || quiet >= quietReports {
+			a.publish(conn, next)
+			last, quiet = next, 0
+		}
+		if report.Group != "" && report.Open {
+			if term, ok := a.lead.claim(report.Rank, report.Held != nil); ok {
+				a.startCoordinating(ctx, term, report)
+			}
+		}
+	}
+}
+
+func (a *Agent) publish(conn net.PacketConn, r wire.LoadReport) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		a.log.Error(err, "Load not sent.")
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for key, s := range a.subscribers {
+		if time.Since(s.heard) > subscriptionLife {
+			delete(a.subscribers, key)
+			continue
+		}
+		if _, err := conn.WriteTo(b, s.addr); err != nil {
+			a.log.V(1).Info("Datagram not sent.", "to", key, "cause", err.Error())
+		}
+	}
+}
+
+// serveRank answers a coordinator.
+func (a *Agent) serveRank(w http.ResponseWriter, r *http.Request) {
+	var args wire.RankArgs
+	if err := json.NewDecoder(r.Body).Decode(&args); err != nil {
+		http.Error(w, "the call can't be read; send a RankArgs object", http.StatusBadRequest)
+		return
+	}
+	var reply wire.RankReply
+	var admitted bool
+	if reply.Term, admitted = a.lead.admit(&args); !admitted {
+		reply.Superseded = true
+	} else if err := a.answerRank(r.Context(), &args, &reply); err != nil {
+		reply.Error = err.Error()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(&reply); err != nil {
+		a.log.V(1).Info("Answer not sent.", "cause", err.Error())
+	}
+}
+
+func (a *Agent) answerRank(ctx context.Context, args *wire.RankArgs, reply *wire.RankReply) (err error) {
+	switch args.Ask {
+	case wire.AskReport:
+		var report rankgroup.Report
+		report, err = a.engine.Report(ctx)
+		reply.Report = &report
+	case wire.AskPoll:
+		var report rankgroup.Report
+		var counts rankgroup.Counts
+		report, counts, err = a.engine.Poll(ctx)
+		reply.Report, reply.Counts = &report, &counts
+	case wire.AskExperts:
+		reply.Experts, reply.Version, err = a.engine.Experts(ctx)
+	case wire.AskOrder:
+		if args.Order == nil {
+			return errors.New("the call has no order; send one")
+		}
+		reply.Result, err = a.engine.Order(ctx, *args.Order)
+		a.log.Info("Order given.", "operation", string(args.Order.Operation), "version", args.Order.Version, "step", args.Order.Step,
+			"result", int(reply.Result), "term", args.Term, "coordinator", args.Rank)
+	default:
+		err = errors.New("unknown question; the coordinator may run another version")
+	}
+	return err
+}
--- /dev/null
+++ b/node/coordinate.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/platform"
+	"github.com/wasabinotch/wasabinotch/rankgroup"
+	"github.com/wasabinotch/wasabinotch/routing"
+)
+
+const (
+	// roundInterval is the interval of a coordinator's rounds, about one pass.
+	roundInterval = 100 * time.Millisecond
+	// findAgain is the interval at which missing ranks are looked for.
+	findAgain = time.Second
+	// findTimeout bounds the reading of the store and of one report.
+	findTimeout = time.Second
+	// lostRanks is the time without a whole poll after which the ranks are
+	// looked for again, since one may have come back at another address.
+	lostRanks = 2 * time.Second
+)
+
+// startCoordinating runs a coordinator in the given term, unless one runs.
+func (a *Agent) startCoordinating(ctx context.Context, term uint64, own rankgroup.Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.coordinating {
+		return
+	}
+	a.coordinating = true
+	a.log.Info("Coordinating.", "group", own.Group, "rank", own.Rank, "term", term, "ranks", own.Size)
+	go func() {
+		a.coordinate(ctx, term, own)
+		a.mu.Lock()
+		a.coordinating = false
+		a.mu.Unlock()
+	}()
+}
+
+func (a *Agent) coordinate(ctx context.Context, term uint64, own rankgroup.Report) {
+	var c *rankgroup.Coordinator
+	whole := time.Now()
+	ticker := time.NewTicker(roundInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil && a.lead.leading(term) {
+		if c == nil {
+			var err error
+			if c, err = a.newCoordinator(ctx, term, own); err != nil {
+				a.log.Info("Group not complete.", "group", own.Group, "cause", err.Error())
+				a.wait(ctx, findAgain)
+				continue
+			}
+			whole = time.Now()
+		}
+		ok, err := c.Round(ctx)
+		if errors.Is(err, rankgroup.ErrSuperseded) {
+			a.log.Info("Coordination ends; another agent took over.", "term", term)
+			a.lead.yield(term)
+			return
+		}
+		if err != nil {
+			a.log.Info("Round failed.", "cause", err.Error())
+		}
+		if ok {
+			whole = time.Now()
+		} else if time.Since(whole) > lostRanks && !c.Busy() {
+			c = nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *Agent) wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// newCoordinator finds the ranks of the group and the figures of its engine.
+func (a *Agent) newCoordinator(ctx context.Context, term uint64, own rankgroup.Report) (*rankgroup.Coordinator, error) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	service, err := a.readService(ctx)
+	if err != nil {
+		return nil, err
+	}
+	engines, err := a.findRanks(ctx, term, own)
+	if err != nil {
+		return nil, err
+	}
+	e := service.Engine
+	return rankgroup.NewCoordinator(rankgroup.Config{
+		Dimensions: rankgroup.Dimensions{
+			Ranks: own.Size, Sets: e.ExpertSets, Experts: e.Experts, Places: e.Places, Spares: e.Spares,
+			CopyTime: time.Duration(e.ExpertBytes / e.LinkBytesPerSecond * float64(time.Second)),
+		},
+		Engines: engines, Home: own.Rank, Log: a.log.WithName("coordinator"),
+	}), nil
+}
+
+func (a *Agent) readService(ctx context.Context) (*routing.Service, error) {
+	entries, err := a.store.ListStale(ctx, platform.PrefixOperator)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		if !platform.IsConfig(e.Key) {
+			continue
+		}
+		c, err := platform.DecodeConfig(e.Value)
+		if err != nil {
+			return nil, err
+		}
+		if s := c.Service(a.s.Service); s != nil && s.Engine != nil && s.Engine.ExpertSets > 0 {
+			return s, nil
+		}
+	}
+	return nil, errors.New("the configuration has no expert sets for this service; it is read again")
+}
+
+// findRanks asks the agents of the service's endpoints for their ranks.
+func (a *Agent) findRanks(ctx context.Context, term uint64, own rankgroup.Report) ([]rankgroup.Engine, error) {
+	entries, err := a.store.ListStale(ctx, platform.PrefixEndpoints)
+	if err != nil {
+		return nil, err
+	}
+	engines := make([]rankgroup.Engine, own.Size)
+	engines[own.Rank] = a.engine
+	found := 1
+	for _, e := range entries {
+		r, err := platform.DecodeEndpoint(e.Key, e.Value)
+		if err != nil || r.Service != a.s.Service || r.Address == a.s.EndpointAddr {
+			continue
+		}
+		agent, err := agentAddr(r.Address, a.s.PeerPort)
+		if err != nil {
+			continue
+		}
+		remote := &remoteRank{agent: agent.String(), direct: platform.NewEngine(r.Address, a.client), client: a.client, rank: own.Rank}
+		report, err := remote.Report(ctx)
+		if err != nil || report.Group != own.Group || report.Rank < 0 || report.Rank >= own.Size || engines[report.Rank] != nil {
+			continue
+		}
+		remote.term = term
+		engines[report.Rank] = remote
+		found++
+	}
+	if found < own.Size {
+		return nil, errors.New("some ranks were not found; they are looked for again")
+	}
+	return engines, nil
+}
--- /dev/null
+++ b/node/lead.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+const (
+	// leadSilence is the time without a call of a coordinator after which
+	// another agent takes over; callers give a stream up after 2 s.
+	leadSilence = 800 * time.Millisecond
+	// leadStagger lets lower ranks take over first.
+	leadStagger = 250 * time.Millisecond
+	// leadHeld is added for an agent whose own rank holds a pass that it can't
+	// account for: it may have sent a release before it started again.
+	leadHeld = 3 * time.Second
+)
+
+// leadership decides which coordinator an agent serves, and when its own agent
+// becomes one. A wrong decision costs time only; a switch of maps is safe with
+// two coordinators.
+type leadership struct {
+	mu    sync.Mutex
+	term  uint64
+	rank  int
+	heard time.Time
+	// mine is set while this agent coordinates.
+	mine bool
+}
+
+// admit reports whether a call is of the coordinator in charge.
+func (l *leadership) admit(a *wire.RankArgs) (term uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.Term == 0 {
+		return l.term, true
+	}
+	if a.Term < l.term || a.Term == l.term && a.Rank > l.rank {
+		return l.term, false
+	}
+	if a.Term > l.term || a.Rank < l.rank {
+		l.mine = false
+	}
+	l.term, l.rank, l.heard = a.Term, a.Rank, time.Now()
+	return l.term, true
+}
+
+// claim makes this agent the coordinator if none was heard of for long enough.
+func (l *leadership) claim(rank int, held bool) (term uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.mine {
+		return l.term, true
+	}
+	wait := leadSilence + time.Duration(rank)*leadStagger
+	if held {
+		wait += leadHeld
+	}
+	if time.Since(l.heard) < wait {
+		return l.term, false
+	}
+	l.term++
+	l.rank, l.mine, l.heard = rank, true, time.Now()
+	return l.term, true
+}
+
+// leading reports whether this agent coordinates in the given term.
+func (l *leadership) leading(term uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mine && l.term == term
+}
+
+// yield ends this agent's part as coordinator.
+func (l *leadership) yield(term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mine = false
+	l.term = max(l.term, term)
+	l.heard = time.Now()
+}
--- a/node/loads.go
+++ b/node/loads.go
@@ -31,7 +31,6 @@
 	}
 	defer conn.Close()
 	go e.receiveLoads(conn)
-	hello, _ := json.Marshal(wire.LoadSubscription{Entry: e.s.ID}) // a string always encodes
 	ticker := time.NewTicker(subscribeInterval)
 	defer ticker.Stop()
 	subscribed := make(map[string]time.Time)
@@ -45,6 +44,7 @@
 			}
 			subscribed[r.Address] = now
 			if addr, err := agentAddr(r.Address, e.s.PeerPort); err == nil {
+				hello, _ := json.Marshal(wire.LoadSubscription{Entry: e.s.ID, Endpoint: r.ID}) // strings always encode
 				e.send(conn, hello, addr)
 			}
 		}
--- /dev/null
+++ b/node/rank.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/wasabinotch/wasabinotch/platform"
+	"github.com/wasabinotch/wasabinotch/rankgroup"
+	"github.com/wasabinotch/wasabinotch/upstream"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// remoteRank is a rank on another VM, reached through its agent. Reports are
+// fresh there and counts free of charge. If the agent can't be reached, the
+// engine is asked directly.
+type remoteRank struct {
+	agent  string
+	direct *platform.Engine
+	client *upstream.Client
+	term   uint64
+	rank   int
+}
+
+// maxRankReply bounds an agent's answer in bytes.
+const maxRankReply = 4 << 20
+
+// call asks the agent. reached is false if the agent never got the question.
+func (r *remoteRank) call(ctx context.Context, args wire.RankArgs) (reply wire.RankReply, reached bool, err error) {
+	args.Term, args.Rank = r.term, r.rank
+	body, err := json.Marshal(args)
+	if err != nil {
+		return reply, true, err
+	}
+	req := &upstream.Request{Method: http.MethodPost, Target: wire.PathRank, Host: r.agent, Header: http.Header{"Content-Type": {"application/json"}}, Body: body}
+	status, answer, err := r.client.Call(ctx, r.agent, req, maxRankReply)
+	if err != nil {
+		return reply, !upstream.NotSent(err), err
+	}
+	if status != http.StatusOK {
+		return reply, true, fmt.Errorf("agent %s answered status %d; it may run another version", r.agent, status)
+	}
+	if err := json.Unmarshal(answer, &reply); err != nil {
+		return reply, true, err
+	}
+	if reply.Superseded {
+		return reply, true, rankgroup.ErrSuperseded
+	}
+	if reply.Error != "" {
+		return reply, true, errors.New(reply.Error)
+	}
+	return reply, true, nil
+}
+
+// Report implements rankgroup.Engine.
+func (r *remoteRank) Report(ctx context.Context) (rankgroup.Report, error) {
+	reply, reached, err := r.call(ctx, wire.RankArgs{Ask: wire.AskReport})
+	if !reached {
+		return r.direct.Report(ctx)
+	}
+	if err != nil || reply.Report == nil {
+		return rankgroup.Report{}, errors.Join(err, errNoReport(reply.Report == nil))
+	}
+	return *reply.Report, nil
+}
+
+func errNoReport(missing bool) error {
+	if missing {
+		return errors.New("the agent's answer has no report; it may run another version")
+	}
+	return nil
+}
+
+// Poll implements rankgroup.Engine.
+func (r *remoteRank) Poll(ctx context.Context) (rankgroup.Report, rankgroup.Counts, error) {
+	reply, reached, err := r.call(ctx, wire.RankArgs{Ask: wire.AskPoll})
+	if !reached {
+		// Counts from afar are dear and make the group pause; they are left out.
+		report, err := r.direct.Report(ctx)
+		return report, rankgroup.Counts{}, err
+	}
+	if err != nil || reply.Report == nil || reply.Counts == nil {
+		return rankgroup.Report{}, rankgroup.Counts{}, errors.Join(err, errNoReport(reply.Report == nil || reply.Counts == nil))
+	}
+	return *reply.Report, *reply.Counts, nil
+}
+
+// Experts implements rankgroup.Engine.
+func (r *remoteRank) Experts(ctx context.Context) ([][]int, uint64, error) {
+	reply, reached, err := r.call(ctx, wire.RankArgs{Ask: wire.AskExperts})
+	if !reached {
+		return r.direct.Experts(ctx)
+	}
+	return reply.Experts, reply.Version, err
+}
+
+// Order implements rankgroup.Engine.
+func (r *remoteRank) Order(ctx context.Context, o rankgroup.Order) (rankgroup.Result, error) {
+	reply, reached, err := r.call(ctx, wire.RankArgs{Ask: wire.AskOrder, Order: &o})
+	switch {
+	case !reached && ctx.Err() == nil:
+		return r.direct.Order(ctx, o)
+	case errors.Is(err, rankgroup.ErrSuperseded):
+		return rankgroup.Superseded, nil
+	case err != nil:
+		return rankgroup.Unanswered, err
+	}
+	return reply.Result, nil
+}
--- /dev/null
+++ b/rankgroup/coordinator.go
@@ -0,0 +1,362 @@
+package rankgroup
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	// pollTimeout bounds the polling of one rank.
+	pollTimeout = 200 * time.Millisecond
+	// windowTime is the least time of a demand window; shorter ones follow the
+	// mix of the few requests that happen to run.
+	windowTime = 250 * time.Millisecond
+	// prepareAgain is when an unanswered or unfinished copy is ordered again.
+	prepareAgain = time.Second
+	// prepareGiveUp is when a map that isn't ready everywhere is dropped.
+	prepareGiveUp = 6 * time.Second
+	// copyBudget bounds the copying for one plan on one rank. Demand changes
+	// within seconds, so a few useful copies now beat a perfect map later.
+	copyBudget = 450 * time.Millisecond
+	// minGain is the least improvement that is worth a copy, in means of a set's
+	// load; passes take 15 in 100 longer while experts are copied.
+	minGain = 0.01
+	// armLead is the least time between arming and the pass of the switch.
+	armLead = 60 * time.Millisecond
+	// maxArmLead bounds it in passes, for groups whose passes are very short.
+	maxArmLead = 12
+	// switchTime bounds one attempt at a switch; it goes on in the next round.
+	switchTime = 400 * time.Millisecond
+	// strayRounds is the number of rounds for which another coordinator's hold
+	// is left alone, as it may be about to release it.
+	strayRounds = 3
+)
+
+// Config configures a Coordinator.
+type Config struct {
+	Dimensions
+	// Ranks are the group's ranks in order.
+	Engines []Engine
+	// Home is this process's own rank, where passes are held back.
+	Home int
+	Log  logr.Logger
+}
+
+// Coordinator keeps one group's maps. It is used from one goroutine.
+type Coordinator struct {
+	cfg    Config
+	demand *Demand
+	// nonce makes versions of different processes differ.
+	nonce   uint64
+	version uint64
+
+	epoch   uint64
+	current *Map
+	inForce uint64
+	// next is the plan that is being copied.
+	next       *Plan
+	nextSince  time.Time
+	preparing  uint64
+	orderedAt  []time.Time
+	pending    *Switch
+	target     *Map
+	strays     int
+	lastWindow time.Time
+	// fresh says that a window ended since the last plan.
+	fresh    bool
+	lastStep uint64
+	stepAt   time.Time
+	passTime time.Duration
+}
+
+// nonceBits is the part of a version that names the process; versions stay
+// below 2^53, since they travel as JSON numbers.
+const nonceBits = 20
+
+// NewCoordinator returns a coordinator that knows nothing of the group yet.
+func NewCoordinator(cfg Config) *Coordinator {
+	return &Coordinator{cfg: cfg, demand: NewDemand(cfg.Dimensions), nonce: rand.Uint64N(1 << nonceBits),
+		orderedAt: make([]time.Time, len(cfg.Engines)), passTime: 100 * time.Millisecond}
+}
+
+// nextVersion returns a version above all that were seen.
+func (c *Coordinator) nextVersion() uint64 {
+	c.version = (c.version>>nonceBits+1)<<nonceBits | c.nonce
+	return c.version
+}
+
+func (c *Coordinator) saw(version uint64) { c.version = max(c.version, version) }
+
+// Busy reports whether a switch is under way.
+func (c *Coordinator) Busy() bool { return c.pending != nil }
+
+// Round polls the ranks and does what is due. whole reports whether all ranks
+// were reached. The error is ErrSuperseded if another coordinator is in charge.
+func (c *Coordinator) Round(ctx context.Context) (whole bool, err error) {
+	reports, err := c.poll(ctx)
+	if err != nil {
+		return false, err
+	}
+	if reports == nil {
+		if c.pending != nil {
+			err = c.advance(ctx)
+		}
+		return false, err
+	}
+	if !c.consistent(reports) {
+		return true, nil
+	}
+	return true, c.act(ctx, reports)
+}
+
+// act does what is due in a whole and open group.
+func (c *Coordinator) act(ctx context.Context, reports []Report) error {
+	if now := time.Now(); now.Sub(c.lastWindow) >= windowTime && c.demand.Close() {
+		c.lastWindow, c.fresh = now, true
+	}
+	if c.pending != nil {
+		return c.advance(ctx)
+	}
+	if c.stray(reports) {
+		return nil
+	}
+	if c.current == nil && !c.learnMap(ctx, reports) {
+		return nil
+	}
+	if c.next != nil {
+		return c.prepare(ctx, reports)
+	}
+	c.plan()
+	if c.next != nil {
+		return c.prepare(ctx, reports)
+	}
+	return nil
+}
+
+// poll reads reports and counts of all ranks. It returns nil if one is missing.
+func (c *Coordinator) poll(ctx context.Context) ([]Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	reports := make([]Report, len(c.cfg.Engines))
+	counts := make([]Counts, len(c.cfg.Engines))
+	errs := make([]error, len(c.cfg.Engines))
+	var wg sync.WaitGroup
+	for r, e := range c.cfg.Engines {
+		wg.Go(func() {
+			reports[r], counts[r], errs[r] = e.Poll(ctx)
+		})
+	}
+	wg.Wait()
+	missing := false
+	for r, err := range errs {
+		if errors.Is(err, ErrSuperseded) {
+			return nil, err
+		}
+		if err != nil {
+			c.cfg.Log.V(1).Info("Rank not polled.", "rank", r, "cause", err.Error())
+			missing = true
+			continue
+		}
+		c.demand.Add(r, reports[r].Born, counts[r])
+	}
+	if missing {
+		return nil, nil
+	}
+	return reports, nil
+}
+
+// consistent takes the state of the formation from the reports. It returns
+// false while the group isn't whole.
+func (c *Coordinator) consistent(reports []Report) bool {
+	now := time.Now()
+	first := reports[0]
+	for r, rep := range reports {
+		if rep.Epoch != first.Epoch || !rep.Open || rep.Rank != r || rep.Group != first.Group {
+			return false
+		}
+		for _, v := range []uint64{rep.Map, rep.Prepared} {
+			c.saw(v)
+		}
+		if rep.Armed != nil {
+			c.saw(rep.Armed.Version)
+		}
+	}
+	if first.Epoch != c.epoch {
+		c.cfg.Log.Info("Group formed.", "group", first.Group, "epoch", first.Epoch, "ranks", len(reports))
+		c.epoch, c.current, c.next, c.pending = first.Epoch, nil, nil, nil
+		c.lastStep, c.stepAt = first.Step, now
+	}
+	if first.Step > c.lastStep {
+		measured := now.Sub(c.stepAt) / time.Duration(first.Step-c.lastStep)
+		c.passTime += (measured - c.passTime) / 4
+		c.lastStep, c.stepAt = first.Step, now
+	}
+	return true
+}
+
+// stray finds orders of a coordinator that is gone and begins to undo them.
+func (c *Coordinator) stray(reports []Report) bool {
+	found := false
+	for _, rep := range reports {
+		if rep.Armed != nil || rep.Held != nil {
+			found = true
+		}
+	}
+	if !found {
+		c.strays = 0
+		return false
+	}
+	if c.strays++; c.strays >= strayRounds {
+		c.cfg.Log.Info("Undoing another coordinator's switch.", "epoch", c.epoch, "step", c.lastStep)
+		c.strays = 0
+		blank := c.current
+		if blank == nil {
+			blank = First(c.cfg.Dimensions)
+		}
+		c.next = nil
+		c.pending = NewUndo(c.cfg.Engines, reports, c.cfg.Home, blank, c.nextVersion)
+	}
+	return true
+}
+
+// learnMap finds out the map in force.
+func (c *Coordinator) learnMap(ctx context.Context, reports []Report) bool {
+	version := reports[0].Map
+	for _, rep := range reports {
+		if rep.Map != version {
+			return false // a switch is under way
+		}
+	}
+	if version == 0 {
+		c.current, c.inForce = First(c.cfg.Dimensions), 0
+		return true
+	}
+	m := &Map{Sets: make([][][]int, c.cfg.Sets)}
+	for s := range m.Sets {
+		m.Sets[s] = make([][]int, len(c.cfg.Engines))
+	}
+	for r, e := range c.cfg.Engines {
+		sets, v, err := e.Experts(ctx)
+		if err != nil || v != version || len(sets) != c.cfg.Sets {
+			return false
+		}
+		for s := range sets {
+			m.Sets[s][r] = sets[s]
+		}
+	}
+	c.current, c.inForce = m, version
+	c.cfg.Log.Info("Map read.", "version", version)
+	return true
+}
+
+// plan looks for copies that pay.
+func (c *Coordinator) plan() {
+	if !c.fresh {
+		return
+	}
+	c.fresh = false
+	now := time.Now()
+	plan := Improve(c.current, c.demand.Scenarios(), PlanConfig{
+		Dimensions: c.cfg.Dimensions, MaxCopies: max(1, int(copyBudget/max(c.cfg.CopyTime, time.Millisecond))), MinGain: minGain,
+	})
+	if plan.Copies == 0 {
+		return
+	}
+	c.next, c.nextSince, c.preparing = &plan, now, c.nextVersion()
+	clear(c.orderedAt)
+	c.cfg.Log.Info("Map planned.", "version", c.preparing, "copies", plan.Copies, "skew_before", plan.Before, "skew_after", plan.After,
+		"patterns", len(c.demand.patterns), "took_ms", time.Since(now).Milliseconds())
+}
+
+// prepare has the plan copied, and switches once it is ready on all ranks.
+func (c *Coordinator) prepare(ctx context.Context, reports []Report) error {
+	now := time.Now()
+	if now.Sub(c.nextSince) > prepareGiveUp {
+		c.cfg.Log.Info("Map dropped; it was not ready in time.", "version", c.preparing)
+		c.next = nil
+		return nil
+	}
+	ready := true
+	for r, rep := range reports {
+		if rep.Prepared == c.preparing {
+			continue
+		}
+		ready = false
+		if now.Sub(c.orderedAt[r]) >= prepareAgain {
+			c.orderedAt[r] = now
+		}
+	}
+	if !ready {
+		return c.orderPrepare(ctx, reports, now)
+	}
+	step := reports[0].Step
+	for _, rep := range reports {
+		step = max(step, rep.Step)
+	}
+	lead := min(1+uint64(armLead/max(c.passTime, time.Millisecond)), maxArmLead)
+	c.target = c.next.Map
+	c.pending = NewSwitch(c.cfg.Engines, c.epoch, c.preparing, step+1+lead, c.cfg.Home, c.current, c.nextVersion)
+	return c.advance(ctx)
+}
+
+// orderPrepare orders the ranks whose turn is now to copy.
+func (c *Coordinator) orderPrepare(ctx context.Context, reports []Report, now time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	results := make([]Result, len(reports))
+	errs := make([]error, len(reports))
+	var wg sync.WaitGroup
+	for r := range reports {
+		if c.orderedAt[r] != now {
+			continue
+		}
+		wg.Go(func() {
+			results[r], errs[r] = c.cfg.Engines[r].Order(ctx, Order{Operation: Prepare, Epoch: c.epoch, Version: c.preparing, Map: c.next.Map})
+		})
+	}
+	wg.Wait()
+	for r := range reports {
+		switch {
+		case c.orderedAt[r] != now:
+		case results[r] == Superseded:
+			return ErrSuperseded
+		case results[r] == Refused:
+			c.cfg.Log.Info("Map dropped; a rank refused it.", "version", c.preparing, "rank", r)
+			c.next = nil
+			return nil
+		case results[r] == Unanswered:
+			c.orderedAt[r] = time.Time{} // ordered again in the next round
+		}
+	}
+	return nil
+}
+
+// advance goes on with the switch under way.
+func (c *Coordinator) advance(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, switchTime)
+	defer cancel()
+	began := time.Now()
+	done, err := c.pending.Advance(ctx)
+	if !done || err != nil {
+		return err
+	}
+	s := c.pending
+	c.pending = nil
+	if s.Missed {
+		return nil // the copies are there; the next round tries a later pass
+	}
+	c.next = nil
+	c.cfg.Log.Info("Switch ended.", "version", s.version, "step", s.step, "undone", s.Undone, "ms", time.Since(began).Milliseconds())
+	if s.Undone {
+		// What is in force is read again.
+		c.current = nil
+		return nil
+	}
+	c.current, c.inForce = c.target, s.version
+	return nil
+}
--- /dev/null
+++ b/rankgroup/demand.go
@@ -0,0 +1,176 @@
+package rankgroup
+
+import "math"
+
+// Demand learns which experts a group's requests choose. Demand moves between
+// a few patterns that return, so past patterns are kept beside the present one.
+type Demand struct {
+	d Dimensions
+	// present is the moving average of recent windows.
+	present  []float64
+	patterns []pattern
+	last     []rankCounts
+	window   []float64
+	tokens   float64
+}
+
+type rankCounts struct {
+	epoch  uint64
+	born   int64
+	counts []uint64
+}
+
+// pattern is a demand that was seen, as the part of its set that each expert gets.
+type pattern struct {
+	experts []float64
+	weight  float64
+}
+
+const (
+	// minWindow is the least number of choices in a set, per expert, for which a
+	// window says enough about the demand.
+	minWindow = 8
+	// presentGain is the part of the newest window in the present demand.
+	presentGain = 0.6
+	// samePattern is the least cosine of two windows that count as one pattern.
+	samePattern = 0.93
+	// patternGain is the part of the newest window in its pattern.
+	patternGain = 0.25
+	// patternFade is the factor on all weights with each window, so that
+	// patterns of the last minutes count most.
+	patternFade = 0.995
+	// maxPatterns bounds memory and planning time.
+	maxPatterns = 12
+)
+
+// NewDemand returns a Demand that has seen nothing.
+func NewDemand(d Dimensions) *Demand {
+	return &Demand{d: d, last: make([]rankCounts, d.Ranks), window: make([]float64, d.Sets*d.Experts)}
+}
+
+// Add takes a rank's counts. Counts of a rank that started again begin anew.
+func (m *Demand) Add(rank int, born int64, c Counts) {
+	if len(c.Experts) != len(m.window) || rank < 0 || rank >= len(m.last) {
+		return
+	}
+	last := &m.last[rank]
+	if last.epoch == c.Epoch && last.born == born && len(last.counts) == len(c.Experts) {
+		for i, n := range c.Experts {
+			if n > last.counts[i] {
+				m.window[i] += float64(n - last.counts[i])
+			}
+		}
+	}
+	*last = rankCounts{c.Epoch, born, c.Experts}
+}
+
+// Close ends a window if it holds enough and reports whether it did.
+func (m *Demand) Close() bool {
+	total := 0.0
+	for _, n := range m.window {
+		total += n
+	}
+	if total < minWindow*float64(len(m.window)) {
+		return false
+	}
+	w := normalise(m.window, m.d)
+	clear(m.window)
+	if m.present == nil {
+		m.present = append([]float64(nil), w...)
+	}
+	mix(m.present, w, presentGain)
+	m.remember(w)
+	return true
+}
+
+func normalise(counts []float64, d Dimensions) []float64 {
+	w := make([]float64, len(counts))
+	for s := range d.Sets {
+		set := counts[s*d.Experts : (s+1)*d.Experts]
+		total := 0.0
+		for _, n := range set {
+			total += n
+		}
+		if total == 0 {
+			continue
+		}
+		for e, n := range set {
+			w[s*d.Experts+e] = n / total
+		}
+	}
+	return w
+}
+
+func mix(into, from []float64, gain float64) {
+	for i := range into {
+		into[i] += gain * (from[i] - into[i])
+	}
+}
+
+func (m *Demand) remember(w []float64) {
+	best, similarity := -1, samePattern
+	for i := range m.patterns {
+		m.patterns[i].weight *= patternFade
+		if c := cosine(m.patterns[i].experts, w); c >= similarity {
+			best, similarity = i, c
+		}
+	}
+	if best >= 0 {
+		mix(m.patterns[best].experts, w, patternGain)
+		m.patterns[best].weight++
+		return
+	}
+	fresh := pattern{experts: append([]float64(nil), w...), weight: 1}
+	if len(m.patterns) < maxPatterns {
+		m.patterns = append(m.patterns, fresh)
+		return
+	}
+	weakest := 0
+	for i := range m.patterns {
+		if m.patterns[i].weight < m.patterns[weakest].weight {
+			weakest = i
+		}
+	}
+	m.patterns[weakest] = fresh
+}
+
+func cosine(a, b []float64) float64 {
+	var ab, aa, bb float64
+	for i := range a {
+		ab += a[i] * b[i]
+		aa += a[i] * a[i]
+		bb += b[i] * b[i]
+	}
+	if aa == 0 || bb == 0 {
+		return 0
+	}
+	return ab / math.Sqrt(aa*bb)
+}
+
+// Scenarios returns the demands to plan for with weights that sum to 1: the
+// present one, and those that may return.
+func (m *Demand) Scenarios() []Scenario {
+	if m.present == nil {
+		return nil
+	}
+	total := 0.0
+	for _, p := range m.patterns {
+		total += p.weight
+	}
+	out := []Scenario{{Experts: m.present, Weight: presentWeight}}
+	for _, p := range m.patterns {
+		out = append(out, Scenario{Experts: p.experts, Weight: (1 - presentWeight) * p.weight / total})
+	}
+	return out
+}
+
+// presentWeight is the part of the present demand in a plan. A map is in force
+// for about as long as one pattern lasts, so the two halves weigh alike.
+const presentWeight = 0.6
+
+// Scenario is one demand to plan for.
+type Scenario struct {
+	// Experts is the part of its set that each expert gets, sets one after the other.
+	Experts []float64
+	Weight  float64
+}
--- /dev/null
+++ b/rankgroup/plan.go
@@ -0,0 +1,271 @@
+package rankgroup
+
+import (
+	"math"
+	"slices"
+	"sort"
+)
+
+// A plan minimises, over sets and scenarios, the load of the most loaded rank
+// over the mean: a pass lasts as long as that rank takes. The maximum is
+// smoothed by a power mean, so that a move helps that relieves one of several
+// equally loaded ranks.
+const (
+	// candidateExperts bounds the experts per set that may get another replica.
+	candidateExperts = 12
+	// candidateRanks bounds the ranks per set that may receive one.
+	candidateRanks = 8
+)
+
+// Plan describes a new map.
+type Plan struct {
+	Map *Map
+	// Copies is the largest number of experts that one rank copies.
+	Copies int
+	// Before and After are the most loaded rank over the mean, averaged over
+	// sets, for the first scenario.
+	Before, After float64
+}
+
+// PlanConfig bounds a plan.
+type PlanConfig struct {
+	Dimensions
+	// MaxCopies bounds the experts that one rank copies for one plan, over all sets.
+	MaxCopies int
+	// MinGain is the least improvement of a set's smoothed maximum, in means,
+	// that is worth one copy.
+	MinGain float64
+}
+
+// setState is one set of the map under change.
+type setState struct {
+	set   int
+	ranks [][]int
+	// replicas counts the holders of each expert.
+	replicas []int
+	holds    [][]bool
+	// share is by scenario and expert, load by scenario and rank, in means.
+	share [][]float64
+	load  [][]float64
+	fresh []int
+}
+
+// move adds an expert to a rank, in place of victim if that isn't -1.
+type move struct {
+	set                  int
+	rank, expert, victim int
+	gain                 float64
+}
+
+// Improve plans the copies that help most for the scenarios.
+func Improve(current *Map, scenarios []Scenario, cfg PlanConfig) Plan {
+	next := current.Clone()
+	states := make([]*setState, cfg.Sets)
+	for s := range states {
+		states[s] = newSetState(s, next.Sets[s], scenarios, cfg.Dimensions)
+	}
+	plan := Plan{Map: next, Before: skew(states)}
+	copies := make([]int, cfg.Ranks)
+	best := make([]*move, cfg.Sets)
+	for s, st := range states {
+		best[s] = st.best(scenarios, copies, cfg)
+	}
+	for {
+		var pick *move
+		for _, m := range best {
+			if m != nil && (pick == nil || m.gain > pick.gain) {
+				pick = m
+			}
+		}
+		if pick == nil {
+			break
+		}
+		states[pick.set].apply(pick)
+		copies[pick.rank]++
+		for s, st := range states {
+			stale := best[s] != nil && copies[best[s].rank] >= cfg.MaxCopies
+			if s == pick.set || stale {
+				best[s] = st.best(scenarios, copies, cfg)
+			}
+		}
+	}
+	for s, st := range states {
+		next.Sets[s] = st.ranks
+	}
+	plan.Copies = slices.Max(copies)
+	plan.After = skew(states)
+	return plan
+}
+
+func newSetState(set int, ranks [][]int, scenarios []Scenario, d Dimensions) *setState {
+	st := &setState{set: set, ranks: ranks, replicas: make([]int, d.Experts), fresh: make([]int, d.Ranks)}
+	st.holds = make([][]bool, d.Ranks)
+	for r, experts := range ranks {
+		st.holds[r] = make([]bool, d.Experts)
+		for _, e := range experts {
+			st.holds[r][e] = true
+			st.replicas[e]++
+		}
+	}
+	for _, sc := range scenarios {
+		share := make([]float64, d.Experts)
+		for e := range share {
+			share[e] = sc.Experts[set*d.Experts+e] * float64(d.Ranks)
+		}
+		load := make([]float64, d.Ranks)
+		for r, experts := range ranks {
+			for _, e := range experts {
+				load[r] += share[e] / float64(st.replicas[e])
+			}
+		}
+		st.share = append(st.share, share)
+		st.load = append(st.load, load)
+	}
+	return st
+}
+
+// skew averages the most loaded rank over the sets for the first scenario.
+func skew(states []*setState) float64 {
+	sum := 0.0
+	for _, st := range states {
+		if len(st.load) > 0 {
+			sum += slices.Max(st.load[0])
+		}
+	}
+	return sum / float64(len(states))
+}
+
+// power is the eighth power, of which the smoothed maximum is made.
+func power(x float64) float64 {
+	x *= x
+	x *= x
+	return x * x
+}
+
+// best returns the most useful move in the set, or nil.
+func (st *setState) best(scenarios []Scenario, copies []int, cfg PlanConfig) *move {
+	sums := make([]float64, len(st.load))
+	before := 0.0
+	for k, load := range st.load {
+		for _, x := range load {
+			sums[k] += power(x)
+		}
+		before += scenarios[k].Weight * math.Pow(sums[k], 1.0/8)
+	}
+	experts := st.hottest(scenarios)
+	ranks := st.idlest(scenarios, copies, cfg)
+	var best *move
+	for _, e := range experts {
+		for _, r := range ranks {
+			if st.holds[r][e] {
+				continue
+			}
+			st.eachVictim(r, cfg.Places, func(v int) {
+				after := 0.0
+				for k := range st.load {
+					after += scenarios[k].Weight * math.Pow(math.Max(0, sums[k]+st.change(k, r, e, v)), 1.0/8)
+				}
+				if gain := before - after; gain >= cfg.MinGain && (best == nil || gain > best.gain) {
+					best = &move{st.set, r, e, v, gain}
+				}
+			})
+		}
+	}
+	return best
+}
+
+// hottest returns the experts whose replicas carry most.
+func (st *setState) hottest(scenarios []Scenario) []int {
+	heat := make([]float64, len(st.replicas))
+	order := make([]int, len(heat))
+	for e := range heat {
+		order[e] = e
+		for k := range st.share {
+			heat[e] += scenarios[k].Weight * st.share[k][e] / float64(st.replicas[e])
+		}
+	}
+	sort.Slice(order, func(i, j int) bool { return heat[order[i]] > heat[order[j]] })
+	return order[:min(candidateExperts, len(order))]
+}
+
+// idlest returns the least loaded ranks that may still copy.
+func (st *setState) idlest(scenarios []Scenario, copies []int, cfg PlanConfig) []int {
+	load := make([]float64, cfg.Ranks)
+	var order []int
+	for r := range load {
+		if copies[r] >= cfg.MaxCopies || st.fresh[r] >= cfg.Spares {
+			continue
+		}
+		order = append(order, r)
+		for k := range st.load {
+			load[r] += scenarios[k].Weight * st.load[k][r]
+		}
+	}
+	sort.Slice(order, func(i, j int) bool { return load[order[i]] < load[order[j]] })
+	return order[:min(candidateRanks, len(order))]
+}
+
+// eachVictim calls f with each expert that may leave a rank, or -1 if there is
+// a free place.
+func (st *setState) eachVictim(r, places int, f func(int)) {
+	if len(st.ranks[r]) < places {
+		f(-1)
+		return
+	}
+	for _, v := range st.ranks[r] {
+		if st.replicas[v] > 1 {
+			f(v)
+		}
+	}
+}
+
+// change returns by how much a move changes the sum of powers of scenario k.
+func (st *setState) change(k, rank, expert, victim int) float64 {
+	load, share := st.load[k], st.share[k]
+	n := float64(st.replicas[expert])
+	lose, gain := share[expert]/n-share[expert]/(n+1), 0.0
+	own := load[rank] + share[expert]/(n+1)
+	if victim >= 0 {
+		m := float64(st.replicas[victim])
+		gain = share[victim]/(m-1) - share[victim]/m
+		own -= share[victim] / m
+	}
+	delta := power(own) - power(load[rank])
+	for r := range load {
+		if r == rank {
+			continue
+		}
+		x := load[r]
+		if st.holds[r][expert] {
+			x -= lose
+		}
+		if victim >= 0 && st.holds[r][victim] {
+			x += gain
+		}
+		if x != load[r] {
+			delta += power(x) - power(load[r])
+		}
+	}
+	return delta
+}
+
+func (st *setState) apply(m *move) {
+	if m.victim >= 0 {
+		st.holds[m.rank][m.victim] = false
+		st.replicas[m.victim]--
+		st.ranks[m.rank] = slices.DeleteFunc(st.ranks[m.rank], func(e int) bool { return e == m.victim })
+	}
+	st.holds[m.rank][m.expert] = true
+	st.replicas[m.expert]++
+	st.ranks[m.rank] = append(st.ranks[m.rank], m.expert)
+	st.fresh[m.rank]++
+	for k, share := range st.share {
+		load := st.load[k]
+		clear(load)
+		for r, experts := range st.ranks {
+			for _, e := range experts {
+				load[r] += share[e] / float64(st.replicas[e])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/rankgroup/switch.go
@@ -0,0 +1,292 @@
+package rankgroup
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync"
+	"time"
+)
+
+// ErrSuperseded means that another coordinator is in charge; it clears up what
+// this one left.
+var ErrSuperseded = errors.New("another coordinator is in charge; it finishes or undoes the switch")
+
+// phase is how far a switch has come.
+type phase int
+
+const (
+	// holding: the pass is not yet held back.
+	holding phase = iota
+	// arming: the ranks are armed one by one.
+	arming
+	// undoing: the ranks are disarmed, and the version can't be armed again.
+	undoing
+	// releasing: all ranks agree on the maps of the pass; it may begin.
+	releasing
+	// finished: nothing is left to do.
+	finished
+)
+
+// Switch makes all ranks of a group begin one pass with a prepared map, or
+// with the old one.
+//
+// The pass is held back at one rank before any rank is armed. The hold is
+// released only once all ranks are known to be armed, or once all are known to
+// be disarmed and unable to arm: an Arm that is carried out late is refused
+// after its pass has begun, or when a newer version is prepared. After the
+// release nothing is changed any more, so a release that is carried out late
+// finds what it was meant for.
+//
+// Another coordinator that finds a hold or an armed rank places a hold of its
+// own, at a rank without one, before it changes anything. A release by the
+// first coordinator, sent before or sent late, then starts nothing.
+type Switch struct {
+	ranks []Engine
+	epoch uint64
+	// version is what the ranks are armed with; it isn't set for an undo.
+	version uint64
+	// step is the pass that is held back: of several, the first.
+	step uint64
+	// holder is the rank at which the pass is held back.
+	holder int
+	// others are the passes that ranks hold back for a coordinator that is gone.
+	others map[int]uint64
+	// blank is a map without copies, prepared to keep version from being armed.
+	blank        *Map
+	blankVersion func() uint64
+
+	phase phase
+	ready []bool
+	// Undone says that the old map stays in force.
+	Undone bool
+	// Missed says that the pass began before it could be held; nothing was changed.
+	Missed bool
+}
+
+// NewSwitch returns a switch of all ranks to version at step, held at holder.
+// current is the map in force.
+func NewSwitch(ranks []Engine, epoch, version, step uint64, holder int, current *Map, nextVersion func() uint64) *Switch {
+	return &Switch{ranks: ranks, epoch: epoch, version: version, step: step, holder: holder,
+		blank: current, blankVersion: nextVersion, ready: make([]bool, len(ranks))}
+}
+
+// NewUndo returns a switch that clears up what another coordinator left, as the
+// reports show it: the pass is held at a free rank, all are disarmed.
+func NewUndo(ranks []Engine, reports []Report, home int, current *Map, nextVersion func() uint64) *Switch {
+	s := &Switch{ranks: ranks, epoch: reports[0].Epoch, holder: -1, blank: current, blankVersion: nextVersion,
+		ready: make([]bool, len(ranks)), Undone: true, others: make(map[int]uint64), step: math.MaxUint64}
+	for r, rep := range reports {
+		if rep.Armed != nil {
+			s.step = min(s.step, rep.Armed.Step)
+		}
+		if rep.Held != nil {
+			s.others[r] = *rep.Held
+			s.step = min(s.step, *rep.Held)
+		}
+	}
+	for i := range ranks {
+		if r := (home + i) % len(ranks); reports[r].Held == nil {
+			s.holder = r
+			break
+		}
+	}
+	return s
+}
+
+const (
+	// orderTimeout bounds one order. An engine answers within a few ms; an
+	// order whose answer is lost is repeated.
+	orderTimeout = 60 * time.Millisecond
+	// orderPause is the pause before an order is repeated.
+	orderPause = 5 * time.Millisecond
+)
+
+// Advance goes on until the switch is finished or ctx ends. It may be called again.
+func (s *Switch) Advance(ctx context.Context) (done bool, err error) {
+	for s.phase != finished && ctx.Err() == nil {
+		switch s.phase {
+		case holding:
+			err = s.hold(ctx)
+		case arming:
+			err = s.arm(ctx)
+		case undoing:
+			err = s.undo(ctx)
+		case releasing:
+			err = s.release(ctx)
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+	return s.phase == finished, nil
+}
+
+// order repeats an order until it is answered or ctx ends.
+func (s *Switch) order(ctx context.Context, rank int, o Order) (Result, error) {
+	o.Epoch = s.epoch
+	for ctx.Err() == nil {
+		octx, cancel := context.WithTimeout(ctx, orderTimeout)
+		result, err := s.ranks[rank].Order(octx, o)
+		cancel()
+		if err == nil && result != Unanswered {
+			if result == Superseded {
+				return result, ErrSuperseded
+			}
+			return result, nil
+		}
+		pause(ctx, orderPause)
+	}
+	return Unanswered, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (s *Switch) hold(ctx context.Context) error {
+	if s.holder < 0 {
+		// Every rank holds the pass; the group stands still whatever is done.
+		s.phase = undoing
+		return nil
+	}
+	result, err := s.order(ctx, s.holder, Order{Operation: Hold, Step: s.step})
+	switch result {
+	case Accepted:
+		s.phase = arming
+		if s.Undone {
+			s.phase = undoing
+		}
+	case Refused:
+		// The pass has begun, or another coordinator holds one here. No rank is armed.
+		s.Undone, s.Missed = true, true
+		s.phase = finished
+	}
+	return err
+}
+
+// forAll runs f for each rank that isn't ready and reports whether all are.
+func (s *Switch) forAll(f func(rank int) (bool, error)) (bool, error) {
+	var wg sync.WaitGroup
+	errs := make([]error, len(s.ranks))
+	for r := range s.ranks {
+		if s.ready[r] {
+			continue
+		}
+		wg.Go(func() { s.ready[r], errs[r] = f(r) })
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return false, err
+	}
+	for _, ok := range s.ready {
+		if !ok {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+func (s *Switch) arm(ctx context.Context) error {
+	refused := make([]bool, len(s.ranks))
+	all, err := s.forAll(func(r int) (bool, error) {
+		result, err := s.order(ctx, r, Order{Operation: Arm, Version: s.version, Step: s.step})
+		refused[r] = result == Refused
+		return result == Accepted, err
+	})
+	if err != nil {
+		return err
+	}
+	if all {
+		s.phase = releasing
+		return nil
+	}
+	for _, x := range refused {
+		if x {
+			s.Undone = true
+			s.phase = undoing
+			clear(s.ready)
+		}
+	}
+	return nil
+}
+
+// undo disarms all ranks and makes sure that no late order arms one again.
+func (s *Switch) undo(ctx context.Context) error {
+	all, err := s.forAll(func(r int) (bool, error) { return s.undoRank(ctx, r) })
+	if all && err == nil {
+		s.phase = releasing
+	}
+	return err
+}
+
+func (s *Switch) undoRank(ctx context.Context, r int) (bool, error) {
+	for ctx.Err() == nil {
+		rep, err := s.ranks[r].Report(ctx)
+		if err != nil {
+			pause(ctx, orderPause)
+			continue
+		}
+		if rep.Epoch != s.epoch {
+			return true, nil // a new formation has no maps and no orders of this one
+		}
+		if rep.Armed != nil {
+			if _, err := s.order(ctx, r, Order{Operation: Disarm, Version: rep.Armed.Version}); err != nil {
+				return false, err
+			}
+		}
+		blank := s.blankVersion()
+		result, err := s.order(ctx, r, Order{Operation: Prepare, Version: blank, Map: s.blank})
+		if err != nil {
+			return false, err
+		}
+		if result != Accepted {
+			pause(ctx, orderPause)
+			continue
+		}
+		ok, err := s.blanked(ctx, r, blank)
+		if ok || err != nil {
+			return ok, err
+		}
+	}
+	return false, nil
+}
+
+// blanked waits until a rank has prepared the blank map and is not armed.
+func (s *Switch) blanked(ctx context.Context, r int, blank uint64) (bool, error) {
+	for range 10 {
+		rep, err := s.ranks[r].Report(ctx)
+		if err == nil && rep.Epoch != s.epoch {
+			return true, nil
+		}
+		if err == nil && rep.Prepared == blank && rep.Armed == nil {
+			return true, nil
+		}
+		pause(ctx, orderPause)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return false, nil
+}
+
+func (s *Switch) release(ctx context.Context) error {
+	if s.holder >= 0 {
+		// A refusal means that the hold is gone with its formation.
+		if result, err := s.order(ctx, s.holder, Order{Operation: Go, Step: s.step}); err != nil || result == Unanswered {
+			return err
+		}
+	}
+	for r, step := range s.others {
+		if result, err := s.order(ctx, r, Order{Operation: Go, Step: step}); err != nil || result == Unanswered {
+			return err
+		}
+	}
+	s.phase = finished
+	return nil
+}
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -18,6 +18,8 @@
 // reports. It is repeated; an agent forgets entries that fall silent.
 type LoadSubscription struct {
 	Entry string `json:"entry"`
+	// Endpoint is the ID under which the entry knows the agent's endpoint.
+	Endpoint string `json:"endpoint"`
 }
 
 // OperatorState is what an entry knows of the operator's writes. Entries that
--- /dev/null
+++ b/wire/rank.go
@@ -0,0 +1,42 @@
+package wire
+
+import "github.com/wasabinotch/wasabinotch/rankgroup"
+
+// PathRank is the HTTP path at which a rank's agent serves coordinators.
+const PathRank = "/rank"
+
+// RankAsk says what a coordinator wants of an agent.
+type RankAsk string
+
+// The questions to an agent.
+const (
+	AskReport  RankAsk = "report"
+	AskPoll    RankAsk = "poll"
+	AskExperts RankAsk = "experts"
+	AskOrder   RankAsk = "order"
+)
+
+// RankArgs is a call of a coordinator. An agent serves the one with the highest
+// term, of equals the one with the lowest rank.
+type RankArgs struct {
+	Ask RankAsk `json:"ask"`
+	// Term is 0 for a question that claims nothing.
+	Term  uint64           `json:"term"`
+	Rank  int              `json:"rank"`
+	Order *rankgroup.Order `json:"order,omitempty"`
+}
+
+// RankReply answers a RankArgs.
+type RankReply struct {
+	// Term is the highest term that the agent knows.
+	Term uint64 `json:"term"`
+	// Superseded says that another coordinator is in charge; nothing was done.
+	Superseded bool              `json:"superseded,omitempty"`
+	Report     *rankgroup.Report `json:"report,omitempty"`
+	Counts     *rankgroup.Counts `json:"counts,omitempty"`
+	Experts    [][]int           `json:"experts,omitempty"`
+	Version    uint64            `json:"version,omitempty"`
+	Result     rankgroup.Result  `json:"result,omitempty"`
+	// Error says why the engine gave no answer.
+	Error string `json:"error,omitempty"`
+}
