Undo foreign switches with the map in force; leave groups that stand still

Cause: (1) a takeover undid a switch with map 0, whose copies took so long that a new version was ordered each time and the group stood still for 20 s; (2) entries went on sending to a group that stood still; (3) a cancelled request stayed in the frozen endpoint's buffer and was read after its caller had left (GONE). Ruled out: sending without a term while ranks are looked for; all agents then took over one after the other.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,6 +70,8 @@
 	failureRate  float64
 	failureAt    time.Time
 	sent         []time.Time
+	// broken is closed and replaced when the endpoint's group stands still.
+	broken chan struct{}
 }
 
 // Limits are the figures of a service that bound its endpoints' load.
@@ -122,7 +124,7 @@
 	}
 	changed := ep == nil
 	if ep == nil {
-		ep = &Endpoint{}
+		ep = &Endpoint{broken: make(chan struct{})}
 		f.byID[r.ID] = ep
 		f.byService[r.Service] = append(f.byService[r.Service], ep)
 	}
@@ -207,6 +209,10 @@
 
 func (f *Fleet) record(ep *Endpoint, l Load) {
 	now := time.Now()
+	if l.Broken && !ep.report.Broken {
+		close(ep.broken)
+		ep.broken = make(chan struct{})
+	}
 	ep.report, ep.reportAt, ep.inFlightThen = l, now, ep.inFlight
 	if l.Cold > 0 {
 		ep.coldUntil = now.Add(l.Cold)
@@ -243,6 +249,9 @@
 	// Load and Age are the load that decided the choice and its age.
 	Load int
 	Age  time.Duration
+	// Broken is closed when the endpoint's group stands still; a request that
+	// may be repeated is better off elsewhere.
+	Broken <-chan struct{}
 }
 
 // choose returns the best endpoint of a service.
@@ -286,7 +295,7 @@
 	if best == nil {
 		return nil, why
 	}
-	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), Age: now.Sub(best.reportAt)}
+	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), Age: now.Sub(best.reportAt), Broken: best.broken}
 	best.inFlight++
 	best.sent = append(best.sent, now)
 	return p, Free
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -140,7 +140,6 @@
 	tried    []*fleet.Endpoint
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
-	offered    bool
 	waited     time.Duration
 	// relay is the state of the answer to the caller.
 	relay relay
--- a/forward/send.go
+++ b/forward/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -142,7 +143,19 @@
 
 // attempt sends the request to one endpoint and passes its answer on.
 func (x *exchange) attempt(ctx context.Context, pick *fleet.Pick) verdict {
-	x.offered = true
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if x.mayMove() {
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			select {
+			case <-pick.Broken:
+				cancel(errStandsStill)
+			case <-stop:
+			}
+		}()
+	}
 	resp, err := x.h.cfg.Client.Do(ctx, pick.Endpoint.Address, x.request(pick.Endpoint.ID))
 	if err != nil {
 		x.cause = err
@@ -153,6 +166,9 @@
 		case upstream.NotSent(err):
 			pick.Left()
 			return unreached
+		case context.Cause(ctx) == errStandsStill:
+			pick.Left()
+			return lost
 		case x.callerLeft():
 			pick.Left()
 			return delivered
@@ -182,6 +198,15 @@
 	return x.deliver(ctx, pick, resp)
 }
 
+// errStandsStill ends an attempt at an endpoint whose group stands still.
+var errStandsStill = errors.New("the endpoint's rank group stands still; another endpoint is tried")
+
+// mayMove reports whether the request may be sent to another endpoint while
+// this one may have run it.
+func (x *exchange) mayMove() bool {
+	return x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts
+}
+
 // drainRejection reads a short rejection so that its connection can be kept.
 func (x *exchange) drainRejection(resp *upstream.Response) {
 	if _, err := resp.ReadAll(maxBuffered); err != nil {
--- a/node/agent.go
+++ b/node/agent.go
@@ -58,7 +58,6 @@
 	a := &Agent{s: s, log: log, client: upstream.NewClient(dialTimeout), subscribers: make(map[string]subscriber)}
 	a.store = platform.NewStore(s.StoreAddr, a.client)
 	a.engine = platform.NewEngine(s.EndpointAddr, a.client)
-	a.lead.heard = time.Now()
 	return a
 }
 
@@ -119,6 +118,7 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	var last wire.LoadReport
+	var progress progress
 	quiet := 0
 	for {
 		select {
@@ -133,20 +133,38 @@
 		}
 		a.mu.Lock()
 		next := wire.LoadReport{Endpoint: a.endpointID, Running: report.Running, Waiting: report.Waiting,
-			Broken: report.Group != "" && !report.Open, ColdMS: report.Cold.Milliseconds()}
+			Broken: report.Group != "" && (!report.Open || progress.stalled(report, time.Now())), ColdMS: report.Cold.Milliseconds()}
 		a.mu.Unlock()
 		if quiet++; next != last || quiet >= quietReports {
 			a.publish(conn, next)
 			last, quiet = next, 0
 		}
 		if report.Group != "" && report.Open {
-			if term, ok := a.lead.claim(report.Rank, report.Held != nil); ok {
+			if term, ok := a.lead.claim(report.Group, report.Rank, report.Held != nil); ok {
 				a.startCoordinating(ctx, term, report)
 			}
 		}
 	}
 }
 
+// stallTime is the time without a new pass after which a group with work is
+// taken to stand still. The longest passes take a quarter of it.
+const stallTime = 500 * time.Millisecond
+
+// progress watches whether a rank's group gets on.
+type progress struct {
+	step  uint64
+	since time.Time
+}
+
+// stalled reports whether the group has work and begins no pass.
+func (p *progress) stalled(r rankgroup.Report, now time.Time) bool {
+	if r.Step != p.step || r.Running+r.Waiting == 0 {
+		p.step, p.since = r.Step, now
+	}
+	return now.Sub(p.since) > stallTime
+}
+
 func (a *Agent) publish(conn net.PacketConn, r wire.LoadReport) {
 	b, err := json.Marshal(r)
 	if err != nil {
--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/platform"
@@ -14,9 +16,9 @@
 	// roundInterval is the interval of a coordinator's rounds, about one pass.
 	roundInterval = 100 * time.Millisecond
 	// findAgain is the interval at which missing ranks are looked for.
-	findAgain = time.Second
-	// findTimeout bounds the reading of the store and of one report.
-	findTimeout = time.Second
+	findAgain = 300 * time.Millisecond
+	// findTimeout bounds the reading of the store and of the reports.
+	findTimeout = 500 * time.Millisecond
 	// lostRanks is the time without a whole poll after which the ranks are
 	// looked for again, since one may have come back at another address.
 	lostRanks = 2 * time.Second
@@ -134,7 +136,8 @@
 	}
 	engines := make([]rankgroup.Engine, own.Size)
 	engines[own.Rank] = a.engine
-	found := 1
+	var mu sync.Mutex
+	var wg sync.WaitGroup
 	for _, e := range entries {
 		r, err := platform.DecodeEndpoint(e.Key, e.Value)
 		if err != nil || r.Service != a.s.Service || r.Address == a.s.EndpointAddr {
@@ -144,17 +147,25 @@
 		if err != nil {
 			continue
 		}
-		remote := &remoteRank{agent: agent.String(), direct: platform.NewEngine(r.Address, a.client), client: a.client, rank: own.Rank}
-		report, err := remote.Report(ctx)
-		if err != nil || report.Group != own.Group || report.Rank < 0 || report.Rank >= own.Size || engines[report.Rank] != nil {
-			continue
-		}
-		remote.term = term
-		engines[report.Rank] = remote
-		found++
+		// The question carries the term, so that no other agent takes over meanwhile.
+		remote := &remoteRank{agent: agent.String(), group: own.Group, direct: platform.NewEngine(r.Address, a.client), client: a.client, term: term, rank: own.Rank}
+		wg.Go(func() {
+			report, err := remote.Report(ctx)
+			if err != nil || report.Group != own.Group || report.Rank < 0 || report.Rank >= own.Size {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if engines[report.Rank] == nil {
+				engines[report.Rank] = remote
+			}
+		})
 	}
-	if found < own.Size {
-		return nil, errors.New("some ranks were not found; they are looked for again")
+	wg.Wait()
+	for rank, e := range engines {
+		if e == nil {
+			return nil, fmt.Errorf("rank %d was not found; it is looked for again", rank)
+		}
 	}
 	return engines, nil
 }
--- a/node/lead.go
+++ b/node/lead.go
@@ -23,6 +23,7 @@
 // two coordinators.
 type leadership struct {
 	mu    sync.Mutex
+	group string
 	term  uint64
 	rank  int
 	heard time.Time
@@ -34,7 +35,7 @@
 func (l *leadership) admit(a *wire.RankArgs) (term uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a.Term == 0 {
+	if a.Group != l.group {
 		return l.term, true
 	}
 	if a.Term < l.term || a.Term == l.term && a.Rank > l.rank {
@@ -48,9 +49,13 @@
 }
 
 // claim makes this agent the coordinator if none was heard of for long enough.
-func (l *leadership) claim(rank int, held bool) (term uint64, ok bool) {
+func (l *leadership) claim(group string, rank int, held bool) (term uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.group != group {
+		// The time to wait begins when the rank joins a group.
+		l.group, l.mine, l.heard = group, false, time.Now()
+	}
 	if l.mine {
 		return l.term, true
 	}
--- a/node/rank.go
+++ b/node/rank.go
@@ -18,6 +18,7 @@
 // engine is asked directly.
 type remoteRank struct {
 	agent  string
+	group  string
 	direct *platform.Engine
 	client *upstream.Client
 	term   uint64
@@ -29,7 +30,7 @@
 
 // call asks the agent. reached is false if the agent never got the question.
 func (r *remoteRank) call(ctx context.Context, args wire.RankArgs) (reply wire.RankReply, reached bool, err error) {
-	args.Term, args.Rank = r.term, r.rank
+	args.Group, args.Term, args.Rank = r.group, r.term, r.rank
 	body, err := json.Marshal(args)
 	if err != nil {
 		return reply, true, err
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -53,7 +54,7 @@
 	demand *Demand
 	// nonce makes versions of different processes differ.
 	nonce   uint64
-	version uint64
+	version atomic.Uint64
 
 	epoch   uint64
 	current *Map
@@ -86,11 +87,20 @@
 
 // nextVersion returns a version above all that were seen.
 func (c *Coordinator) nextVersion() uint64 {
-	c.version = (c.version>>nonceBits+1)<<nonceBits | c.nonce
-	return c.version
+	for {
+		old := c.version.Load()
+		next := (old>>nonceBits+1)<<nonceBits | c.nonce
+		if c.version.CompareAndSwap(old, next) {
+			return next
+		}
+	}
 }
 
-func (c *Coordinator) saw(version uint64) { c.version = max(c.version, version) }
+func (c *Coordinator) saw(version uint64) {
+	if version > c.version.Load() {
+		c.version.Store(version)
+	}
+}
 
 // Busy reports whether a switch is under way.
 func (c *Coordinator) Busy() bool { return c.pending != nil }
@@ -122,7 +132,7 @@
 	if c.pending != nil {
 		return c.advance(ctx)
 	}
-	if c.stray(reports) {
+	if c.stray(ctx, reports) {
 		return nil
 	}
 	if c.current == nil && !c.learnMap(ctx, reports) {
@@ -200,7 +210,7 @@
 }
 
 // stray finds orders of a coordinator that is gone and begins to undo them.
-func (c *Coordinator) stray(reports []Report) bool {
+func (c *Coordinator) stray(ctx context.Context, reports []Report) bool {
 	found := false
 	for _, rep := range reports {
 		if rep.Armed != nil || rep.Held != nil {
@@ -211,15 +221,11 @@
 		c.strays = 0
 		return false
 	}
-	if c.strays++; c.strays >= strayRounds {
+	if c.strays++; c.strays >= strayRounds && c.learnMap(ctx, reports) {
 		c.cfg.Log.Info("Undoing another coordinator's switch.", "epoch", c.epoch, "step", c.lastStep)
 		c.strays = 0
-		blank := c.current
-		if blank == nil {
-			blank = First(c.cfg.Dimensions)
-		}
 		c.next = nil
-		c.pending = NewUndo(c.cfg.Engines, reports, c.cfg.Home, blank, c.nextVersion)
+		c.pending = NewUndo(c.cfg.Engines, reports, c.cfg.Home, c.current, c.nextVersion)
 	}
 	return true
 }
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -52,8 +52,10 @@
 	holder int
 	// others are the passes that ranks hold back for a coordinator that is gone.
 	others map[int]uint64
-	// blank is a map without copies, prepared to keep version from being armed.
-	blank        *Map
+	// blank is the map in force. Preparing it again takes no copies and keeps
+	// older versions from being armed.
+	blank *Map
+	// blankVersion returns a new version; it is called from several goroutines.
 	blankVersion func() uint64
 
 	phase phase
@@ -226,51 +228,32 @@
 }
 
 func (s *Switch) undoRank(ctx context.Context, r int) (bool, error) {
+	blank := s.blankVersion()
 	for ctx.Err() == nil {
 		rep, err := s.ranks[r].Report(ctx)
-		if err != nil {
+		switch {
+		case err != nil:
 			pause(ctx, orderPause)
 			continue
-		}
-		if rep.Epoch != s.epoch {
+		case rep.Epoch != s.epoch:
 			return true, nil // a new formation has no maps and no orders of this one
-		}
-		if rep.Armed != nil {
+		case rep.Armed != nil:
 			if _, err := s.order(ctx, r, Order{Operation: Disarm, Version: rep.Armed.Version}); err != nil {
 				return false, err
 			}
+			continue
+		case rep.Prepared == blank:
+			return true, nil
 		}
-		blank := s.blankVersion()
 		result, err := s.order(ctx, r, Order{Operation: Prepare, Version: blank, Map: s.blank})
 		if err != nil {
 			return false, err
 		}
-		if result != Accepted {
-			pause(ctx, orderPause)
-			continue
-		}
-		ok, err := s.blanked(ctx, r, blank)
-		if ok || err != nil {
-			return ok, err
-		}
-	}
-	return false, nil
-}
-
-// blanked waits until a rank has prepared the blank map and is not armed.
-func (s *Switch) blanked(ctx context.Context, r int, blank uint64) (bool, error) {
-	for range 10 {
-		rep, err := s.ranks[r].Report(ctx)
-		if err == nil && rep.Epoch != s.epoch {
-			return true, nil
-		}
-		if err == nil && rep.Prepared == blank && rep.Armed == nil {
-			return true, nil
+		if result == Refused {
+			// The rank has had a newer version, or a late order armed it.
+			blank = s.blankVersion()
 		}
 		pause(ctx, orderPause)
-		if ctx.Err() != nil {
-			break
-		}
 	}
 	return false, nil
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -139,7 +139,12 @@
 	}
 }
 
+// discard closes a connection with a reset, so that a request that the other
+// side hasn't read yet is dropped with it.
 func (c *Client) discard(addr string, conn *conn) {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it the close is an ordinary one
+	}
 	_ = conn.Close() // the connection isn't used any more
 	c.count(addr, -1)
 }
--- a/wire/rank.go
+++ b/wire/rank.go
@@ -20,6 +20,8 @@
 // term, of equals the one with the lowest rank.
 type RankArgs struct {
 	Ask RankAsk `json:"ask"`
+	// Group is the coordinator's group; terms of other groups mean nothing.
+	Group string `json:"group"`
 	// Term is 0 for a question that claims nothing.
 	Term  uint64           `json:"term"`
 	Rank  int              `json:"rank"`
