Fit the coordination of large groups into narrow links

Cause: on the grown sites an endpoint VM's link carries 1 MB/s; a round of counts took 320 KB, so polls timed out and no map was ever switched. Windows now travel as a byte an expert, maps compressed; changes of the store in a row are read with one call.

--- a/node/agent.go
+++ b/node/agent.go
@@ -25,9 +25,12 @@
 	// reportInterval is the interval at which an agent reads its endpoint's
 	// load; an endpoint gets a new request about as often.
 	reportInterval = 100 * time.Millisecond
-	// quietReports is the number of rounds after which an unchanged load is
-	// sent again; entries forget a load after a second.
-	quietReports = 5
+	// publishPerEntry bounds the rate of reports with many entries, so that
+	// they take a few parts in a hundred of a narrow link.
+	publishPerEntry = 4 * time.Millisecond
+	// quietInterval is when an unchanged load is sent again; entries forget a
+	// load after a second.
+	quietInterval = 450 * time.Millisecond
 )
 
 // Agent is the process beside a model engine. It reports the engine's load to
@@ -38,7 +41,7 @@
 	log    logr.Logger
 	client *upstream.Client
 	store  *platform.Store
-	engine *platform.Engine
+	engine *localRank
 	lead   leadership
 
 	mu          sync.Mutex
@@ -57,7 +60,7 @@
 func NewAgent(s settings.DirectAgent, log logr.Logger) *Agent {
 	a := &Agent{s: s, log: log, client: upstream.NewClient(dialTimeout), subscribers: make(map[string]subscriber)}
 	a.store = platform.NewStore(s.StoreAddr, a.client)
-	a.engine = platform.NewEngine(s.EndpointAddr, a.client)
+	a.engine = &localRank{Engine: platform.NewEngine(s.EndpointAddr, a.client)}
 	return a
 }
 
@@ -119,7 +122,7 @@
 	defer ticker.Stop()
 	var last wire.LoadReport
 	var progress progress
-	quiet := 0
+	var published time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -135,9 +138,10 @@
 		next := wire.LoadReport{Endpoint: a.endpointID, Running: report.Running, Waiting: report.Waiting,
 			Broken: report.Group != "" && (!report.Open || progress.stalled(report, time.Now())), ColdMS: report.Cold.Milliseconds()}
 		a.mu.Unlock()
-		if quiet++; next != last || quiet >= quietReports {
+		since, spacing := time.Since(published), a.publishSpacing()
+		if urgent := next.Broken != last.Broken; urgent || since >= spacing && next != last || since >= quietInterval {
 			a.publish(conn, next)
-			last, quiet = next, 0
+			last, published = next, time.Now()
 		}
 		if report.Group != "" && report.Open {
 			if term, ok := a.lead.claim(report.Group, report.Rank, report.Held != nil); ok {
@@ -165,6 +169,13 @@
 	return now.Sub(p.since) > stallTime
 }
 
+// publishSpacing returns the least time between two reports to the entries.
+func (a *Agent) publishSpacing() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Duration(len(a.subscribers))*publishPerEntry - reportInterval/2
+}
+
 func (a *Agent) publish(conn net.PacketConn, r wire.LoadReport) {
 	b, err := json.Marshal(r)
 	if err != nil {
@@ -210,11 +221,11 @@
 		var report rankgroup.Report
 		report, err = a.engine.Report(ctx)
 		reply.Report = &report
-	case wire.AskPoll:
+	case wire.AskWindow:
 		var report rankgroup.Report
-		var counts rankgroup.Counts
-		report, counts, err = a.engine.Poll(ctx)
-		reply.Report, reply.Counts = &report, &counts
+		var window rankgroup.Window
+		report, window, err = a.engine.Poll(ctx, true)
+		reply.Report, reply.Window = &report, &window
 	case wire.AskExperts:
 		reply.Experts, reply.Version, err = a.engine.Experts(ctx)
 	case wire.AskOrder:
--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// roundInterval is the interval of a coordinator's rounds, about one pass.
+	// roundInterval is the least interval of a coordinator's rounds, about one
+	// pass; roundPerRank bounds the rate with many ranks, whose answers share
+	// the coordinator's link.
 	roundInterval = 100 * time.Millisecond
+	roundPerRank  = 6 * time.Millisecond
 	// findAgain is the interval at which missing ranks are looked for.
 	findAgain = 300 * time.Millisecond
 	// findTimeout bounds the reading of the store and of the reports.
@@ -44,7 +47,7 @@
 func (a *Agent) coordinate(ctx context.Context, term uint64, own rankgroup.Report) {
 	var c *rankgroup.Coordinator
 	whole := time.Now()
-	ticker := time.NewTicker(roundInterval)
+	ticker := time.NewTicker(max(roundInterval, time.Duration(own.Size)*roundPerRank))
 	defer ticker.Stop()
 	for ctx.Err() == nil && a.lead.leading(term) {
 		if c == nil {
--- a/node/entry.go
+++ b/node/entry.go
@@ -55,6 +55,13 @@
 	peerAskInterval = 250 * time.Millisecond
 	// unstableWindow is how long after a failed call an entry asks others too.
 	unstableWindow = 3 * time.Second
+	// settleOperator, settleEndpoints and settleEntries are how long changes in
+	// the store may wait for others, since every call is paid for. The first two
+	// are a small part of the seconds within which configurations and leaving
+	// endpoints must be heeded, the last of those for a dead entry.
+	settleOperator  = 100 * time.Millisecond
+	settleEndpoints = 300 * time.Millisecond
+	settleEntries   = time.Second
 	// directoryTTL is the usual lifetime of a directory answer in seconds: short,
 	// so that callers leave a stopped entry soon.
 	directoryTTL = 2.0
@@ -113,9 +120,9 @@
 	if err := e.serveInternal(background); err != nil {
 		return err
 	}
-	go store.Follow(background, e.store, platform.PrefixOperator, e.op)
-	go store.Follow(background, e.store, platform.PrefixEndpoints, e.eps)
-	go store.Follow(background, e.store, platform.PrefixEntries, e.peers)
+	go store.Follow(background, e.store, platform.PrefixOperator, settleOperator, e.op)
+	go store.Follow(background, e.store, platform.PrefixEndpoints, settleEndpoints, e.eps)
+	go store.Follow(background, e.store, platform.PrefixEntries, settleEntries, e.peers)
 	go e.askPeers(background)
 	go e.subscribeLoads(background)
 	go e.keepHouse(background)
--- a/node/rank.go
+++ b/node/rank.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/rankgroup"
@@ -13,6 +14,29 @@
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
+// localRank is the rank beside this agent.
+type localRank struct {
+	*platform.Engine
+
+	mu    sync.Mutex
+	meter rankgroup.Meter
+}
+
+// Poll implements rankgroup.Engine.
+func (l *localRank) Poll(ctx context.Context, window bool) (rankgroup.Report, rankgroup.Window, error) {
+	report, err := l.Report(ctx)
+	if err != nil || !window {
+		return report, rankgroup.Window{}, err
+	}
+	counts, err := l.Counts(ctx)
+	if err != nil {
+		return report, rankgroup.Window{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return report, l.meter.Window(report.Born, counts), nil
+}
+
 // remoteRank is a rank on another VM, reached through its agent. Reports are
 // fresh there and counts free of charge. If the agent can't be reached, the
 // engine is asked directly.
@@ -75,17 +99,24 @@
 }
 
 // Poll implements rankgroup.Engine.
-func (r *remoteRank) Poll(ctx context.Context) (rankgroup.Report, rankgroup.Counts, error) {
-	reply, reached, err := r.call(ctx, wire.RankArgs{Ask: wire.AskPoll})
+func (r *remoteRank) Poll(ctx context.Context, window bool) (rankgroup.Report, rankgroup.Window, error) {
+	ask := wire.AskReport
+	if window {
+		ask = wire.AskWindow
+	}
+	reply, reached, err := r.call(ctx, wire.RankArgs{Ask: ask})
 	if !reached {
 		// Counts from afar are dear and make the group pause; they are left out.
 		report, err := r.direct.Report(ctx)
-		return report, rankgroup.Counts{}, err
+		return report, rankgroup.Window{}, err
+	}
+	if err != nil || reply.Report == nil {
+		return rankgroup.Report{}, rankgroup.Window{}, errors.Join(err, errNoReport(reply.Report == nil))
 	}
-	if err != nil || reply.Report == nil || reply.Counts == nil {
-		return rankgroup.Report{}, rankgroup.Counts{}, errors.Join(err, errNoReport(reply.Report == nil || reply.Counts == nil))
+	if reply.Window == nil {
+		reply.Window = &rankgroup.Window{}
 	}
-	return *reply.Report, *reply.Counts, nil
+	return *reply.Report, *reply.Window, nil
 }
 
 // Experts implements rankgroup.Engine.
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -126,9 +126,6 @@
 
 // act does what is due in a whole and open group.
 func (c *Coordinator) act(ctx context.Context, reports []Report) error {
-	if now := time.Now(); now.Sub(c.lastWindow) >= windowTime && c.demand.Close() {
-		c.lastWindow, c.fresh = now, true
-	}
 	if c.pending != nil {
 		return c.advance(ctx)
 	}
@@ -153,12 +150,13 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	reports := make([]Report, len(c.cfg.Engines))
-	counts := make([]Counts, len(c.cfg.Engines))
+	windows := make([]Window, len(c.cfg.Engines))
+	withWindow := time.Since(c.lastWindow) >= windowTime
 	errs := make([]error, len(c.cfg.Engines))
 	var wg sync.WaitGroup
 	for r, e := range c.cfg.Engines {
 		wg.Go(func() {
-			reports[r], counts[r], errs[r] = e.Poll(ctx)
+			reports[r], windows[r], errs[r] = e.Poll(ctx, withWindow)
 		})
 	}
 	wg.Wait()
@@ -172,7 +170,10 @@
 			missing = true
 			continue
 		}
-		c.demand.Add(r, reports[r].Born, counts[r])
+		c.demand.Add(windows[r])
+	}
+	if withWindow && c.demand.Close() {
+		c.lastWindow, c.fresh = time.Now(), true
 	}
 	if missing {
 		return nil, nil
--- a/rankgroup/demand.go
+++ b/rankgroup/demand.go
@@ -9,15 +9,7 @@
 	// present is the moving average of recent windows.
 	present  []float64
 	patterns []pattern
-	last     []rankCounts
 	window   []float64
-	tokens   float64
-}
-
-type rankCounts struct {
-	epoch  uint64
-	born   int64
-	counts []uint64
 }
 
 // pattern is a demand that was seen, as the part of its set that each expert gets.
@@ -45,23 +37,17 @@
 
 // NewDemand returns a Demand that has seen nothing.
 func NewDemand(d Dimensions) *Demand {
-	return &Demand{d: d, last: make([]rankCounts, d.Ranks), window: make([]float64, d.Sets*d.Experts)}
+	return &Demand{d: d, window: make([]float64, d.Sets*d.Experts)}
 }
 
-// Add takes a rank's counts. Counts of a rank that started again begin anew.
-func (m *Demand) Add(rank int, born int64, c Counts) {
-	if len(c.Experts) != len(m.window) || rank < 0 || rank >= len(m.last) {
+// Add takes a rank's choices. Windows of another size are ignored.
+func (m *Demand) Add(w Window) {
+	if len(w.Experts) != len(m.window) {
 		return
 	}
-	last := &m.last[rank]
-	if last.epoch == c.Epoch && last.born == born && len(last.counts) == len(c.Experts) {
-		for i, n := range c.Experts {
-			if n > last.counts[i] {
-				m.window[i] += float64(n - last.counts[i])
-			}
-		}
+	for i, n := range w.Experts {
+		m.window[i] += float64(n) * w.Unit
 	}
-	*last = rankCounts{c.Epoch, born, c.Experts}
 }
 
 // Close ends a window if it holds enough and reports whether it did.
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -9,7 +9,13 @@
 package rankgroup
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"encoding/base64"
+	"errors"
+	"io"
+	"math"
 	"time"
 )
 
@@ -49,9 +55,53 @@
 
 // Counts is how often a rank's requests chose each expert since it started.
 type Counts struct {
-	Epoch uint64 `json:"epoch"`
+	Epoch uint64
 	// Experts holds the sets one after the other.
-	Experts []uint64 `json:"experts"`
+	Experts []uint64
+}
+
+// Window is how often a rank's requests chose each expert since the last
+// question, in a byte each: links of endpoint VMs are narrow, and the counts of
+// a large group would fill one.
+type Window struct {
+	// Unit is the number of choices that one step of a byte stands for.
+	Unit    float64 `json:"unit"`
+	Experts []byte  `json:"experts"`
+}
+
+// Meter turns a rank's counts into windows.
+type Meter struct {
+	epoch uint64
+	born  int64
+	last  []uint64
+}
+
+// Window returns what was counted since the last call. The first one after a
+// start of the rank, or of the group, is empty.
+func (m *Meter) Window(born int64, c Counts) Window {
+	same := m.epoch == c.Epoch && m.born == born && len(m.last) == len(c.Experts)
+	last := m.last
+	m.epoch, m.born, m.last = c.Epoch, born, c.Experts
+	w := Window{Experts: make([]byte, len(c.Experts))}
+	if !same {
+		return w
+	}
+	largest := uint64(0)
+	for i, n := range c.Experts {
+		if n > last[i] {
+			largest = max(largest, n-last[i])
+		}
+	}
+	if largest == 0 {
+		return w
+	}
+	w.Unit = float64(largest) / math.MaxUint8
+	for i, n := range c.Experts {
+		if n > last[i] {
+			w.Experts[i] = byte(math.Round(float64(n-last[i]) / w.Unit))
+		}
+	}
+	return w
 }
 
 // Operation is the kind of an order.
@@ -97,8 +147,9 @@
 // Engine is one rank.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
-	// Poll returns the report together with the counts.
-	Poll(ctx context.Context) (Report, Counts, error)
+	// Poll returns the report, with the choices since the last Poll if window
+	// is set.
+	Poll(ctx context.Context, window bool) (Report, Window, error)
 	// Experts returns the experts that the rank holds, by set, and the version
 	// of the map in force.
 	Experts(ctx context.Context) (sets [][]int, version uint64, err error)
@@ -119,7 +170,81 @@
 
 // Map says which ranks hold each expert: by set and rank, the experts there.
 type Map struct {
-	Sets [][][]int `json:"sets"`
+	Sets [][][]int
+}
+
+// MarshalText packs the map: lists of two-byte numbers, compressed, in base64.
+func (m *Map) MarshalText() ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	put := func(n int) {
+		if err == nil {
+			_, err = w.Write([]byte{byte(n >> 8), byte(n)})
+		}
+	}
+	put(len(m.Sets))
+	for _, ranks := range m.Sets {
+		put(len(ranks))
+		for _, experts := range ranks {
+			put(len(experts))
+			for _, e := range experts {
+				put(e)
+			}
+		}
+	}
+	if err == nil {
+		err = w.Close()
+	}
+	return base64.StdEncoding.AppendEncode(nil, packed.Bytes()), err
+}
+
+// maxPacked bounds an unpacked map in bytes.
+const maxPacked = 32 << 20
+
+// ErrMap means that a packed map can't be read.
+var ErrMap = errors.New("the packed map can't be read; the sender may run another version")
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (m *Map) UnmarshalText(text []byte) error {
+	packed, err := base64.StdEncoding.AppendDecode(nil, text)
+	if err != nil {
+		return errors.Join(ErrMap, err)
+	}
+	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPacked))
+	if err != nil {
+		return errors.Join(ErrMap, err)
+	}
+	ok := true
+	get := func() int {
+		if len(b) < 2 {
+			ok = false
+			return 0
+		}
+		n := int(b[0])<<8 | int(b[1])
+		b = b[2:]
+		return n
+	}
+	sets := make([][][]int, get())
+	for s := range sets {
+		sets[s] = make([][]int, get())
+		for r := range sets[s] {
+			sets[s][r] = make([]int, get())
+			for i := range sets[s][r] {
+				sets[s][r][i] = get()
+			}
+			if !ok {
+				return ErrMap
+			}
+		}
+	}
+	if !ok || len(b) > 0 {
+		return ErrMap
+	}
+	m.Sets = sets
+	return nil
 }
 
 // First returns the map with which every formation starts: experts in turn.
--- a/store/follow.go
+++ b/store/follow.go
@@ -60,8 +60,9 @@
 	followRetryMax = 500 * time.Millisecond
 )
 
-// Follow keeps f up to date with the keys below prefix until ctx ends.
-func Follow(ctx context.Context, log Log, prefix string, f Follower) {
+// Follow keeps f up to date with the keys below prefix until ctx ends. After a
+// change it waits for settle, so that changes in a row come with one call.
+func Follow(ctx context.Context, log Log, prefix string, settle time.Duration, f Follower) {
 	var lostAt time.Time
 	backoff := Backoff{Max: followRetryMax}
 	fail := func(err error) {
@@ -97,6 +98,9 @@
 				f.Apply(e)
 			}
 			revision = max(revision, next)
+			if len(events) > 0 {
+				sleep(ctx, settle)
+			}
 		}
 	}
 }
--- a/wire/rank.go
+++ b/wire/rank.go
@@ -11,7 +11,7 @@
 // The questions to an agent.
 const (
 	AskReport  RankAsk = "report"
-	AskPoll    RankAsk = "poll"
+	AskWindow  RankAsk = "window"
 	AskExperts RankAsk = "experts"
 	AskOrder   RankAsk = "order"
 )
@@ -35,7 +35,7 @@
 	// Superseded says that another coordinator is in charge; nothing was done.
 	Superseded bool              `json:"superseded,omitempty"`
 	Report     *rankgroup.Report `json:"report,omitempty"`
-	Counts     *rankgroup.Counts `json:"counts,omitempty"`
+	Window     *rankgroup.Window `json:"window,omitempty"`
 	Experts    [][]int           `json:"experts,omitempty"`
 	Version    uint64            `json:"version,omitempty"`
 	Result     rankgroup.Result  `json:"result,omitempty"`
