Use the endpoint that started last at an address; store learned demand

Cause: after all VMs lost power the store still names the endpoints of before beside the new ones at the same addresses; entries tried them, got 421 and refused. Undo holds the pass at all ranks now, since a release of an earlier life of the same agent may still be on its way.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,9 @@
 	mu        sync.Mutex
 	byID      map[string]*Endpoint
 	byService map[string][]*Endpoint
+	// atAddress is the endpoint that started last at each address. Records of
+	// earlier ones stay in the store until they expire.
+	atAddress map[string]*Endpoint
 	evacuated map[string]bool
 	limits    map[string]Limits
 	entries   int
@@ -107,7 +110,7 @@
 func New(zone string, onGone func(addr string)) *Fleet {
 	return &Fleet{
 		zone: zone, onGone: onGone, entries: entriesUnknown,
-		byID: make(map[string]*Endpoint), byService: make(map[string][]*Endpoint),
+		byID: make(map[string]*Endpoint), byService: make(map[string][]*Endpoint), atAddress: make(map[string]*Endpoint),
 		evacuated: make(map[string]bool), limits: make(map[string]Limits), queues: make(map[string]*queue),
 	}
 }
@@ -131,6 +134,9 @@
 	changed = changed || ep.Draining != r.Draining
 	ep.Record = r
 	ep.coldUntil = time.Now().Add(r.Cold)
+	if at := f.atAddress[r.Address]; at == nil || at.Incarnation <= r.Incarnation {
+		f.atAddress[r.Address] = ep
+	}
 	f.wake(r.Service)
 	return changed
 }
@@ -150,11 +156,27 @@
 	ep.gone = true
 	delete(f.byID, ep.ID)
 	f.byService[ep.Service] = slices.DeleteFunc(f.byService[ep.Service], func(e *Endpoint) bool { return e == ep })
+	if f.atAddress[ep.Address] == ep {
+		f.findAt(ep.Address)
+	}
 	if f.onGone != nil {
 		f.onGone(ep.Address)
 	}
 }
 
+// findAt sets the endpoint that started last at an address.
+func (f *Fleet) findAt(address string) {
+	delete(f.atAddress, address)
+	for _, ep := range f.byID {
+		if ep.Address != address {
+			continue
+		}
+		if at := f.atAddress[address]; at == nil || at.Incarnation < ep.Incarnation {
+			f.atAddress[address] = ep
+		}
+	}
+}
+
 // Known returns the records of all endpoints.
 func (f *Fleet) Known() []Record {
 	f.mu.Lock()
@@ -262,7 +284,7 @@
 	var bestCost, fallbackCost float64
 	why := Down
 	for _, ep := range f.byService[service] {
-		if ep.Draining || f.evacuated[ep.Zone] || slices.Contains(exclude, ep) {
+		if ep.Draining || f.evacuated[ep.Zone] || f.atAddress[ep.Address] != ep || slices.Contains(exclude, ep) {
 			continue
 		}
 		fresh := now.Sub(ep.reportAt) <= reportValidity
@@ -372,6 +394,11 @@
 	})
 }
 
+// Misdirected ends a request that reached another endpoint at the address.
+func (p *Pick) Misdirected() {
+	p.end(func(ep *Endpoint, now time.Time) { ep.avoidUntil = now.Add(avoidMax) })
+}
+
 // Rejected ends a request that the endpoint didn't run because it is full.
 func (p *Pick) Rejected() {
 	p.end(func(ep *Endpoint, now time.Time) {
--- a/forward/send.go
+++ b/forward/send.go
@@ -183,9 +183,12 @@
 	}
 	if resp.Header.Get(names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		x.drainRejection(resp)
-		if resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(names.FailedAt) != "" {
+		switch {
+		case resp.Header.Get(names.FailedAt) != "":
 			pick.Unreachable()
-		} else {
+		case resp.Status == http.StatusMisdirectedRequest:
+			pick.Misdirected()
+		default:
 			pick.Rejected()
 		}
 		return rejected
--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -102,13 +102,36 @@
 		return nil, err
 	}
 	e := service.Engine
-	return rankgroup.NewCoordinator(rankgroup.Config{
+	c := rankgroup.NewCoordinator(rankgroup.Config{
 		Dimensions: rankgroup.Dimensions{
 			Ranks: own.Size, Sets: e.ExpertSets, Experts: e.Experts, Places: e.Places, Spares: e.Spares,
 			CopyTime: time.Duration(e.ExpertBytes / e.LinkBytesPerSecond * float64(time.Second)),
 		},
 		Engines: engines, Home: own.Rank, Log: a.log.WithName("coordinator"),
-	}), nil
+		Memory: &groupMemory{store: a.store, key: platform.PrefixDemand + a.s.Service + "/" + own.Group},
+	})
+	c.Recall(ctx)
+	return c, nil
+}
+
+// groupMemory keeps a group's demand in the platform's store.
+type groupMemory struct {
+	store *platform.Store
+	key   string
+}
+
+// Load implements rankgroup.Memory.
+func (m *groupMemory) Load(ctx context.Context) ([]byte, error) {
+	entries, err := m.store.ListStale(ctx, m.key)
+	if err != nil || len(entries) == 0 {
+		return nil, err
+	}
+	return entries[0].Value, nil
+}
+
+// Save implements rankgroup.Memory.
+func (m *groupMemory) Save(ctx context.Context, b []byte) error {
+	return m.store.Put(ctx, m.key, b, 0)
 }
 
 func (a *Agent) readService(ctx context.Context) (*routing.Service, error) {
--- a/node/lead.go
+++ b/node/lead.go
@@ -11,6 +11,9 @@
 	// leadSilence is the time without a call of a coordinator after which
 	// another agent takes over; callers give a stream up after 2 s.
 	leadSilence = 800 * time.Millisecond
+	// leadFirst is that time in a group that has just formed, or for an agent
+	// that has just started: then a coordinator calls within a few rounds.
+	leadFirst = 450 * time.Millisecond
 	// leadStagger lets lower ranks take over first.
 	leadStagger = 250 * time.Millisecond
 	// leadHeld is added for an agent whose own rank holds a pass that it can't
@@ -27,6 +30,8 @@
 	term  uint64
 	rank  int
 	heard time.Time
+	// called is set once a coordinator has called.
+	called bool
 	// mine is set while this agent coordinates.
 	mine bool
 }
@@ -44,7 +49,7 @@
 	if a.Term > l.term || a.Rank < l.rank {
 		l.mine = false
 	}
-	l.term, l.rank, l.heard = a.Term, a.Rank, time.Now()
+	l.term, l.rank, l.heard, l.called = a.Term, a.Rank, time.Now(), true
 	return l.term, true
 }
 
@@ -54,12 +59,16 @@
 	defer l.mu.Unlock()
 	if l.group != group {
 		// The time to wait begins when the rank joins a group.
-		l.group, l.mine, l.heard = group, false, time.Now()
+		l.group, l.mine, l.heard, l.called = group, false, time.Now(), false
 	}
 	if l.mine {
 		return l.term, true
 	}
-	wait := leadSilence + time.Duration(rank)*leadStagger
+	wait := leadSilence
+	if !l.called {
+		wait = leadFirst
+	}
+	wait += time.Duration(rank) * leadStagger
 	if held {
 		wait += leadHeld
 	}
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -33,6 +33,13 @@
 	maxArmLead = 12
 	// switchTime bounds one attempt at a switch; it goes on in the next round.
 	switchTime = 400 * time.Millisecond
+	// idleTime is the time without a new pass after which a group counts as idle.
+	idleTime = 500 * time.Millisecond
+	// saveInterval is the interval at which the learned demand is stored. It is
+	// paid for, and demand is learned again within seconds.
+	saveInterval = 4 * time.Second
+	// saveTimeout bounds the storing.
+	saveTimeout = time.Second
 	// strayRounds is the number of rounds for which another coordinator's hold
 	// is left alone, as it may be about to release it.
 	strayRounds = 3
@@ -46,6 +53,14 @@
 	// Home is this process's own rank, where passes are held back.
 	Home int
 	Log  logr.Logger
+	// Memory keeps what is learned beyond the life of this process.
+	Memory Memory
+}
+
+// Memory is where a group's learned demand is stored.
+type Memory interface {
+	Load(ctx context.Context) ([]byte, error)
+	Save(ctx context.Context, b []byte) error
 }
 
 // Coordinator keeps one group's maps. It is used from one goroutine.
@@ -73,6 +88,9 @@
 	lastStep uint64
 	stepAt   time.Time
 	passTime time.Duration
+	// savedAt is when the demand was stored; saving is set while it is.
+	savedAt time.Time
+	saving  atomic.Bool
 }
 
 // nonceBits is the part of a version that names the process; versions stay
@@ -85,6 +103,40 @@
 		orderedAt: make([]time.Time, len(cfg.Engines)), passTime: 100 * time.Millisecond}
 }
 
+// Recall takes over the demand that was stored.
+func (c *Coordinator) Recall(ctx context.Context) {
+	b, err := c.cfg.Memory.Load(ctx)
+	if err == nil && b != nil {
+		err = c.demand.UnmarshalBinary(b)
+	}
+	if err != nil {
+		c.cfg.Log.Info("Demand is learned anew.", "cause", err.Error())
+		return
+	}
+	c.cfg.Log.Info("Demand recalled.", "patterns", len(c.demand.patterns))
+}
+
+// save stores the demand from time to time, beside the rounds.
+func (c *Coordinator) save() {
+	if time.Since(c.savedAt) < saveInterval || !c.saving.CompareAndSwap(false, true) {
+		return
+	}
+	c.savedAt = time.Now()
+	b, err := c.demand.MarshalBinary()
+	if err != nil {
+		c.cfg.Log.Error(err, "Demand not stored.")
+		return
+	}
+	go func() {
+		defer c.saving.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
+		defer cancel()
+		if err := c.cfg.Memory.Save(ctx, b); err != nil {
+			c.cfg.Log.Info("Demand not stored; it is tried again.", "cause", err.Error())
+		}
+	}()
+}
+
 // nextVersion returns a version above all that were seen.
 func (c *Coordinator) nextVersion() uint64 {
 	for {
@@ -174,6 +226,7 @@
 	}
 	if withWindow && c.demand.Close() {
 		c.lastWindow, c.fresh = time.Now(), true
+		c.save()
 	}
 	if missing {
 		return nil, nil
@@ -201,6 +254,7 @@
 		c.cfg.Log.Info("Group formed.", "group", first.Group, "epoch", first.Epoch, "ranks", len(reports))
 		c.epoch, c.current, c.next, c.pending = first.Epoch, nil, nil, nil
 		c.lastStep, c.stepAt = first.Step, now
+		c.fresh = c.demand.present != nil
 	}
 	if first.Step > c.lastStep {
 		measured := now.Sub(c.stepAt) / time.Duration(first.Step-c.lastStep)
@@ -218,6 +272,11 @@
 			found = true
 		}
 	}
+	if found && c.awaits(reports) {
+		// The group is idle: its own switch happens as the next requests arrive.
+		// It must not be undone here, since a release may still be on its way.
+		return true
+	}
 	if !found {
 		c.strays = 0
 		return false
@@ -226,7 +285,18 @@
 		c.cfg.Log.Info("Undoing another coordinator's switch.", "epoch", c.epoch, "step", c.lastStep)
 		c.strays = 0
 		c.next = nil
-		c.pending = NewUndo(c.cfg.Engines, reports, c.cfg.Home, c.current, c.nextVersion)
+		c.pending = NewUndo(c.cfg.Engines, reports, c.current, c.nextVersion)
+	}
+	return true
+}
+
+// awaits reports whether the ranks are armed with this coordinator's last
+// switch, whose pass hasn't begun.
+func (c *Coordinator) awaits(reports []Report) bool {
+	for _, rep := range reports {
+		if rep.Armed == nil || rep.Armed.Version != c.inForce || rep.Step >= rep.Armed.Step {
+			return false
+		}
 	}
 	return true
 }
@@ -301,6 +371,9 @@
 	if !ready {
 		return c.orderPrepare(ctx, reports, now)
 	}
+	if time.Since(c.stepAt) > idleTime {
+		return nil // nothing runs; a switch would wait for the next requests
+	}
 	step := reports[0].Step
 	for _, rep := range reports {
 		step = max(step, rep.Step)
--- a/rankgroup/demand.go
+++ b/rankgroup/demand.go
@@ -1,6 +1,11 @@
 package rankgroup
 
-import "math"
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"slices"
+)
 
 // Demand learns which experts a group's requests choose. Demand moves between
 // a few patterns that return, so past patterns are kept beside the present one.
@@ -160,3 +165,64 @@
 	Experts []float64
 	Weight  float64
 }
+
+// storedDemand is the stored form: a byte an expert, as a part of the largest.
+type storedDemand struct {
+	Patterns []storedPattern `json:"patterns"`
+}
+
+type storedPattern struct {
+	Weight  float64 `json:"weight"`
+	Unit    float64 `json:"unit"`
+	Experts []byte  `json:"experts"`
+}
+
+// MarshalBinary packs the patterns.
+func (m *Demand) MarshalBinary() ([]byte, error) {
+	var stored storedDemand
+	for _, p := range m.patterns {
+		largest := slices.Max(p.experts)
+		sp := storedPattern{Weight: p.weight, Unit: largest / math.MaxUint8, Experts: make([]byte, len(p.experts))}
+		for i, x := range p.experts {
+			if largest > 0 {
+				sp.Experts[i] = byte(math.Round(x / sp.Unit))
+			}
+		}
+		stored.Patterns = append(stored.Patterns, sp)
+	}
+	return json.Marshal(stored)
+}
+
+// UnmarshalBinary restores the patterns. Those of other dimensions are refused.
+func (m *Demand) UnmarshalBinary(b []byte) error {
+	var stored storedDemand
+	if err := json.Unmarshal(b, &stored); err != nil {
+		return err
+	}
+	patterns := make([]pattern, 0, len(stored.Patterns))
+	for _, sp := range stored.Patterns {
+		if len(sp.Experts) != len(m.window) || !(sp.Weight >= 0) || !(sp.Unit >= 0) {
+			return errors.New("the stored demand is of another engine; it is learned again")
+		}
+		counts := make([]float64, len(sp.Experts))
+		for i, n := range sp.Experts {
+			counts[i] = float64(n) * sp.Unit
+		}
+		patterns = append(patterns, pattern{experts: normalise(counts, m.d), weight: sp.Weight})
+	}
+	if len(patterns) == 0 {
+		return nil
+	}
+	m.patterns = patterns[:min(len(patterns), maxPatterns)]
+	m.present = make([]float64, len(m.window))
+	total := 0.0
+	for _, p := range m.patterns {
+		total += p.weight
+	}
+	for _, p := range m.patterns {
+		for i, x := range p.experts {
+			m.present[i] += x * p.weight / total
+		}
+	}
+	return nil
+}
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -38,9 +40,10 @@
 // release nothing is changed any more, so a release that is carried out late
 // finds what it was meant for.
 //
-// Another coordinator that finds a hold or an armed rank places a hold of its
-// own, at a rank without one, before it changes anything. A release by the
-// first coordinator, sent before or sent late, then starts nothing.
+// Another coordinator that finds a hold or an armed rank holds the pass at all
+// ranks that don't, before it changes anything. A release by an earlier
+// coordinator, sent before or carried out late, reaches one rank and then
+// starts nothing.
 type Switch struct {
 	ranks []Engine
 	epoch uint64
@@ -48,8 +51,8 @@
 	version uint64
 	// step is the pass that is held back: of several, the first.
 	step uint64
-	// holder is the rank at which the pass is held back.
-	holder int
+	// holders are the ranks at which this switch holds the pass back.
+	holders []int
 	// others are the passes that ranks hold back for a coordinator that is gone.
 	others map[int]uint64
 	// blank is the map in force. Preparing it again takes no copies and keeps
@@ -69,14 +72,14 @@
 // NewSwitch returns a switch of all ranks to version at step, held at holder.
 // current is the map in force.
 func NewSwitch(ranks []Engine, epoch, version, step uint64, holder int, current *Map, nextVersion func() uint64) *Switch {
-	return &Switch{ranks: ranks, epoch: epoch, version: version, step: step, holder: holder,
+	return &Switch{ranks: ranks, epoch: epoch, version: version, step: step, holders: []int{holder},
 		blank: current, blankVersion: nextVersion, ready: make([]bool, len(ranks))}
 }
 
 // NewUndo returns a switch that clears up what another coordinator left, as the
-// reports show it: the pass is held at a free rank, all are disarmed.
-func NewUndo(ranks []Engine, reports []Report, home int, current *Map, nextVersion func() uint64) *Switch {
-	s := &Switch{ranks: ranks, epoch: reports[0].Epoch, holder: -1, blank: current, blankVersion: nextVersion,
+// reports show it.
+func NewUndo(ranks []Engine, reports []Report, current *Map, nextVersion func() uint64) *Switch {
+	s := &Switch{ranks: ranks, epoch: reports[0].Epoch, blank: current, blankVersion: nextVersion,
 		ready: make([]bool, len(ranks)), Undone: true, others: make(map[int]uint64), step: math.MaxUint64}
 	for r, rep := range reports {
 		if rep.Armed != nil {
@@ -85,12 +88,8 @@
 		if rep.Held != nil {
 			s.others[r] = *rep.Held
 			s.step = min(s.step, *rep.Held)
-		}
-	}
-	for i := range ranks {
-		if r := (home + i) % len(ranks); reports[r].Held == nil {
-			s.holder = r
-			break
+		} else {
+			s.holders = append(s.holders, r)
 		}
 	}
 	return s
@@ -152,24 +151,30 @@
 }
 
 func (s *Switch) hold(ctx context.Context) error {
-	if s.holder < 0 {
-		// Every rank holds the pass; the group stands still whatever is done.
-		s.phase = undoing
-		return nil
+	results := make([]Result, len(s.holders))
+	errs := make([]error, len(s.holders))
+	var wg sync.WaitGroup
+	for i, r := range s.holders {
+		wg.Go(func() { results[i], errs[i] = s.order(ctx, r, Order{Operation: Hold, Step: s.step}) })
 	}
-	result, err := s.order(ctx, s.holder, Order{Operation: Hold, Step: s.step})
-	switch result {
-	case Accepted:
-		s.phase = arming
-		if s.Undone {
-			s.phase = undoing
-		}
-	case Refused:
-		// The pass has begun, or another coordinator holds one here. No rank is armed.
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	if slices.Contains(results, Refused) {
+		// The pass has begun, or another coordinator holds one. Nothing was changed.
 		s.Undone, s.Missed = true, true
-		s.phase = finished
+		s.phase = releasing
+		return nil
 	}
-	return err
+	if slices.Contains(results, Unanswered) {
+		return nil // ctx ended; the next call goes on
+	}
+	s.phase = arming
+	if s.Undone {
+		s.phase = undoing
+	}
+	return nil
 }
 
 // forAll runs f for each rank that isn't ready and reports whether all are.
@@ -259,15 +264,31 @@
 }
 
 func (s *Switch) release(ctx context.Context) error {
-	if s.holder >= 0 {
+	steps := maps.Clone(s.others)
+	if s.Missed {
+		// What others hold isn't this switch's to release; it changed nothing.
+		steps = nil
+	}
+	if steps == nil {
+		steps = make(map[int]uint64)
+	}
+	for _, r := range s.holders {
+		steps[r] = s.step
+	}
+	results := make([]Result, len(s.ranks))
+	errs := make([]error, len(s.ranks))
+	var wg sync.WaitGroup
+	for r, step := range steps {
 		// A refusal means that the hold is gone with its formation.
-		if result, err := s.order(ctx, s.holder, Order{Operation: Go, Step: s.step}); err != nil || result == Unanswered {
-			return err
-		}
+		wg.Go(func() { results[r], errs[r] = s.order(ctx, r, Order{Operation: Go, Step: step}) })
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
 	}
-	for r, step := range s.others {
-		if result, err := s.order(ctx, r, Order{Operation: Go, Step: step}); err != nil || result == Unanswered {
-			return err
+	for r := range steps {
+		if results[r] == Unanswered {
+			return nil
 		}
 	}
 	s.phase = finished
