--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -108,30 +108,33 @@
 			CopyTime: time.Duration(e.ExpertBytes / e.LinkBytesPerSecond * float64(time.Second)),
 		},
 		Engines: engines, Home: own.Rank, Log: a.log.WithName("coordinator"),
-		Memory: &groupMemory{store: a.store, key: platform.PrefixDemand + a.s.Service + "/" + own.Group},
+		Memory: &groupMemory{store: a.store, prefix: platform.PrefixDemand + a.s.Service + "/", group: own.Group},
 	})
 	c.Recall(ctx)
 	return c, nil
 }
 
-// groupMemory keeps a group's demand in the platform's store.
+// groupMemory keeps a group's demand in the platform's store. Groups of one
+// service serve the same topics.
 type groupMemory struct {
-	store *platform.Store
-	key   string
+	store  *platform.Store
+	prefix string
+	group  string
 }
 
 // Load implements rankgroup.Memory.
-func (m *groupMemory) Load(ctx context.Context) ([]byte, error) {
-	entries, err := m.store.ListStale(ctx, m.key)
-	if err != nil || len(entries) == 0 {
-		return nil, err
+func (m *groupMemory) Load(ctx context.Context) ([][]byte, error) {
+	entries, err := m.store.ListStale(ctx, m.prefix)
+	stored := make([][]byte, 0, len(entries))
+	for _, e := range entries {
+		stored = append(stored, e.Value)
 	}
-	return entries[0].Value, nil
+	return stored, err
 }
 
 // Save implements rankgroup.Memory.
 func (m *groupMemory) Save(ctx context.Context, b []byte) error {
-	return m.store.Put(ctx, m.key, b, 0)
+	return m.store.Put(ctx, m.prefix+m.group, b, 0)
 }
 
 func (a *Agent) readService(ctx context.Context) (*routing.Service, error) {
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -59,7 +59,8 @@
 
 // Memory is where a group's learned demand is stored.
 type Memory interface {
-	Load(ctx context.Context) ([]byte, error)
+	// Load returns what this and other groups of the service have stored.
+	Load(ctx context.Context) ([][]byte, error)
 	Save(ctx context.Context, b []byte) error
 }
 
@@ -105,15 +106,15 @@
 
 // Recall takes over the demand that was stored.
 func (c *Coordinator) Recall(ctx context.Context) {
-	b, err := c.cfg.Memory.Load(ctx)
-	if err == nil && b != nil {
-		err = c.demand.UnmarshalBinary(b)
+	stored, err := c.cfg.Memory.Load(ctx)
+	for _, b := range stored {
+		err = errors.Join(err, c.demand.UnmarshalBinary(b))
 	}
 	if err != nil {
 		c.cfg.Log.Info("Demand is learned anew.", "cause", err.Error())
 		return
 	}
-	c.cfg.Log.Info("Demand recalled.", "patterns", len(c.demand.patterns))
+	c.cfg.Log.Info("Demand recalled.", "topics", len(c.demand.known()))
 }
 
 // save stores the demand from time to time, beside the rounds.
@@ -347,7 +348,7 @@
 	c.next, c.nextSince, c.preparing = &plan, now, c.nextVersion()
 	clear(c.orderedAt)
 	c.cfg.Log.Info("Map planned.", "version", c.preparing, "copies", plan.Copies, "skew_before", plan.Before, "skew_after", plan.After,
-		"patterns", len(c.demand.patterns), "took_ms", time.Since(now).Milliseconds())
+		"topics", len(c.demand.known()), "took_ms", time.Since(now).Milliseconds())
 }
 
 // prepare has the plan copied, and switches once it is ready on all ranks.
--- a/rankgroup/demand.go
+++ b/rankgroup/demand.go
@@ -5,41 +5,70 @@
 	"errors"
 	"math"
 	"slices"
+	"sort"
 )
 
-// Demand learns which experts a group's requests choose. Demand moves between
-// a few patterns that return, so past patterns are kept beside the present one.
+// Demand learns which experts a group's requests choose. What is asked for
+// moves between a few topics, each with experts of its own. A topic may return
+// at any time, so the present demand is not all that a map must bear.
+//
+// Most of a rank's choices within a window are made by the prompt that it has
+// just read, and one prompt is of one topic. So the windows of single ranks,
+// not their sum, show the topics.
 type Demand struct {
 	d Dimensions
-	// present is the moving average of recent windows.
-	present  []float64
-	patterns []pattern
-	window   []float64
+	// window is the sum of all ranks since the last Close.
+	window []float64
+	// present is the moving average of the group's windows, mean a slower one.
+	present, mean []float64
+	topics        []topic
+	// usual is the moving average of a rank window's choices.
+	usual float64
 }
 
-// pattern is a demand that was seen, as the part of its set that each expert gets.
-type pattern struct {
+// topic is one pattern of choices, as the part of its set that each expert gets.
+type topic struct {
 	experts []float64
-	weight  float64
+	// seen counts the windows that showed it; weight fades with time.
+	seen   int
+	weight float64
 }
 
 const (
-	// minWindow is the least number of choices in a set, per expert, for which a
-	// window says enough about the demand.
+	// minWindow is the least number of choices in a window, per expert, for
+	// which it says enough about the demand.
 	minWindow = 8
-	// presentGain is the part of the newest window in the present demand.
+	// presentGain and meanGain are the parts of the newest window in the present
+	// demand and in the mean.
 	presentGain = 0.6
-	// samePattern is the least cosine of two windows that count as one pattern.
-	samePattern = 0.93
-	// patternGain is the part of the newest window in its pattern.
-	patternGain = 0.25
-	// patternFade is the factor on all weights with each window, so that
-	// patterns of the last minutes count most.
-	patternFade = 0.995
-	// maxPatterns bounds memory and planning time.
-	maxPatterns = 12
+	meanGain    = 0.03
+	// sameTopic is the least correlation, after the mean is taken off, of two
+	// windows that count as one topic.
+	sameTopic = 0.8
+	// topicGain bounds the part of the newest window in its topic from below.
+	topicGain = 0.05
+	// topicFade is the factor on all weights with each window of a rank.
+	topicFade = 0.9995
+	// maxTopics bounds memory. A topic that shows in fewer than minSeen windows
+	// is a chance mix of others.
+	maxTopics = 24
+	minSeen   = 3
+	// scenarioTopics is the number of topics in demand at one time, and
+	// maxScenarios bounds the mixes that a map is planned for.
+	scenarioTopics = 3
+	maxScenarios   = 12
+	// presentWeight is the part of the present demand in a plan. A map is in
+	// force for about as long as one demand lasts, so both halves weigh alike.
+	presentWeight = 0.6
 )
 
+// Scenario is one demand to plan for.
+type Scenario struct {
+	// Experts is the part of its set that each expert gets, sets one after the other.
+	Experts []float64
+	Weight  float64
+}
+
 // NewDemand returns a Demand that has seen nothing.
 func NewDemand(d Dimensions) *Demand {
 	return &Demand{d: d, window: make([]float64, d.Sets*d.Experts)}
@@ -47,11 +76,19 @@
 
 // Add takes a rank's choices. Windows of another size are ignored.
 func (m *Demand) Add(w Window) {
-	if len(w.Experts) != len(m.window) {
+	if len(w.Experts) != len(m.window) || w.Unit <= 0 {
 		return
 	}
+	counts := make([]float64, len(w.Experts))
+	total := 0.0
 	for i, n := range w.Experts {
-		m.window[i] += float64(n) * w.Unit
+		counts[i] = float64(n) * w.Unit
+		m.window[i] += counts[i]
+		total += counts[i]
+	}
+	m.usual += (total - m.usual) / 16
+	if m.mean != nil && total >= m.usual && total >= minWindow*float64(len(counts)) {
+		m.learn(normalise(counts, m.d))
 	}
 }
 
@@ -67,10 +104,13 @@
 	w := normalise(m.window, m.d)
 	clear(m.window)
 	if m.present == nil {
-		m.present = append([]float64(nil), w...)
+		m.present = slices.Clone(w)
+	}
+	if m.mean == nil {
+		m.mean = slices.Clone(w)
 	}
 	mix(m.present, w, presentGain)
-	m.remember(w)
+	mix(m.mean, w, meanGain)
 	return true
 }
 
@@ -98,39 +138,44 @@
 	}
 }
 
-func (m *Demand) remember(w []float64) {
-	best, similarity := -1, samePattern
-	for i := range m.patterns {
-		m.patterns[i].weight *= patternFade
-		if c := cosine(m.patterns[i].experts, w); c >= similarity {
-			best, similarity = i, c
+// learn adds a rank's window to the topic that it shows.
+func (m *Demand) learn(w []float64) {
+	best, correlation := -1, sameTopic
+	for i := range m.topics {
+		m.topics[i].weight *= topicFade
+		if c := m.correlation(m.topics[i].experts, w); c >= correlation {
+			best, correlation = i, c
 		}
 	}
 	if best >= 0 {
-		mix(m.patterns[best].experts, w, patternGain)
-		m.patterns[best].weight++
+		t := &m.topics[best]
+		t.seen++
+		t.weight++
+		mix(t.experts, w, max(topicGain, 1/float64(t.seen)))
 		return
 	}
-	fresh := pattern{experts: append([]float64(nil), w...), weight: 1}
-	if len(m.patterns) < maxPatterns {
-		m.patterns = append(m.patterns, fresh)
+	fresh := topic{experts: w, seen: 1, weight: 1}
+	if len(m.topics) < maxTopics {
+		m.topics = append(m.topics, fresh)
 		return
 	}
 	weakest := 0
-	for i := range m.patterns {
-		if m.patterns[i].weight < m.patterns[weakest].weight {
+	for i := range m.topics {
+		if m.topics[i].weight < m.topics[weakest].weight {
 			weakest = i
 		}
 	}
-	m.patterns[weakest] = fresh
+	m.topics[weakest] = fresh
 }
 
-func cosine(a, b []float64) float64 {
+// correlation compares two demands by what sets them off from the mean.
+func (m *Demand) correlation(a, b []float64) float64 {
 	var ab, aa, bb float64
-	for i := range a {
-		ab += a[i] * b[i]
-		aa += a[i] * a[i]
-		bb += b[i] * b[i]
+	for i, mean := range m.mean {
+		x, y := a[i]-mean, b[i]-mean
+		ab += x * y
+		aa += x * x
+		bb += y * y
 	}
 	if aa == 0 || bb == 0 {
 		return 0
@@ -138,91 +183,107 @@
 	return ab / math.Sqrt(aa*bb)
 }
 
+// known returns the topics that are no chance mixes, by weight.
+func (m *Demand) known() []topic {
+	var known []topic
+	for _, t := range m.topics {
+		if t.seen >= minSeen {
+			known = append(known, t)
+		}
+	}
+	sort.Slice(known, func(i, j int) bool { return known[i].weight > known[j].weight })
+	return known[:min(len(known), maxScenarios)]
+}
+
 // Scenarios returns the demands to plan for with weights that sum to 1: the
-// present one, and those that may return.
+// present one, and mixes of topics that may come in its place.
 func (m *Demand) Scenarios() []Scenario {
 	if m.present == nil {
 		return nil
 	}
-	total := 0.0
-	for _, p := range m.patterns {
-		total += p.weight
+	known := m.known()
+	if len(known) < scenarioTopics {
+		return []Scenario{{Experts: m.present, Weight: 1}}
 	}
 	out := []Scenario{{Experts: m.present, Weight: presentWeight}}
-	for _, p := range m.patterns {
-		out = append(out, Scenario{Experts: p.experts, Weight: (1 - presentWeight) * p.weight / total})
+	for i := range known {
+		experts := make([]float64, len(m.present))
+		// Each topic is mixed with others at different distances in the order, so
+		// that no two mixes are alike.
+		for k := range scenarioTopics {
+			for e, x := range known[(i+k*(k+1)/2)%len(known)].experts {
+				experts[e] += x / scenarioTopics
+			}
+		}
+		out = append(out, Scenario{Experts: experts, Weight: (1 - presentWeight) / float64(len(known))})
 	}
 	return out
 }
 
-// presentWeight is the part of the present demand in a plan. A map is in force
-// for about as long as one pattern lasts, so the two halves weigh alike.
-const presentWeight = 0.6
-
-// Scenario is one demand to plan for.
-type Scenario struct {
-	// Experts is the part of its set that each expert gets, sets one after the other.
-	Experts []float64
-	Weight  float64
-}
-
 // storedDemand is the stored form: a byte an expert, as a part of the largest.
 type storedDemand struct {
-	Patterns []storedPattern `json:"patterns"`
+	Topics []storedTopic `json:"topics"`
 }
 
-type storedPattern struct {
+type storedTopic struct {
+	Seen    int     `json:"seen"`
 	Weight  float64 `json:"weight"`
 	Unit    float64 `json:"unit"`
 	Experts []byte  `json:"experts"`
 }
 
-// MarshalBinary packs the patterns.
+// MarshalBinary packs the topics.
 func (m *Demand) MarshalBinary() ([]byte, error) {
-	var stored storedDemand
-	for _, p := range m.patterns {
-		largest := slices.Max(p.experts)
-		sp := storedPattern{Weight: p.weight, Unit: largest / math.MaxUint8, Experts: make([]byte, len(p.experts))}
-		for i, x := range p.experts {
-			if largest > 0 {
-				sp.Experts[i] = byte(math.Round(x / sp.Unit))
+	stored := storedDemand{Topics: []storedTopic{}}
+	for _, t := range m.known() {
+		st := storedTopic{Seen: t.seen, Weight: t.weight, Unit: slices.Max(t.experts) / math.MaxUint8, Experts: make([]byte, len(t.experts))}
+		for i, x := range t.experts {
+			if st.Unit > 0 {
+				st.Experts[i] = byte(math.Round(x / st.Unit))
 			}
 		}
-		stored.Patterns = append(stored.Patterns, sp)
+		stored.Topics = append(stored.Topics, st)
 	}
 	return json.Marshal(stored)
 }
 
-// UnmarshalBinary restores the patterns. Those of other dimensions are refused.
+// ErrStoredDemand means that a stored demand is of another engine.
+var ErrStoredDemand = errors.New("the stored demand doesn't fit the engine; it is learned again")
+
+// UnmarshalBinary adds stored topics.
 func (m *Demand) UnmarshalBinary(b []byte) error {
 	var stored storedDemand
 	if err := json.Unmarshal(b, &stored); err != nil {
-		return err
+		return errors.Join(ErrStoredDemand, err)
 	}
-	patterns := make([]pattern, 0, len(stored.Patterns))
-	for _, sp := range stored.Patterns {
-		if len(sp.Experts) != len(m.window) || !(sp.Weight >= 0) || !(sp.Unit >= 0) {
-			return errors.New("the stored demand is of another engine; it is learned again")
+	for _, st := range stored.Topics {
+		if len(st.Experts) != len(m.window) || !(st.Weight >= 0) || !(st.Unit >= 0) {
+			return ErrStoredDemand
 		}
-		counts := make([]float64, len(sp.Experts))
-		for i, n := range sp.Experts {
-			counts[i] = float64(n) * sp.Unit
+		counts := make([]float64, len(st.Experts))
+		for i, n := range st.Experts {
+			counts[i] = float64(n) * st.Unit
 		}
-		patterns = append(patterns, pattern{experts: normalise(counts, m.d), weight: sp.Weight})
+		m.adopt(topic{experts: normalise(counts, m.d), seen: st.Seen, weight: st.Weight})
 	}
-	if len(patterns) == 0 {
-		return nil
-	}
-	m.patterns = patterns[:min(len(patterns), maxPatterns)]
-	m.present = make([]float64, len(m.window))
-	total := 0.0
-	for _, p := range m.patterns {
-		total += p.weight
+	return nil
+}
+
+// adopt adds a stored topic, unless it is known. Until demand is seen, the mean
+// of the topics stands for it.
+func (m *Demand) adopt(t topic) {
+	if m.mean == nil {
+		m.mean, m.present = slices.Clone(t.experts), slices.Clone(t.experts)
+	} else {
+		mix(m.mean, t.experts, 1/float64(len(m.topics)+1))
+		mix(m.present, t.experts, 1/float64(len(m.topics)+1))
 	}
-	for _, p := range m.patterns {
-		for i, x := range p.experts {
-			m.present[i] += x * p.weight / total
+	for _, known := range m.topics {
+		if m.correlation(known.experts, t.experts) >= sameTopic {
+			return
 		}
 	}
-	return nil
+	if len(m.topics) < maxTopics {
+		m.topics = append(m.topics, t)
+	}
 }
