Plan for the present demand alone; copy less

Cause: topics learned from past windows do not return: each shift of demand showed a new one (12 after 12 shifts), so planning for old ones and storing them only cost code.

--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -102,39 +102,13 @@
 		return nil, err
 	}
 	e := service.Engine
-	c := rankgroup.NewCoordinator(rankgroup.Config{
+	return rankgroup.NewCoordinator(rankgroup.Config{
 		Dimensions: rankgroup.Dimensions{
 			Ranks: own.Size, Sets: e.ExpertSets, Experts: e.Experts, Places: e.Places, Spares: e.Spares,
 			CopyTime: time.Duration(e.ExpertBytes / e.LinkBytesPerSecond * float64(time.Second)),
 		},
 		Engines: engines, Home: own.Rank, Log: a.log.WithName("coordinator"),
-		Memory: &groupMemory{store: a.store, prefix: platform.PrefixDemand + a.s.Service + "/", group: own.Group},
-	})
-	c.Recall(ctx)
-	return c, nil
-}
-
-// groupMemory keeps a group's demand in the platform's store. Groups of one
-// service serve the same topics.
-type groupMemory struct {
-	store  *platform.Store
-	prefix string
-	group  string
-}
-
-// Load implements rankgroup.Memory.
-func (m *groupMemory) Load(ctx context.Context) ([][]byte, error) {
-	entries, err := m.store.ListStale(ctx, m.prefix)
-	stored := make([][]byte, 0, len(entries))
-	for _, e := range entries {
-		stored = append(stored, e.Value)
-	}
-	return stored, err
-}
-
-// Save implements rankgroup.Memory.
-func (m *groupMemory) Save(ctx context.Context, b []byte) error {
-	return m.store.Put(ctx, m.prefix+m.group, b, 0)
+	}), nil
 }
 
 func (a *Agent) readService(ctx context.Context) (*routing.Service, error) {
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -26,7 +26,7 @@
 	copyBudget = 450 * time.Millisecond
 	// minGain is the least improvement that is worth a copy, in means of a set's
 	// load; passes take 15 in 100 longer while experts are copied.
-	minGain = 0.01
+	minGain = 0.02
 	// armLead is the least time between arming and the pass of the switch.
 	armLead = 60 * time.Millisecond
 	// maxArmLead bounds it in passes, for groups whose passes are very short.
@@ -35,11 +35,6 @@
 	switchTime = 400 * time.Millisecond
 	// idleTime is the time without a new pass after which a group counts as idle.
 	idleTime = 500 * time.Millisecond
-	// saveInterval is the interval at which the learned demand is stored. It is
-	// paid for, and demand is learned again within seconds.
-	saveInterval = 4 * time.Second
-	// saveTimeout bounds the storing.
-	saveTimeout = time.Second
 	// strayRounds is the number of rounds for which another coordinator's hold
 	// is left alone, as it may be about to release it.
 	strayRounds = 3
@@ -53,15 +48,6 @@
 	// Home is this process's own rank, where passes are held back.
 	Home int
 	Log  logr.Logger
-	// Memory keeps what is learned beyond the life of this process.
-	Memory Memory
-}
-
-// Memory is where a group's learned demand is stored.
-type Memory interface {
-	// Load returns what this and other groups of the service have stored.
-	Load(ctx context.Context) ([][]byte, error)
-	Save(ctx context.Context, b []byte) error
 }
 
 // Coordinator keeps one group's maps. It is used from one goroutine.
@@ -89,9 +75,6 @@
 	lastStep uint64
 	stepAt   time.Time
 	passTime time.Duration
-	// savedAt is when the demand was stored; saving is set while it is.
-	savedAt time.Time
-	saving  atomic.Bool
 }
 
 // nonceBits is the part of a version that names the process; versions stay
@@ -104,40 +87,6 @@
 		orderedAt: make([]time.Time, len(cfg.Engines)), passTime: 100 * time.Millisecond}
 }
 
-// Recall takes over the demand that was stored.
-func (c *Coordinator) Recall(ctx context.Context) {
-	stored, err := c.cfg.Memory.Load(ctx)
-	for _, b := range stored {
-		err = errors.Join(err, c.demand.UnmarshalBinary(b))
-	}
-	if err != nil {
-		c.cfg.Log.Info("Demand is learned anew.", "cause", err.Error())
-		return
-	}
-	c.cfg.Log.Info("Demand recalled.", "topics", len(c.demand.known()))
-}
-
-// save stores the demand from time to time, beside the rounds.
-func (c *Coordinator) save() {
-	if time.Since(c.savedAt) < saveInterval || !c.saving.CompareAndSwap(false, true) {
-		return
-	}
-	c.savedAt = time.Now()
-	b, err := c.demand.MarshalBinary()
-	if err != nil {
-		c.cfg.Log.Error(err, "Demand not stored.")
-		return
-	}
-	go func() {
-		defer c.saving.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
-		defer cancel()
-		if err := c.cfg.Memory.Save(ctx, b); err != nil {
-			c.cfg.Log.Info("Demand not stored; it is tried again.", "cause", err.Error())
-		}
-	}()
-}
-
 // nextVersion returns a version above all that were seen.
 func (c *Coordinator) nextVersion() uint64 {
 	for {
@@ -227,7 +176,6 @@
 	}
 	if withWindow && c.demand.Close() {
 		c.lastWindow, c.fresh = time.Now(), true
-		c.save()
 	}
 	if missing {
 		return nil, nil
@@ -255,7 +203,7 @@
 		c.cfg.Log.Info("Group formed.", "group", first.Group, "epoch", first.Epoch, "ranks", len(reports))
 		c.epoch, c.current, c.next, c.pending = first.Epoch, nil, nil, nil
 		c.lastStep, c.stepAt = first.Step, now
-		c.fresh = c.demand.present != nil
+		c.fresh = c.demand.Present() != nil
 	}
 	if first.Step > c.lastStep {
 		measured := now.Sub(c.stepAt) / time.Duration(first.Step-c.lastStep)
@@ -339,7 +287,7 @@
 	}
 	c.fresh = false
 	now := time.Now()
-	plan := Improve(c.current, c.demand.Scenarios(), PlanConfig{
+	plan := Improve(c.current, c.demand.Present(), PlanConfig{
 		Dimensions: c.cfg.Dimensions, MaxCopies: max(1, int(copyBudget/max(c.cfg.CopyTime, time.Millisecond))), MinGain: minGain,
 	})
 	if plan.Copies == 0 {
@@ -348,7 +296,7 @@
 	c.next, c.nextSince, c.preparing = &plan, now, c.nextVersion()
 	clear(c.orderedAt)
 	c.cfg.Log.Info("Map planned.", "version", c.preparing, "copies", plan.Copies, "skew_before", plan.Before, "skew_after", plan.After,
-		"topics", len(c.demand.known()), "took_ms", time.Since(now).Milliseconds())
+		"took_ms", time.Since(now).Milliseconds())
 }
 
 // prepare has the plan copied, and switches once it is ready on all ranks.
--- a/rankgroup/plan.go
+++ b/rankgroup/plan.go
@@ -6,10 +6,10 @@
 	"sort"
 )
 
-// A plan minimises, over sets and scenarios, the load of the most loaded rank
-// over the mean: a pass lasts as long as that rank takes. The maximum is
-// smoothed by a power mean, so that a move helps that relieves one of several
-// equally loaded ranks.
+// A plan minimises, over the sets, the load of the most loaded rank over the
+// mean: a pass lasts as long as that rank takes. The maximum is smoothed by a
+// power mean, so that a move helps that relieves one of several equally loaded
+// ranks.
 const (
 	// candidateExperts bounds the experts per set that may get another replica.
 	candidateExperts = 12
@@ -23,7 +23,7 @@
 	// Copies is the largest number of experts that one rank copies.
 	Copies int
 	// Before and After are the most loaded rank over the mean, averaged over
-	// sets, for the first scenario.
+	// sets.
 	Before, After float64
 }
 
@@ -44,9 +44,10 @@
 	// replicas counts the holders of each expert.
 	replicas []int
 	holds    [][]bool
-	// share is by scenario and expert, load by scenario and rank, in means.
-	share [][]float64
-	load  [][]float64
+	// share is the load of each expert, load that of each rank, in means.
+	share []float64
+	load  []float64
+	// fresh counts the experts that the plan brings to each rank.
 	fresh []int
 }
 
@@ -57,18 +58,19 @@
 	gain                 float64
 }
 
-// Improve plans the copies that help most for the scenarios.
-func Improve(current *Map, scenarios []Scenario, cfg PlanConfig) Plan {
+// Improve plans the copies that help most for a demand: the part of its set
+// that each expert gets, sets one after the other.
+func Improve(current *Map, demand []float64, cfg PlanConfig) Plan {
 	next := current.Clone()
 	states := make([]*setState, cfg.Sets)
 	for s := range states {
-		states[s] = newSetState(s, next.Sets[s], scenarios, cfg.Dimensions)
+		states[s] = newSetState(s, next.Sets[s], demand, cfg.Dimensions)
 	}
 	plan := Plan{Map: next, Before: skew(states)}
 	copies := make([]int, cfg.Ranks)
 	best := make([]*move, cfg.Sets)
 	for s, st := range states {
-		best[s] = st.best(scenarios, copies, cfg)
+		best[s] = st.best(copies, cfg)
 	}
 	for {
 		var pick *move
@@ -85,7 +87,7 @@
 		for s, st := range states {
 			stale := best[s] != nil && copies[best[s].rank] >= cfg.MaxCopies
 			if s == pick.set || stale {
-				best[s] = st.best(scenarios, copies, cfg)
+				best[s] = st.best(copies, cfg)
 			}
 		}
 	}
@@ -97,7 +99,7 @@
 	return plan
 }
 
-func newSetState(set int, ranks [][]int, scenarios []Scenario, d Dimensions) *setState {
+func newSetState(set int, ranks [][]int, demand []float64, d Dimensions) *setState {
 	st := &setState{set: set, ranks: ranks, replicas: make([]int, d.Experts), fresh: make([]int, d.Ranks)}
 	st.holds = make([][]bool, d.Ranks)
 	for r, experts := range ranks {
@@ -107,30 +109,30 @@
 			st.replicas[e]++
 		}
 	}
-	for _, sc := range scenarios {
-		share := make([]float64, d.Experts)
-		for e := range share {
-			share[e] = sc.Experts[set*d.Experts+e] * float64(d.Ranks)
-		}
-		load := make([]float64, d.Ranks)
-		for r, experts := range ranks {
-			for _, e := range experts {
-				load[r] += share[e] / float64(st.replicas[e])
-			}
-		}
-		st.share = append(st.share, share)
-		st.load = append(st.load, load)
+	st.share = make([]float64, d.Experts)
+	for e := range st.share {
+		st.share[e] = demand[set*d.Experts+e] * float64(d.Ranks)
 	}
+	st.load = make([]float64, d.Ranks)
+	st.sum()
 	return st
 }
 
-// skew averages the most loaded rank over the sets for the first scenario.
+// sum computes the ranks' loads.
+func (st *setState) sum() {
+	clear(st.load)
+	for r, experts := range st.ranks {
+		for _, e := range experts {
+			st.load[r] += st.share[e] / float64(st.replicas[e])
+		}
+	}
+}
+
+// skew averages the most loaded rank over the sets.
 func skew(states []*setState) float64 {
 	sum := 0.0
 	for _, st := range states {
-		if len(st.load) > 0 {
-			sum += slices.Max(st.load[0])
-		}
+		sum += slices.Max(st.load)
 	}
 	return sum / float64(len(states))
 }
@@ -142,30 +144,25 @@
 	return x * x
 }
 
+func smoothMax(sum float64) float64 { return math.Pow(math.Max(0, sum), 1.0/8) }
+
 // best returns the most useful move in the set, or nil.
-func (st *setState) best(scenarios []Scenario, copies []int, cfg PlanConfig) *move {
-	sums := make([]float64, len(st.load))
-	before := 0.0
-	for k, load := range st.load {
-		for _, x := range load {
-			sums[k] += power(x)
-		}
-		before += scenarios[k].Weight * math.Pow(sums[k], 1.0/8)
+func (st *setState) best(copies []int, cfg PlanConfig) *move {
+	sum := 0.0
+	for _, x := range st.load {
+		sum += power(x)
 	}
-	experts := st.hottest(scenarios)
-	ranks := st.idlest(scenarios, copies, cfg)
+	before := smoothMax(sum)
+	ranks := st.idlest(copies, cfg)
 	var best *move
-	for _, e := range experts {
+	for _, e := range st.hottest() {
 		for _, r := range ranks {
 			if st.holds[r][e] {
 				continue
 			}
 			st.eachVictim(r, cfg.Places, func(v int) {
-				after := 0.0
-				for k := range st.load {
-					after += scenarios[k].Weight * math.Pow(math.Max(0, sums[k]+st.change(k, r, e, v)), 1.0/8)
-				}
-				if gain := before - after; gain >= cfg.MinGain && (best == nil || gain > best.gain) {
+				gain := before - smoothMax(sum+st.change(r, e, v))
+				if gain >= cfg.MinGain && (best == nil || gain > best.gain) {
 					best = &move{st.set, r, e, v, gain}
 				}
 			})
@@ -175,33 +172,25 @@
 }
 
 // hottest returns the experts whose replicas carry most.
-func (st *setState) hottest(scenarios []Scenario) []int {
-	heat := make([]float64, len(st.replicas))
-	order := make([]int, len(heat))
-	for e := range heat {
+func (st *setState) hottest() []int {
+	order := make([]int, len(st.replicas))
+	for e := range order {
 		order[e] = e
-		for k := range st.share {
-			heat[e] += scenarios[k].Weight * st.share[k][e] / float64(st.replicas[e])
-		}
 	}
-	sort.Slice(order, func(i, j int) bool { return heat[order[i]] > heat[order[j]] })
+	heat := func(e int) float64 { return st.share[e] / float64(st.replicas[e]) }
+	sort.Slice(order, func(i, j int) bool { return heat(order[i]) > heat(order[j]) })
 	return order[:min(candidateExperts, len(order))]
 }
 
 // idlest returns the least loaded ranks that may still copy.
-func (st *setState) idlest(scenarios []Scenario, copies []int, cfg PlanConfig) []int {
-	load := make([]float64, cfg.Ranks)
+func (st *setState) idlest(copies []int, cfg PlanConfig) []int {
 	var order []int
-	for r := range load {
-		if copies[r] >= cfg.MaxCopies || st.fresh[r] >= cfg.Spares {
-			continue
-		}
-		order = append(order, r)
-		for k := range st.load {
-			load[r] += scenarios[k].Weight * st.load[k][r]
+	for r := range st.ranks {
+		if copies[r] < cfg.MaxCopies && st.fresh[r] < cfg.Spares {
+			order = append(order, r)
 		}
 	}
-	sort.Slice(order, func(i, j int) bool { return load[order[i]] < load[order[j]] })
+	sort.Slice(order, func(i, j int) bool { return st.load[order[i]] < st.load[order[j]] })
 	return order[:min(candidateRanks, len(order))]
 }
 
@@ -219,9 +208,9 @@
 	}
 }
 
-// change returns by how much a move changes the sum of powers of scenario k.
-func (st *setState) change(k, rank, expert, victim int) float64 {
-	load, share := st.load[k], st.share[k]
+// change returns by how much a move changes the sum of powers.
+func (st *setState) change(rank, expert, victim int) float64 {
+	load, share := st.load, st.share
 	n := float64(st.replicas[expert])
 	lose, gain := share[expert]/n-share[expert]/(n+1), 0.0
 	own := load[rank] + share[expert]/(n+1)
@@ -259,13 +248,5 @@
 	st.replicas[m.expert]++
 	st.ranks[m.rank] = append(st.ranks[m.rank], m.expert)
 	st.fresh[m.rank]++
-	for k, share := range st.share {
-		load := st.load[k]
-		clear(load)
-		for r, experts := range st.ranks {
-			for _, e := range experts {
-				load[r] += share[e] / float64(st.replicas[e])
-			}
-		}
-	}
+	st.sum()
 }
