--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,8 @@
 	Running, Waiting, Slots int
 	// Broken says that the endpoint's rank group can't serve.
 	Broken bool
+	// Pass is the time of a pass of the endpoint's rank group, 0 if unknown.
+	Pass time.Duration
 	// Cold is how much longer the endpoint bears little load.
 	Cold time.Duration
 }
@@ -52,6 +54,15 @@
 	zoneCost = 0.1
 	// tieNoise spreads the entries' choices between nearly equal endpoints.
 	tieNoise = 0.06
+	// sampleSize is the number of endpoints that one choice compares. Reports
+	// are as old as the time in which many entries choose; comparing all would
+	// send all of them to the same endpoint.
+	sampleSize = 4
+	// passShare is the part of the longest pause between events that a pass of a
+	// rank group may take; copies and prompts make some passes longer.
+	passShare = 0.8
+	// minSlotShare bounds from below the slots that are used in a slow group.
+	minSlotShare = 0.4
 )
 
 // Endpoint is one endpoint as this entry knows it. Its fields are protected by
@@ -82,6 +93,8 @@
 	// may exceed, over all entries.
 	ColdBurst      float64
 	MaxConnections int
+	// TargetGap is the longest pause between events that is on time, 0 for none.
+	TargetGap time.Duration
 }
 
 // Fleet holds the endpoints. It is safe for concurrent use.
@@ -283,7 +296,13 @@
 	var best, fallback *Endpoint
 	var bestCost, fallbackCost float64
 	why := Down
-	for _, ep := range f.byService[service] {
+	all := f.byService[service]
+	compared := 0
+	for _, i := range rand.Perm(len(all)) {
+		if compared >= sampleSize {
+			break
+		}
+		ep := all[i]
 		if ep.Draining || f.evacuated[ep.Zone] || f.atAddress[ep.Address] != ep || slices.Contains(exclude, ep) {
 			continue
 		}
@@ -292,7 +311,7 @@
 			continue
 		}
 		load := ep.load(now)
-		if load >= ep.Slots || !f.mayConnect(ep, limits) || !f.mayWarm(ep, limits, now) {
+		if load >= ep.usable(limits, now) || !f.mayConnect(ep, limits) || !f.mayWarm(ep, limits, now) {
 			why = Busy
 			continue
 		}
@@ -306,6 +325,7 @@
 			}
 			continue
 		}
+		compared++
 		if best == nil || cost < bestCost {
 			best, bestCost = ep, cost
 		}
@@ -323,6 +343,20 @@
 	return p, Free
 }
 
+// usable returns the slots that may be taken. The more requests a rank group
+// runs, the longer its passes; beyond a point all its streams are late, so a
+// group with long passes takes fewer.
+func (ep *Endpoint) usable(l Limits, now time.Time) int {
+	if l.TargetGap <= 0 || ep.report.Pass <= 0 || now.Sub(ep.reportAt) > reportValidity {
+		return ep.Slots
+	}
+	share := passShare * float64(l.TargetGap) / float64(ep.report.Pass)
+	if share >= 1 {
+		return ep.Slots
+	}
+	return max(1, int(float64(ep.Slots)*max(share, minSlotShare)))
+}
+
 func (f *Fleet) mayConnect(ep *Endpoint, l Limits) bool {
 	return l.MaxConnections <= 0 || ep.inFlight < max(1, l.MaxConnections/f.entries)
 }
@@ -385,6 +419,16 @@
 	p.end(func(ep *Endpoint, now time.Time) { ep.observe(1, now) })
 }
 
+// Suspect counts a failure of an endpoint that is slow to begin its answer. The
+// request goes on.
+func (p *Pick) Suspect() {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if !p.done {
+		p.Endpoint.observe(1, time.Now())
+	}
+}
+
 // Unreachable ends a request to which the endpoint gave no answer.
 func (p *Pick) Unreachable() {
 	p.end(func(ep *Endpoint, now time.Time) {
--- a/node/agent.go
+++ b/node/agent.go
@@ -135,8 +135,9 @@
 			continue
 		}
 		a.mu.Lock()
+		stalled := progress.stalled(report, time.Now())
 		next := wire.LoadReport{Endpoint: a.endpointID, Running: report.Running, Waiting: report.Waiting,
-			Broken: report.Group != "" && (!report.Open || progress.stalled(report, time.Now())), ColdMS: report.Cold.Milliseconds()}
+			Broken: report.Group != "" && (!report.Open || stalled), PassMS: progress.passMS(), ColdMS: report.Cold.Milliseconds()}
 		a.mu.Unlock()
 		since, spacing := time.Since(published), a.publishSpacing()
 		if urgent := next.Broken != last.Broken; urgent || since >= spacing && next != last || since >= quietInterval {
@@ -159,16 +160,36 @@
 type progress struct {
 	step  uint64
 	since time.Time
+	// pass is the moving average of the time of a pass.
+	pass time.Duration
 }
 
-// stalled reports whether the group has work and begins no pass.
+// passGain is the part of the newest measurement in the time of a pass, and
+// passRound the unit in which it is reported, so that reports seldom differ by
+// it alone.
+const (
+	passGain  = 0.3
+	passRound = 8
+)
+
+// stalled takes a report and tells whether the group has work and begins no pass.
 func (p *progress) stalled(r rankgroup.Report, now time.Time) bool {
-	if r.Step != p.step || r.Running+r.Waiting == 0 {
+	idle := r.Running+r.Waiting == 0
+	if r.Step > p.step && !idle && !p.since.IsZero() {
+		measured := now.Sub(p.since) / time.Duration(r.Step-p.step)
+		p.pass += time.Duration(passGain * float64(measured-p.pass))
+	}
+	if idle {
+		p.pass = 0
+	}
+	if r.Step != p.step || idle {
 		p.step, p.since = r.Step, now
 	}
 	return now.Sub(p.since) > stallTime
 }
 
+func (p *progress) passMS() int64 { return p.pass.Milliseconds() / passRound * passRound }
+
 // publishSpacing returns the least time between two reports to the entries.
 func (a *Agent) publishSpacing() time.Duration {
 	a.mu.Lock()
--- a/node/follow.go
+++ b/node/follow.go
@@ -107,8 +107,10 @@
 		o.log.Error(err, "Configuration ignored.", "revision", revision)
 		return
 	}
+	gaps := c.TargetGaps()
 	c.Services(func(s *routing.Service) {
 		o.fleet.SetLimits(s.Name, fleet.Limits{
+			TargetGap:     gaps[s.Name],
 			ColdPerSecond: s.ColdPerSecond, ColdBurst: s.ColdPerSecond*o.bounds.ColdOverage + o.bounds.ColdSlack,
 			MaxConnections: s.MaxConnections,
 		})
--- a/node/loads.go
+++ b/node/loads.go
@@ -93,8 +93,8 @@
 			continue
 		}
 		e.fleet.Report(r.Endpoint, fleet.Load{
-			Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Broken: r.Broken,
-			Cold: time.Duration(r.ColdMS) * time.Millisecond,
+			Running: r.Running, Waiting: r.Waiting, Broken: r.Broken,
+			Pass: time.Duration(r.PassMS) * time.Millisecond, Cold: time.Duration(r.ColdMS) * time.Millisecond,
 		})
 	}
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -162,6 +162,22 @@
 	}
 }
 
+// TargetGaps returns, by service, the shortest of the pauses between events
+// that the service's routes allow.
+func (c *Config) TargetGaps() map[string]time.Duration {
+	gaps := make(map[string]time.Duration)
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			for _, t := range r.Targets {
+				if old, ok := gaps[t.Service]; r.TargetGap > 0 && (!ok || r.TargetGap < old) {
+					gaps[t.Service] = r.TargetGap
+				}
+			}
+		}
+	}
+	return gaps
+}
+
 // Organisation returns the holder of a key, or nil.
 func (c *Config) Organisation(key string) *Organisation { return c.keys[key] }
 
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -7,9 +7,10 @@
 	Endpoint string `json:"e"`
 	Running  int    `json:"r"`
 	Waiting  int    `json:"w"`
-	Slots    int    `json:"s"`
 	// Broken says that the endpoint's rank group can't serve.
 	Broken bool `json:"b,omitempty"`
+	// PassMS is the time of a pass of the rank group.
+	PassMS int64 `json:"p,omitempty"`
 	// ColdMS is how much longer the endpoint bears little load.
 	ColdMS int64 `json:"c,omitempty"`
 }
