Follow demand with shorter windows and shorter copies

Cause: after a shift of demand a map was in force about 1.1 s later, and passes are long until then.

--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -17,7 +17,7 @@
 	// pass; roundPerRank bounds the rate with many ranks, whose answers share
 	// the coordinator's link.
 	roundInterval = 100 * time.Millisecond
-	roundPerRank  = 6 * time.Millisecond
+	roundPerRank  = 4 * time.Millisecond
 	// findAgain is the interval at which missing ranks are looked for.
 	findAgain = 300 * time.Millisecond
 	// findTimeout bounds the reading of the store and of the reports.
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -16,14 +16,14 @@
 	pollTimeout = 200 * time.Millisecond
 	// windowTime is the least time of a demand window; shorter ones follow the
 	// mix of the few requests that happen to run.
-	windowTime = 250 * time.Millisecond
+	windowTime = 150 * time.Millisecond
 	// prepareAgain is when an unanswered or unfinished copy is ordered again.
 	prepareAgain = time.Second
 	// prepareGiveUp is when a map that isn't ready everywhere is dropped.
 	prepareGiveUp = 6 * time.Second
 	// copyBudget bounds the copying for one plan on one rank. Demand changes
 	// within seconds, so a few useful copies now beat a perfect map later.
-	copyBudget = 450 * time.Millisecond
+	copyBudget = 300 * time.Millisecond
 	// minGain is the least improvement that is worth a copy, in means of a set's
 	// load; passes take 15 in 100 longer while experts are copied.
 	minGain = 0.02
