One watch of the store; leave endpoints that do not begin their answer

Cause: three watches paid three times for each change and each retry; calls of the store are the largest price on the grown sites. Endpoints that hang while their health is good kept requests until the caller left.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -141,6 +141,8 @@
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	waited     time.Duration
+	// begun is set once the caller has got a part of its answer.
+	begun atomic.Bool
 	// relay is the state of the answer to the caller.
 	relay relay
 	// endpoint, load and age are the last placement and what decided it.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -125,6 +125,7 @@
 
 func (x *exchange) start(status int) {
 	x.relay.started = true
+	x.begun.Store(true)
 	x.relay.status = status
 	x.w.WriteHeader(status)
 	x.h.cfg.Stats.firstByte(x)
--- a/forward/send.go
+++ b/forward/send.go
@@ -17,6 +17,10 @@
 	// minRemaining is the least time left for which a request is still sent;
 	// no endpoint answers sooner.
 	minRemaining = 15 * time.Millisecond
+	// slowFactor times the target latency is when an endpoint that hasn't begun
+	// its answer counts as failing. By then the answer is late, and another
+	// endpoint can still give one before the caller leaves.
+	slowFactor = 2
 	// maxUnreached bounds the endpoints that are tried without reaching one.
 	maxUnreached = 3
 	// minRetryAfter and maxRetryAfter bound the pause asked of a refused caller.
@@ -145,17 +149,9 @@
 func (x *exchange) attempt(ctx context.Context, pick *fleet.Pick) verdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if x.mayMove() {
-		stop := make(chan struct{})
-		defer close(stop)
-		go func() {
-			select {
-			case <-pick.Broken:
-				cancel(errStandsStill)
-			case <-stop:
-			}
-		}()
-	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go x.watch(pick, stop, cancel)
 	resp, err := x.h.cfg.Client.Do(ctx, pick.Endpoint.Address, x.request(pick.Endpoint.ID))
 	if err != nil {
 		x.cause = err
@@ -166,7 +162,7 @@
 		case upstream.NotSent(err):
 			pick.Left()
 			return unreached
-		case context.Cause(ctx) == errStandsStill:
+		case context.Cause(ctx) == errStandsStill, context.Cause(ctx) == errSilent:
 			pick.Left()
 			return lost
 		case x.callerLeft():
@@ -201,6 +197,39 @@
 	return x.deliver(ctx, pick, resp)
 }
 
+// watch ends an attempt at an endpoint whose group stands still, or that is
+// silent for long, if another endpoint may be tried. stop ends it.
+func (x *exchange) watch(pick *fleet.Pick, stop <-chan struct{}, cancel context.CancelCauseFunc) {
+	move := x.mayMove()
+	slow := time.NewTimer(slowFactor * x.route.TargetLatency)
+	defer slow.Stop()
+	broken := pick.Broken
+	if !move {
+		broken = nil
+	}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-broken:
+			cancel(errStandsStill)
+			return
+		case <-slow.C:
+			if x.begun.Load() {
+				continue
+			}
+			pick.Suspect()
+			if move {
+				cancel(errSilent)
+				return
+			}
+		}
+	}
+}
+
+// errSilent ends an attempt at an endpoint that doesn't begin its answer.
+var errSilent = errors.New("the endpoint doesn't begin its answer; another endpoint is tried")
+
 // errStandsStill ends an attempt at an endpoint whose group stands still.
 var errStandsStill = errors.New("the endpoint's rank group stands still; another endpoint is tried")
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -55,13 +55,10 @@
 	peerAskInterval = 250 * time.Millisecond
 	// unstableWindow is how long after a failed call an entry asks others too.
 	unstableWindow = 3 * time.Second
-	// settleOperator, settleEndpoints and settleEntries are how long changes in
-	// the store may wait for others, since every call is paid for. The first two
-	// are a small part of the seconds within which configurations and leaving
-	// endpoints must be heeded, the last of those for a dead entry.
-	settleOperator  = 100 * time.Millisecond
-	settleEndpoints = 300 * time.Millisecond
-	settleEntries   = time.Second
+	// settle is how long changes in the store may wait for others, since every
+	// call is paid for. It is a small part of the two seconds within which
+	// configurations and leaving endpoints must be heeded.
+	settle = 150 * time.Millisecond
 	// directoryTTL is the usual lifetime of a directory answer in seconds: short,
 	// so that callers leave a stopped entry soon.
 	directoryTTL = 2.0
@@ -106,7 +103,7 @@
 		RepeatRatio: s.Bounds.RepeatRatio, RepeatSlack: s.Bounds.RepeatSlack,
 		RepeatWindow: time.Duration(s.Bounds.RepeatWindowS * float64(time.Second)),
 	})
-	e.op = &operator{watched: watched{e.health}, handler: e.handler, fleet: e.fleet, bounds: s.Bounds, log: log.WithName("operator")}
+	e.op = &operator{handler: e.handler, fleet: e.fleet, bounds: s.Bounds, log: log.WithName("operator")}
 	e.eps = newEndpoints(e.fleet, e.health, log.WithName("endpoints"))
 	e.peers = newEntries(e.fleet, e.health, log.WithName("entries"))
 	return e
@@ -120,9 +117,7 @@
 	if err := e.serveInternal(background); err != nil {
 		return err
 	}
-	go store.Follow(background, e.store, platform.PrefixOperator, settleOperator, e.op)
-	go store.Follow(background, e.store, platform.PrefixEndpoints, settleEndpoints, e.eps)
-	go store.Follow(background, e.store, platform.PrefixEntries, settleEntries, e.peers)
+	go store.Follow(background, e.store, "", settle, e.followers())
 	go e.askPeers(background)
 	go e.subscribeLoads(background)
 	go e.keepHouse(background)
--- a/node/follow.go
+++ b/node/follow.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,10 +27,50 @@
 // Regained implements store.Follower.
 func (w watched) Regained(time.Duration) { w.health.ok() }
 
+// followers hands the parts of the store's content to those that need them. One
+// watch of everything takes a third of the calls of three watches.
+type followers struct {
+	watched
+	parts map[string]part
+}
+
+// part is a follower of the keys below one prefix.
+type part interface {
+	Reset(entries []store.Entry, revision uint64)
+	Apply(e store.Event)
+}
+
+func (e *Entry) followers() *followers {
+	return &followers{watched: watched{e.health}, parts: map[string]part{
+		platform.PrefixOperator: e.op, platform.PrefixEndpoints: e.eps, platform.PrefixEntries: e.peers,
+	}}
+}
+
+// Reset implements store.Follower.
+func (f *followers) Reset(entries []store.Entry, revision uint64) {
+	for prefix, p := range f.parts {
+		var own []store.Entry
+		for _, e := range entries {
+			if strings.HasPrefix(e.Key, prefix) {
+				own = append(own, e)
+			}
+		}
+		p.Reset(own, revision)
+	}
+}
+
+// Apply implements store.Follower.
+func (f *followers) Apply(e store.Event) {
+	for prefix, p := range f.parts {
+		if strings.HasPrefix(e.Key, prefix) {
+			p.Apply(e)
+		}
+	}
+}
+
 // operator puts the operator's writes in force: the configuration, and the
 // availability zones that are taken out.
 type operator struct {
-	watched
 	handler *forward.Handler
 	fleet   *fleet.Fleet
 	bounds  settings.Bounds
@@ -39,7 +80,7 @@
 	state wire.OperatorState
 }
 
-// Reset implements store.Follower.
+// Reset implements part.
 func (o *operator) Reset(entries []store.Entry, revision uint64) {
 	next := wire.OperatorState{Revision: revision}
 	for _, e := range entries {
@@ -52,7 +93,7 @@
 	o.adopt(next)
 }
 
-// Apply implements store.Follower.
+// Apply implements part.
 func (o *operator) Apply(e store.Event) {
 	next := o.snapshot()
 	next.Revision = max(next.Revision, e.Revision)
@@ -122,14 +163,13 @@
 
 // endpoints keeps the fleet up to date with the endpoints' records.
 type endpoints struct {
-	watched
 	fleet  *fleet.Fleet
 	lapses *lapses
 	log    logr.Logger
 }
 
 func newEndpoints(f *fleet.Fleet, health *storeHealth, log logr.Logger) *endpoints {
-	e := &endpoints{watched: watched{health}, fleet: f, log: log}
+	e := &endpoints{fleet: f, log: log}
 	e.lapses = newLapses(health, e.remove)
 	return e
 }
@@ -140,7 +180,7 @@
 	}
 }
 
-// Reset implements store.Follower.
+// Reset implements part.
 func (e *endpoints) Reset(entries []store.Entry, revision uint64) {
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
@@ -154,7 +194,7 @@
 	}
 }
 
-// Apply implements store.Follower.
+// Apply implements part.
 func (e *endpoints) Apply(ev store.Event) {
 	if ev.Deleted {
 		e.lapses.gone(ev.Key)
@@ -182,7 +222,6 @@
 
 // entries keeps the list of live entries.
 type entries struct {
-	watched
 	fleet  *fleet.Fleet
 	lapses *lapses
 	log    logr.Logger
@@ -192,7 +231,7 @@
 }
 
 func newEntries(f *fleet.Fleet, health *storeHealth, log logr.Logger) *entries {
-	e := &entries{watched: watched{health}, fleet: f, log: log, known: make(map[string]entryRecord)}
+	e := &entries{fleet: f, log: log, known: make(map[string]entryRecord)}
 	e.lapses = newLapses(health, e.remove)
 	return e
 }
@@ -207,7 +246,7 @@
 	e.fleet.SetEntries(len(e.known))
 }
 
-// Reset implements store.Follower.
+// Reset implements part.
 func (e *entries) Reset(list []store.Entry, revision uint64) {
 	listed := make(map[string]bool, len(list))
 	for _, entry := range list {
@@ -221,7 +260,7 @@
 	}
 }
 
-// Apply implements store.Follower.
+// Apply implements part.
 func (e *entries) Apply(ev store.Event) {
 	if ev.Deleted {
 		e.lapses.gone(ev.Key)
--- a/node/register.go
+++ b/node/register.go
@@ -16,8 +16,9 @@
 	entryLease = 3 * time.Second
 	// renewInterval leaves time for two failed renewals.
 	renewInterval = 900 * time.Millisecond
-	// registerRetry is the pause after a failed call.
-	registerRetry = 250 * time.Millisecond
+	// registerRetryMax bounds the pause after failed calls, so that the record is
+	// back well within two seconds of the store's return.
+	registerRetryMax = 600 * time.Millisecond
 )
 
 // registration keeps this entry's record in the store while it is ready.
@@ -32,14 +33,16 @@
 
 // run registers until ctx ends, then gives the lease back.
 func (r *registration) run(ctx context.Context) {
+	backoff := store.Backoff{Max: registerRetryMax}
 	for ctx.Err() == nil {
 		pause := renewInterval
 		if err := r.step(ctx); err != nil {
-			pause = registerRetry
+			pause = backoff.Fail()
 			if ctx.Err() == nil && !errors.Is(err, store.ErrNoLease) {
 				r.health.fail(err)
 			}
 		} else {
+			backoff.Reset()
 			r.health.ok()
 		}
 		select {
