--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,248 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const service = "drafts"
+
+func record(id, address string, born int64) Record {
+	return Record{ID: id, Service: service, Address: address, Zone: "z1", Slots: 4, Incarnation: born}
+}
+
+func acquire(t *testing.T, f *Fleet, ask Ask) (*Pick, Full) {
+	t.Helper()
+	ask.Service = service
+	return f.Acquire(t.Context(), &ask)
+}
+
+// Guards against work for endpoints that leave, whose zone is taken out, or
+// that are gone.
+func TestLeavingEndpointsGetNoWork(t *testing.T) {
+	is := is.New(t)
+	f := New("z1", nil)
+	r := record("a", "10.0.0.1:1", 1)
+	f.Update(r)
+	p, _ := acquire(t, f, Ask{})
+	is.True(p != nil)
+	p.Done()
+	f.SetEvacuated("z1", true)
+	p, why := acquire(t, f, Ask{})
+	is.True(p == nil && why == Down)
+	f.SetEvacuated("z1", false)
+	r.Draining = true
+	f.Update(r)
+	p, why = acquire(t, f, Ask{})
+	is.True(p == nil && why == Down)
+	r.Draining = false
+	f.Update(r)
+	f.Remove("a")
+	p, why = acquire(t, f, Ask{})
+	is.True(p == nil && why == Down)
+}
+
+// Guards against requests to an endpoint of before a restart, whose record is
+// still in the store beside that of its successor at the same address.
+func TestLastStartAtAnAddressWins(t *testing.T) {
+	is := is.New(t)
+	f := New("z1", nil)
+	f.Update(record("new", "10.0.0.1:1", 2))
+	f.Update(record("old", "10.0.0.1:1", 1))
+	for range 10 {
+		p, _ := acquire(t, f, Ask{})
+		is.Equal(p.Endpoint.ID, "new")
+		p.Done()
+	}
+	f.Remove("new")
+	p, _ := acquire(t, f, Ask{})
+	is.Equal(p.Endpoint.ID, "old")
+}
+
+// Load: all entries send at once to an endpoint that turns cold unnoticed.
+// Guards against a sum over the entries above what it bears in one second.
+func TestEntriesShareTheColdLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries, burst = 17, 59.0
+		sent := 0
+		for range entries {
+			f := New("z1", nil)
+			f.SetEntries(entries)
+			f.SetLimits(service, Limits{ColdPerSecond: 36, ColdBurst: burst})
+			f.Update(record("a", "10.0.0.1:1", 1))
+			for range 100 {
+				if p, _ := acquire(t, f, Ask{}); p != nil {
+					sent++
+					p.Done()
+				}
+			}
+		}
+		if float64(sent) > burst || float64(sent) < burst/2 {
+			t.Errorf("%d requests in one second, the limit is %v", sent, burst)
+		}
+	})
+}
+
+// Load: a service fails and every request is repeated. Guards against entries
+// whose repeats together exceed the bound of the service.
+func TestEntriesShareTheRepeatBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries, each, ratio, slack = 17, 40, 0.2, 196.0
+		repeats := 0
+		for range entries {
+			b := NewBudget(ratio, slack, 10*time.Second)
+			for range each {
+				b.Request()
+				if b.Repeat(entries) {
+					repeats++
+				}
+			}
+		}
+		if limit := ratio*entries*each + slack; float64(repeats) > limit || float64(repeats) < limit/2 {
+			t.Errorf("%d repeats, the bound is %v", repeats, limit)
+		}
+	})
+}
+
+// Load: more requests than slots. Guards against waiting requests that are
+// served in the wrong order, or not at all once a slot is free.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := New("z1", nil)
+		f.Update(record("a", "10.0.0.1:1", 1))
+		var held []*Pick
+		for range 4 {
+			p, _ := acquire(t, f, Ask{})
+			held = append(held, p)
+		}
+		order := make(chan int, 3)
+		for _, priority := range []int{2, 0, 1} {
+			go func() {
+				p, _ := f.Acquire(context.Background(), &Ask{Service: service, Priority: priority, MaxWait: time.Second})
+				if p != nil {
+					order <- priority
+				}
+			}()
+			synctest.Wait()
+		}
+		is.Equal(f.Waiting(service), 3)
+		for i := range 3 {
+			held[i].Done()
+			synctest.Wait()
+			is.Equal(<-order, i)
+		}
+		_, why := acquire(t, f, Ask{MaxWait: 100 * time.Millisecond})
+		is.Equal(why, Busy)
+	})
+}
+
+// Load: reports are a quarter of a second old and 49 entries choose at once.
+// Guards against all of them choosing the endpoint that looked idle.
+func TestEntriesSpreadOverStaleReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries, endpoints, perEntry = 49, 64, 3
+		got := make(map[string]int)
+		for range entries {
+			f := New("z1", nil)
+			f.SetEntries(entries)
+			for i := range endpoints {
+				id := fmt.Sprint("e", i)
+				r := record(id, fmt.Sprintf("10.0.0.%d:1", i), 1)
+				r.Slots = 10
+				f.Update(r)
+				f.Report(id, Load{Running: 4 + i%4})
+			}
+			for range perEntry {
+				p, _ := acquire(t, f, Ask{})
+				got[p.Endpoint.ID]++
+			}
+		}
+		most := 0
+		for _, n := range got {
+			most = max(most, n)
+		}
+		if mean := float64(entries*perEntry) / (endpoints / 4); float64(most) > 2.5*mean {
+			t.Errorf("one endpoint got %d requests, those that looked idle %.1f on average", most, mean)
+		}
+	})
+}
+
+// Load: a rank group whose passes take as long as the longest pause that is on
+// time. Guards against filling it to the last slot.
+func TestSlowGroupsTakeFewer(t *testing.T) {
+	is := is.New(t)
+	f := New("z1", nil)
+	f.SetLimits(service, Limits{TargetGap: 120 * time.Millisecond})
+	r := record("a", "10.0.0.1:1", 1)
+	r.Slots = 10
+	f.Update(r)
+	f.Report("a", Load{Running: 8, Pass: 60 * time.Millisecond})
+	p, _ := acquire(t, f, Ask{})
+	is.True(p != nil)
+	p.Done()
+	f.Report("a", Load{Running: 8, Pass: 120 * time.Millisecond})
+	_, why := acquire(t, f, Ask{})
+	is.Equal(why, Busy)
+}
+
+// Guards against requests that stay with a group that stands still, and against
+// new ones for it.
+func TestStandingGroupIsLeft(t *testing.T) {
+	is := is.New(t)
+	f := New("z1", nil)
+	f.Update(record("a", "10.0.0.1:1", 1))
+	p, _ := acquire(t, f, Ask{})
+	f.Report("a", Load{Broken: true})
+	select {
+	case <-p.Broken:
+	default:
+		t.Error("the request isn't told")
+	}
+	_, why := acquire(t, f, Ask{})
+	is.Equal(why, Down)
+	f.Report("a", Load{})
+	q, _ := acquire(t, f, Ask{})
+	is.True(q != nil)
+}
+
+// Guards against an endpoint that fails much and answers fast, and so always
+// looks idle.
+func TestFailingEndpointIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New("z1", nil)
+		f.Update(record("good", "10.0.0.1:1", 1))
+		f.Update(record("grey", "10.0.0.2:1", 1))
+		grey := 0
+		for range 200 {
+			p, _ := acquire(t, f, Ask{})
+			if p.Endpoint.ID == "grey" {
+				grey++
+				p.Failed()
+			} else {
+				p.Done()
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if grey > 40 {
+			t.Errorf("%d of 200 requests went to the failing endpoint", grey)
+		}
+	})
+}
+
+func BenchmarkAcquire(b *testing.B) {
+	f := New("z1", nil)
+	for i := range 1200 {
+		f.Update(record(fmt.Sprint("e", i), fmt.Sprintf("10.0.%d.%d:1", i/256, i%256), 1))
+	}
+	for b.Loop() {
+		if p, _ := f.Acquire(context.Background(), &Ask{Service: service}); p != nil {
+			p.Done()
+		}
+	}
+}
--- a/rankgroup/plan.go
+++ b/rankgroup/plan.go
@@ -96,6 +96,10 @@
 	}
 	plan.Copies = slices.Max(copies)
 	plan.After = skew(states)
+	if plan.After >= plan.Before {
+		// The smoothed maximum fell, the real one didn't: not worth a copy.
+		return Plan{Map: current, Before: plan.Before, After: plan.Before}
+	}
 	return plan
 }
 
--- /dev/null
+++ b/rankgroup/plan_test.go
@@ -0,0 +1,178 @@
+package rankgroup
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against maps that an engine refuses or that lose an expert.
+func TestPlansAreValid(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := Dimensions{
+			Ranks: rapid.IntRange(2, 8).Draw(rt, "ranks"), Sets: rapid.IntRange(1, 4).Draw(rt, "sets"),
+			Spares: rapid.IntRange(1, 4).Draw(rt, "spares"),
+		}
+		d.Experts = d.Ranks * rapid.IntRange(1, 4).Draw(rt, "experts per rank")
+		d.Places = d.Experts/d.Ranks + rapid.IntRange(0, 3).Draw(rt, "free places")
+		cfg := PlanConfig{Dimensions: d, MaxCopies: rapid.IntRange(1, 6).Draw(rt, "copies"), MinGain: 0.01}
+		current := First(d)
+		for round := range 4 {
+			demand := rapid.SliceOfN(rapid.Float64Range(0, 1), d.Sets*d.Experts, d.Sets*d.Experts).Draw(rt, "demand")
+			plan := Improve(current, normalise(demand, d), cfg)
+			if plan.After > plan.Before {
+				rt.Fatalf("round %d: skew rose from %v to %v", round, plan.Before, plan.After)
+			}
+			check(rt, current, plan.Map, cfg)
+			current = plan.Map
+		}
+	})
+}
+
+func check(rt *rapid.T, old, next *Map, cfg PlanConfig) {
+	copies := make([]int, cfg.Ranks)
+	for s, ranks := range next.Sets {
+		held := make([]bool, cfg.Experts)
+		for r, experts := range ranks {
+			if len(experts) > cfg.Places {
+				rt.Fatalf("set %d rank %d holds %d experts", s, r, len(experts))
+			}
+			fresh := 0
+			for i, e := range experts {
+				held[e] = true
+				if slices.Contains(experts[:i], e) {
+					rt.Fatalf("set %d rank %d holds expert %d twice", s, r, e)
+				}
+				if !slices.Contains(old.Sets[s][r], e) {
+					fresh++
+				}
+			}
+			if fresh > cfg.Spares {
+				rt.Fatalf("set %d rank %d gets %d new experts", s, r, fresh)
+			}
+			copies[r] += fresh
+		}
+		if e := slices.Index(held, false); e >= 0 {
+			rt.Fatalf("set %d: no rank holds expert %d", s, e)
+		}
+	}
+	if n := slices.Max(copies); n > cfg.MaxCopies {
+		rt.Fatalf("a rank copies %d experts", n)
+	}
+}
+
+// Guards against a planner that leaves the skew of the first map: the goal is
+// at most a quarter of it within a few maps.
+func TestPlansRemoveSkew(t *testing.T) {
+	for _, d := range []Dimensions{
+		{Ranks: 8, Sets: 6, Experts: 64, Places: 11, Spares: 4, CopyTime: 150 * time.Millisecond},
+		{Ranks: 32, Sets: 12, Experts: 128, Places: 6, Spares: 2, CopyTime: 37 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%d ranks", d.Ranks), func(t *testing.T) {
+			is := is.New(t)
+			demand := zipf(d, 1.0, 1)
+			current, first := First(d), 0.0
+			var plan Plan
+			for round := range 8 {
+				plan = Improve(current, demand, PlanConfig{Dimensions: d, MaxCopies: 6, MinGain: 0.01})
+				if round == 0 {
+					first = plan.Before
+				}
+				current = plan.Map
+			}
+			t.Logf("skew %.2f, after eight maps %.2f", first, plan.After)
+			is.True(plan.After-1 <= (first-1)/4)
+		})
+	}
+}
+
+// zipf draws a demand in which few experts get most.
+func zipf(d Dimensions, exponent float64, seed uint64) []float64 {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	demand := make([]float64, 0, d.Sets*d.Experts)
+	for range d.Sets {
+		for _, rank := range rng.Perm(d.Experts) {
+			x := 1.0
+			for range rank {
+				x *= float64(rank) / float64(rank+1)
+			}
+			demand = append(demand, x/(1+exponent*float64(rank)))
+		}
+	}
+	return normalise(demand, d)
+}
+
+func BenchmarkImprove(b *testing.B) {
+	d := Dimensions{Ranks: 32, Sets: 12, Experts: 128, Places: 5, Spares: 2}
+	demand := zipf(d, 1, 1)
+	for b.Loop() {
+		Improve(First(d), demand, PlanConfig{Dimensions: d, MaxCopies: 8, MinGain: 0.02})
+	}
+}
+
+// Guards against maps that change on their way to another agent.
+func TestMapSurvivesPacking(t *testing.T) {
+	is := is.New(t)
+	m := First(Dimensions{Ranks: 32, Sets: 12, Experts: 128})
+	text, err := m.MarshalText()
+	is.NoErr(err)
+	var got Map
+	is.NoErr(got.UnmarshalText(text))
+	is.Equal(got.Sets, m.Sets)
+}
+
+func FuzzMapUnmarshal(f *testing.F) {
+	text, err := First(testDimensions).MarshalText()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Add([]byte("!"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Map
+		if m.UnmarshalText(b) != nil {
+			return
+		}
+		again, err := m.MarshalText()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var copied Map
+		if err := copied.UnmarshalText(again); err != nil || fmt.Sprint(copied.Sets) != fmt.Sprint(m.Sets) {
+			t.Fatalf("a read map can't be packed again: %v", err)
+		}
+	})
+}
+
+// Guards against counts of a rank's earlier life, or of an earlier formation,
+// taken for demand.
+func TestMeterStartsAnew(t *testing.T) {
+	is := is.New(t)
+	var m Meter
+	is.Equal(m.Window(1, Counts{Epoch: 1, Experts: []uint64{100, 200}}).Unit, 0.0)
+	w := m.Window(1, Counts{Epoch: 1, Experts: []uint64{110, 250}})
+	is.Equal(float64(w.Experts[1])*w.Unit, 50.0)
+	is.True(float64(w.Experts[0])*w.Unit > 9.7 && float64(w.Experts[0])*w.Unit < 10.3)
+	is.Equal(m.Window(2, Counts{Epoch: 1, Experts: []uint64{500, 500}}).Unit, 0.0)
+	is.Equal(m.Window(2, Counts{Epoch: 2, Experts: []uint64{600, 600}}).Unit, 0.0)
+}
+
+// Guards against an average that holds on to a demand that is gone.
+func TestDemandJumps(t *testing.T) {
+	is := is.New(t)
+	d := Dimensions{Ranks: 2, Sets: 1, Experts: 4}
+	m := NewDemand(d)
+	for range 5 {
+		m.Add(Window{Unit: 1, Experts: []byte{200, 10, 10, 10}})
+		is.True(m.Close())
+	}
+	m.Add(Window{Unit: 1, Experts: []byte{10, 10, 10, 200}})
+	is.True(m.Close())
+	is.True(m.Present()[3] > 0.8)
+	is.True(!m.Close()) // nothing new was seen
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -139,8 +139,8 @@
 	}
 }
 
-// discard closes a connection with a reset, so that a request that the other
-// side hasn't read yet is dropped with it.
+// discard closes a connection with a reset. A server that reads the request
+// late sees that nobody waits, and bytes held up on the way are dropped.
 func (c *Client) discard(addr string, conn *conn) {
 	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // without it the close is an ordinary one
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,145 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serve runs f on each connection to a listener and returns its address.
+func serve(t *testing.T, f func(c net.Conn, n int)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go f(c, n)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func read(c net.Conn) (*http.Request, error) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err == nil {
+		_, err = io.Copy(io.Discard, r.Body)
+	}
+	return r, err
+}
+
+var get = &Request{Method: http.MethodGet, Target: "/", Host: "h"}
+
+// Guards against a client that sends a request again by itself when a kept
+// connection breaks: an order would run twice.
+func TestBrokenKeptConnectionIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	addr := serve(t, func(c net.Conn, n int) {
+		defer c.Close()
+		br := bufio.NewReader(c)
+		for i := range 2 {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			requests.Add(1)
+			if i == 0 {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	})
+	c := NewClient(time.Second)
+	_, body, err := c.Call(t.Context(), addr, get, 10)
+	is.NoErr(err)
+	is.Equal(string(body), "ok")
+	_, _, err = c.Call(t.Context(), addr, get, 10)
+	is.True(err != nil && !NotSent(err)) // it may have run
+	is.Equal(requests.Load(), int32(2))
+}
+
+// Guards against a second answer on a kept connection that is taken for the
+// answer to the next request.
+func TestExtraAnswerIsNotKept(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, func(c net.Conn, n int) {
+		defer c.Close()
+		for {
+			if _, err := read(c); err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"+string(rune('0'+n)))
+			time.Sleep(20 * time.Millisecond)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX")
+		}
+	})
+	c := NewClient(time.Second)
+	for _, want := range []string{"0", "1"} {
+		_, body, err := c.Call(t.Context(), addr, get, 10)
+		is.NoErr(err)
+		is.Equal(string(body), want)
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
+// Guards against a cut answer that looks whole.
+func TestCutAnswerIsAnError(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr := serve(t, func(c net.Conn, n int) {
+				defer c.Close()
+				read(c)
+				io.WriteString(c, head)
+			})
+			_, _, err := NewClient(time.Second).Call(t.Context(), addr, get, 100)
+			is.True(err != nil)
+		})
+	}
+}
+
+// Guards against a server that wakes after the caller left and takes an orderly
+// close for a caller that still reads: it must see a reset.
+func TestCancelResetsTheConnection(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	addr := serve(t, func(c net.Conn, n int) {
+		time.Sleep(150 * time.Millisecond)
+		_, err := io.Copy(io.Discard, c)
+		ended <- err
+		c.Close()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err := NewClient(time.Second).Call(ctx, addr, get, 10)
+	is.True(err != nil)
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
+
+// Guards against callers that wait for a server that isn't there.
+func TestRefusedConnectionWasNotSent(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	ln.Close()
+	_, _, err = NewClient(time.Second).Call(t.Context(), addr, get, 10)
+	is.True(NotSent(err))
+}
