--- /dev/null
+++ b/lab/platformsim/platformsim.go
@@ -0,0 +1,301 @@
+// Package platformsim is a stand-in for the store of the users' platform: items
+// with revisions, a watch, transactions and leases over HTTP.
+package platformsim
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/lab/simhttp"
+)
+
+// pageSize is the number of items in one page; it is small so that tests page.
+const pageSize = 5
+
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Lease    uint64 `json:"lease,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// Store is the stand-in.
+type Store struct {
+	http *simhttp.Server
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]item
+	history  []item
+	oldest   uint64
+	leases   map[uint64]*lease
+	changed  chan struct{}
+	down     bool
+	calls    int
+}
+
+// Listen starts a store on addr (IP:port).
+func Listen(addr string) (*Store, error) {
+	s := &Store{revision: 10, items: make(map[string]item), leases: make(map[uint64]*lease), changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-range", s.list)
+	mux.HandleFunc("GET /kv-watch", s.watch)
+	mux.HandleFunc("POST /kv-txn", s.transact)
+	mux.HandleFunc("POST /kv-lease", s.grant)
+	mux.HandleFunc("POST /kv-keep/{id}", s.renew)
+	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
+	h, err := simhttp.Listen(addr, s.available(mux))
+	if err != nil {
+		return nil, err
+	}
+	s.http = h
+	return s, nil
+}
+
+// Addr returns the IP:port of the store.
+func (s *Store) Addr() string { return s.http.Addr() }
+
+// Close stops the store.
+func (s *Store) Close() { s.http.Close() }
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// SetDown makes the store refuse all calls, or serve again. Watches end.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.announce()
+}
+
+// Put writes an item as the operator or an endpoint does.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(item{Key: key, Value: value})
+}
+
+// Remove deletes an item.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+// Compact drops the history; watches of older revisions get 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.revision+1
+	s.revision++
+	s.announce()
+}
+
+func (s *Store) put(i item) {
+	s.revision++
+	i.Revision = s.revision
+	s.items[i.Key] = i
+	s.history = append(s.history, i)
+	s.announce()
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, item{Key: key, Revision: s.revision, Deleted: true})
+	s.announce()
+}
+
+func (s *Store) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends the leases whose time is over.
+func (s *Store) expire() {
+	for id, l := range s.leases {
+		if time.Now().After(l.ends) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id uint64) {
+	delete(s.leases, id)
+	for key, i := range s.items {
+		if i.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+func (s *Store) available(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		s.expire()
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the caller is gone if this fails
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page := struct {
+		Items    []item `json:"items"`
+		More     bool   `json:"has_more"`
+		Revision uint64 `json:"at_revision"`
+	}{Items: []item{}, More: len(keys) > pageSize, Revision: s.revision}
+	for _, key := range keys[:min(pageSize, len(keys))] {
+		page.Items = append(page.Items, s.items[key])
+	}
+	reply(w, page)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, err2 := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	if err != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	limit := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		events, revision, changed, down := s.since(prefix, after), s.revision, s.changed, s.down
+		gone := after+1 < s.oldest
+		s.mu.Unlock()
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0:
+			reply(w, map[string]any{"events": events, "at_revision": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			reply(w, map[string]any{"events": []item{}, "at_revision": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after uint64) []item {
+	var events []item
+	for _, i := range s.history {
+		if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+			events = append(events, i)
+		}
+	}
+	return events
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var txn struct {
+		Puts []item `json:"puts"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range txn.Puts {
+		if i.Lease != 0 && s.leases[i.Lease] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, i := range txn.Puts {
+		s.put(i)
+	}
+	reply(w, map[string]uint64{"revision": s.revision})
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var ask struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	ttl := time.Duration(ask.TTL) * time.Millisecond
+	s.leases[s.revision] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
+	reply(w, map[string]any{"lease": s.revision, "ttl_ms": ask.TTL})
+}
+
+func (s *Store) leaseOf(w http.ResponseWriter, r *http.Request) (uint64, *lease) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if err != nil || s.leases[id] == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return 0, nil
+	}
+	return id, s.leases[id]
+}
+
+func (s *Store) renew(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, l := s.leaseOf(w, r); l != nil {
+		l.ends = time.Now().Add(l.ttl)
+		reply(w, map[string]int64{"ttl_ms": l.ttl.Milliseconds()})
+	}
+}
+
+func (s *Store) end(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id, l := s.leaseOf(w, r); l != nil {
+		s.endLease(id)
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -50,6 +50,8 @@
 	peerRead = 4 << 20
 	// pathOperator is where entries read the operator's state from each other.
 	pathOperator = "/operator"
+	// pathMetrics is where an entry's counters and latencies are read.
+	pathMetrics = "/metrics"
 	// peerAskInterval is the interval at which an entry asks others for the
 	// operator's state while the store fails.
 	peerAskInterval = 250 * time.Millisecond
@@ -213,8 +215,7 @@
 	mux.HandleFunc("GET "+platform.PathReady, e.serveReady)
 	mux.HandleFunc("GET "+platform.PathDirectory, e.serveDirectory)
 	mux.HandleFunc("GET "+pathOperator, e.serveOperator)
-	expvar.Publish("requests", expvar.Func(func() any { return e.stats.Snapshot() }))
-	mux.Handle("GET /metrics", expvar.Handler())
+	mux.HandleFunc("GET "+pathMetrics, e.serveMetrics)
 	for _, l := range []struct{ field, addr string }{
 		{"ready_addr", e.s.ReadyAddr}, {"directory_addr", e.s.DirectoryAddr}, {"peer_port", e.peerAddr()},
 	} {
@@ -235,6 +236,16 @@
 	}
 }
 
+// serveMetrics writes this entry's variables as one JSON object.
+func (e *Entry) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	vars := new(expvar.Map).Init()
+	vars.Set("requests", expvar.Func(func() any { return e.stats.Snapshot() }))
+	vars.Set("active", expvar.Func(func() any { return e.handler.Active() }))
+	vars.Set("entries", expvar.Func(func() any { return e.fleet.Entries() }))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, vars.String()) // the reader asks again if this fails
+}
+
 func (e *Entry) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	addresses := make([]string, 0, platform.MaxAddresses)
 	self := platform.PrefixEntries + e.s.ID
