--- a/cmd/wasabinotch-node/main.go
+++ b/cmd/wasabinotch-node/main.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/wasabinotch/wasabinotch/logs"
@@ -50,8 +51,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	var err error
 	switch o.Args.Role {
 	case "entry":
@@ -72,12 +71,31 @@
 	return 0
 }
 
+// checkOnHangup reads the settings again on SIGHUP and logs what is wrong with
+// them. A process uses the settings that it started with; the platform starts it
+// again when they matter.
+func checkOnHangup(path string, fresh func() settings.Validator, log logr.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			if err := settings.LoadFile(path, fresh()); err != nil {
+				log.Error(err, "New settings are invalid.")
+				continue
+			}
+			log.Info("New settings are valid; they count from the next start.")
+		}
+	}()
+}
+
 func runEntry(ctx context.Context, o *options) error {
 	var s settings.DirectEntry
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
-	return node.NewEntry(s, logs.New(os.Stdout).WithName("entry")).Run(ctx)
+	log := logs.New(os.Stdout).WithName("entry")
+	checkOnHangup(o.Settings, func() settings.Validator { return &settings.DirectEntry{} }, log)
+	return node.NewEntry(s, log).Run(ctx)
 }
 
 func runAgent(ctx context.Context, o *options) error {
@@ -85,5 +103,7 @@
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
-	return node.NewAgent(s, logs.New(os.Stdout).WithName("agent")).Run(ctx)
+	log := logs.New(os.Stdout).WithName("agent")
+	checkOnHangup(o.Settings, func() settings.Validator { return &settings.DirectAgent{} }, log)
+	return node.NewAgent(s, log).Run(ctx)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,8 +46,10 @@
 	// PromptParts names the shared parts of the prompt.
 	PromptParts string
 	// LastEvent is the ID of the last event that the receiver has.
-	LastEvent     string
-	ExpectVersion string
+	LastEvent string
+	// Model names the model that is asked for, ExpectVersion the version of its
+	// weights that must answer.
+	Model, ExpectVersion string
 }
 
 // Config configures a Handler.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -24,7 +24,7 @@
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", Target: "Target-Instance", Organisation: "Tenant",
 	Signature: "Response-Signature", NotRun: "Not-Executed", Load: "Server-Load", FailedAt: "At-Server",
 	Priority: "Request-Priority", Usage: "Token-Usage", PromptParts: "Prompt-Prefix", LastEvent: "Last-Event-Id",
-	ExpectVersion: "Expected-Version",
+	Model: "Model", ExpectVersion: "Expected-Version",
 }
 
 // endpoint is a fake endpoint whose answers a test writes byte by byte.
@@ -375,6 +375,40 @@
 	}
 }
 
+// Load: the group of a request stands still, and the slots of the other one are
+// taken for a while. Guards against a failure where a late answer was possible.
+func TestMovedRequestWaitsForASlot(t *testing.T) {
+	is := is.New(t)
+	route := lookup
+	route.TargetLatency = 100 * time.Millisecond
+	taken := make(chan struct{})
+	s := newSystem(t, route, func(c net.Conn, r *http.Request, n int) {
+		close(taken)
+		time.Sleep(3 * time.Second)
+	})
+	go func() {
+		<-taken
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return
+		}
+		defer ln.Close()
+		s.handler.cfg.Fleet.Report("e0", fleet.Load{Broken: true})
+		time.Sleep(300 * time.Millisecond)
+		e := &endpoint{gone: make(chan struct{}, 10)}
+		go e.serve(ln, ok("late"))
+		s.handler.cfg.Fleet.Update(fleet.Record{ID: "full", Service: "s", Address: ln.Addr().String(), Zone: "z1", Slots: 4})
+		time.Sleep(3 * time.Second)
+	}()
+	full := fleet.Record{ID: "full", Service: "s", Address: "127.0.0.1:1", Zone: "z1", Slots: 4}
+	s.handler.cfg.Fleet.Update(full)
+	s.handler.cfg.Fleet.Report("full", fleet.Load{Running: 4})
+	resp, body, err := s.do(t, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, "late")
+}
+
 // Guards against a configuration that goes back, and answers before there is one.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
--- a/forward/send.go
+++ b/forward/send.go
@@ -23,6 +23,11 @@
 	slowFactor = 2
 	// maxUnreached bounds the endpoints that are tried without reaching one.
 	maxUnreached = 3
+	// maxMoveWait bounds the wait of a request that left an endpoint; callers
+	// give a stream up after two seconds of silence.
+	maxMoveWait = 800 * time.Millisecond
+	// retryAfterPerWaiting is the time in which one waiting request is served.
+	retryAfterPerWaiting = 50 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the pause asked of a refused caller.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 2500 * time.Millisecond
@@ -101,8 +106,13 @@
 }
 
 // maxWait is how long a request may wait for an endpoint: while its answer can
-// still be on time, but no longer than it is worth to the caller.
+// still be on time, but no longer than it is worth to the caller. One that may
+// have run already, on a group that stood still, can't be refused as not run;
+// for it a late answer is better than none.
 func (x *exchange) maxWait() time.Duration {
+	if x.mayHaveRun {
+		return min(maxMoveWait, x.remaining()/4)
+	}
 	return min(x.route.TargetLatency-time.Since(x.arrived), x.remaining()/4)
 }
 
@@ -125,7 +135,7 @@
 // pause is when a refused caller should come back: later the more requests wait.
 func (x *exchange) pause() time.Duration {
 	waiting := x.h.cfg.Fleet.Waiting(x.service)
-	d := minRetryAfter + time.Duration(waiting)*50*time.Millisecond
+	d := minRetryAfter + time.Duration(waiting)*retryAfterPerWaiting
 	return min(d, maxRetryAfter, x.remaining()/4)
 }
 
@@ -302,7 +312,7 @@
 func (x *exchange) ownHeader(name string) bool {
 	names := &x.h.cfg.Headers
 	switch name {
-	case names.RequestID, names.Usage, names.PromptParts, names.LastEvent, names.ExpectVersion, "Model":
+	case names.RequestID, names.Usage, names.PromptParts, names.LastEvent, names.ExpectVersion, names.Model:
 		return true
 	}
 	return false
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -33,8 +33,6 @@
 	Running int           `json:"running"`
 	Waiting int           `json:"waiting"`
 	Cold    time.Duration `json:"cold"`
-	// Pace is over 1 if the rank is slow.
-	Pace float64 `json:"pace"`
 	// Step is the last pass that began.
 	Step uint64 `json:"step"`
 	// Map is the version of the map in force.
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -21,8 +21,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// FreshConn asks for a new connection.
-	FreshConn bool
 }
 
 // Error is a call without a usable answer.
@@ -76,9 +74,6 @@
 // Do sends a request and reads the headers of its answer. The end of ctx breaks
 // the connection, also while the body is read.
 func (c *Client) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	if req.FreshConn {
-		c.Forget(addr)
-	}
 	conn, err := c.take(ctx, addr)
 	if err != nil {
 		return nil, &Error{Addr: addr, Err: err}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -55,16 +55,6 @@
 	return &Client{dialTimeout: dialTimeout, pools: make(map[string]*pool)}
 }
 
-// Open returns the number of connections to an address, busy ones included.
-func (c *Client) Open(addr string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if p := c.pools[addr]; p != nil {
-		return p.open
-	}
-	return 0
-}
-
 // Forget closes the idle connections of an address.
 func (c *Client) Forget(addr string) {
 	c.mu.Lock()
