--- a/forward/filters.go
+++ b/forward/filters.go
@@ -13,6 +13,11 @@
 
 // identify finds the request's route, service and deadline.
 func (x *exchange) identify() *api.Refusal {
+	names := &x.h.cfg.Headers
+	ids := x.r.Header.Values(names.RequestID)
+	if len(ids) == 1 {
+		x.id = ids[0] // refusals bear it too
+	}
 	if x.cfg == nil {
 		x.retryAfter(noConfigPause)
 		return api.NotRun(api.KindNoBundle, "this entry has no configuration yet", "try another entry")
@@ -21,12 +26,9 @@
 		x.retryAfter(0)
 		return api.NotRun(api.KindOverloaded, "this entry is shutting down", "try another entry")
 	}
-	names := &x.h.cfg.Headers
-	ids := x.r.Header.Values(names.RequestID)
 	if len(ids) != 1 || ids[0] == "" {
 		return api.NotRun(api.KindBadRequest, "the request has no single "+names.RequestID, "send one "+names.RequestID+" header")
 	}
-	x.id = ids[0]
 	target := x.r.URL.RequestURI()
 	if strings.HasPrefix(x.r.RequestURI, "/") {
 		target = x.r.RequestURI
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -409,6 +409,25 @@
 	is.Equal(body, "late")
 }
 
+// Guards against refusals of a stopping entry that can't be found by the
+// request's ID, or that give no time to come back.
+func TestStoppingEntryRefuses(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, lookup, ok(""))
+	s.handler.Leave()
+	resp, _, err := s.do(t, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(resp.Close)
+	s.handler.Refuse()
+	resp, _, err = s.do(t, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get("Request-Id"), "id-1")
+	is.Equal(resp.Header.Get("Retry-After"), "0")
+	is.Equal(s.runs(), 1)
+}
+
 // Guards against a configuration that goes back, and answers before there is one.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
