Keep the cold limit with more entries than it has requests

With a part below one a second, an entry now sends one in a longer, random time. Agents log the loss and return of their engine.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,7 +80,10 @@
 	avoidUntil   time.Time
 	failureRate  float64
 	failureAt    time.Time
-	sent         []time.Time
+	// sent are the requests of the last second, nextAt is when the next may go
+	// if this entry's part of the limit is below one a second.
+	sent   []time.Time
+	nextAt time.Time
 	// broken is closed and replaced when the endpoint's group stands still.
 	broken chan struct{}
 }
@@ -325,8 +328,7 @@
 		return nil, why
 	}
 	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), Age: now.Sub(best.reportAt), Broken: best.broken}
-	best.inFlight++
-	best.sent = append(best.sent, now)
+	f.place(best, limits, now)
 	return p, Free
 }
 
@@ -351,13 +353,48 @@
 // mayWarm keeps this entry's part of the rate that a cold endpoint bears. The
 // burst limit holds for warm endpoints too, since any may turn cold unnoticed.
 func (f *Fleet) mayWarm(ep *Endpoint, l Limits, now time.Time) bool {
-	ep.sent = slices.DeleteFunc(ep.sent, func(t time.Time) bool { return now.Sub(t) > time.Second })
 	if l.ColdPerSecond <= 0 {
+		ep.sent = ep.sent[:0]
 		return true
 	}
+	share := f.share(ep, l, now)
+	if share < 1 {
+		// More entries than requests a second: each sends one in a longer time,
+		// the first one at a random moment of it.
+		if ep.nextAt.IsZero() {
+			ep.nextAt = now.Add(rand.N(2 * spacing(share)))
+		}
+		return !now.Before(ep.nextAt)
+	}
+	ep.sent = slices.DeleteFunc(ep.sent, func(t time.Time) bool { return now.Sub(t) > time.Second })
+	return len(ep.sent) < int(share)
+}
+
+// share returns the requests a second that this entry may send to an endpoint.
+func (f *Fleet) share(ep *Endpoint, l Limits, now time.Time) float64 {
 	allowed := l.ColdBurst
 	if now.Before(ep.coldUntil) {
 		allowed = min(allowed, l.ColdPerSecond)
 	}
-	return len(ep.sent) < max(1, int(allowed/float64(f.entries)))
+	return max(allowed/float64(f.entries), minShare)
 }
+
+// spacing returns the time between two requests at a share below one a second.
+func spacing(share float64) time.Duration { return time.Duration(float64(time.Second) / share) }
+
+// place counts a request that is sent to an endpoint.
+func (f *Fleet) place(ep *Endpoint, l Limits, now time.Time) {
+	ep.inFlight++
+	if l.ColdPerSecond <= 0 {
+		return
+	}
+	ep.sent = append(ep.sent, now)
+	if share := f.share(ep, l, now); share < 1 {
+		// The random part keeps the entries from sending in step. At half of the
+		// limit on average, chance doesn't lift one second above it.
+		ep.nextAt = now.Add(spacing(share) + rand.N(2*spacing(share)))
+	}
+}
+
+// minShare bounds the longest spacing, in requests a second.
+const minShare = 0.01
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -64,28 +64,42 @@
 	is.Equal(p.Endpoint.ID, "old")
 }
 
-// Load: all entries send at once to an endpoint that turns cold unnoticed.
+// Load: all entries send at once, for seconds, to an endpoint that turns cold
+// unnoticed; with few entries, and with more than the endpoint bears requests.
 // Guards against a sum over the entries above what it bears in one second.
 func TestEntriesShareTheColdLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const entries, burst = 17, 59.0
-		sent := 0
-		for range entries {
-			f := New("z1", nil)
-			f.SetEntries(entries)
-			f.SetLimits(service, Limits{ColdPerSecond: 36, ColdBurst: burst})
-			f.Update(record("a", "10.0.0.1:1", 1))
-			for range 100 {
-				if p, _ := acquire(t, f, Ask{}); p != nil {
-					sent++
-					p.Done()
+	for _, entries := range []int{1, 17, 44, 80, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			const burst, seconds = 44.0, 30
+			fleets := make([]*Fleet, entries)
+			for i := range fleets {
+				fleets[i] = New("z1", nil)
+				fleets[i].SetEntries(entries)
+				fleets[i].SetLimits(service, Limits{ColdPerSecond: 26, ColdBurst: burst})
+				fleets[i].Update(record("a", "10.0.0.1:1", 1))
+			}
+			total := 0
+			for second := range seconds { // all entries in step
+				sent := 0
+				for _, f := range fleets {
+					for range 100 {
+						if p, _ := acquire(t, f, Ask{}); p != nil {
+							sent++
+							p.Done()
+						}
+					}
+				}
+				if float64(sent) > burst {
+					t.Errorf("%d entries: %d requests in second %d, the limit is %v", entries, sent, second, burst)
 				}
+				total += sent
+				time.Sleep(time.Second + time.Millisecond)
 			}
-		}
-		if float64(sent) > burst || float64(sent) < burst/2 {
-			t.Errorf("%d requests in one second, the limit is %v", sent, burst)
-		}
-	})
+			if float64(total)/seconds > burst || float64(total)/seconds < burst/4 {
+				t.Errorf("%d entries: %d requests in %d s, the limit is %v a second", entries, total, seconds, burst)
+			}
+		})
+	}
 }
 
 // Load: a service fails and every request is repeated. Guards against entries
--- a/node/agent.go
+++ b/node/agent.go
@@ -123,6 +123,7 @@
 	var last wire.LoadReport
 	var progress progress
 	var published time.Time
+	lost := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -130,8 +131,12 @@
 		case <-ticker.C:
 		}
 		report, err := a.engine.Report(ctx)
-		if err != nil {
-			a.log.V(1).Info("Engine gave no report.", "cause", err.Error())
+		if err != nil && !lost && ctx.Err() == nil {
+			a.log.Info("Engine lost.", "endpoint", a.s.EndpointAddr, "cause", err.Error())
+		} else if err == nil && lost {
+			a.log.Info("Engine regained.", "endpoint", a.s.EndpointAddr, "born", report.Born)
+		}
+		if lost = err != nil; lost {
 			continue
 		}
 		a.mu.Lock()
