--- a/forward/filters.go
+++ b/forward/filters.go
@@ -29,11 +29,11 @@
 	if len(ids) != 1 || ids[0] == "" {
 		return api.NotRun(api.KindBadRequest, "the request has no single "+names.RequestID, "send one "+names.RequestID+" header")
 	}
-	target := x.r.URL.RequestURI()
+	x.target = x.r.URL.RequestURI()
 	if strings.HasPrefix(x.r.RequestURI, "/") {
-		target = x.r.RequestURI
+		x.target = x.r.RequestURI
 	}
-	x.path, _, _ = strings.Cut(target, "?")
+	x.path, _, _ = strings.Cut(x.target, "?")
 	x.route = x.cfg.Match(x.r.Host, x.path)
 	if x.route == nil {
 		return api.NotRun(api.KindUnknownService, "no route matches host and path", "check the host and the path")
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -128,8 +128,9 @@
 	cfg     *routing.Config
 	arrived time.Time
 
-	id           string
-	path         string
+	id string
+	// target is the request target as the caller sent it, path its part before the query.
+	target, path string
 	route        *routing.Route
 	service      string
 	organisation *routing.Organisation
--- a/forward/send.go
+++ b/forward/send.go
@@ -300,11 +300,7 @@
 	if x.relay.lastEvent != "" {
 		header.Set(names.LastEvent, x.relay.lastEvent)
 	}
-	target := x.r.URL.RequestURI()
-	if strings.HasPrefix(x.r.RequestURI, "/") {
-		target = x.r.RequestURI
-	}
-	return &upstream.Request{Method: x.r.Method, Target: target, Host: x.r.Host, Header: header, Body: x.body}
+	return &upstream.Request{Method: x.r.Method, Target: x.target, Host: x.r.Host, Header: header, Body: x.body}
 }
 
 // ownHeader reports whether a header of the request must reach the endpoint
