Serve metrics as text, write log lines aside

Entries served one JSON object on an internal port, agents nothing, and a stuck reader of standard output held up every request. Lines at debug level were never printed, so lost datagrams and ranks that can't be polled left no trace.

Ruled out: a failing metrics listener ends nothing, it is logged.

--- a/cmd/wasabinotch-node/main.go
+++ b/cmd/wasabinotch-node/main.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
 
@@ -88,14 +89,23 @@
 	}()
 }
 
+// showLostLines counts the log lines for which the reader of the log was too slow.
+func showLostLines(set *metrics.Set, out *logs.Output) {
+	set.NewGauge("wasabinotch_log_lines_lost", func() float64 { return float64(out.Lost()) })
+}
+
 func runEntry(ctx context.Context, o *options) error {
 	var s settings.DirectEntry
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
-	log := logs.New(os.Stdout).WithName("entry")
+	out := logs.NewOutput(os.Stdout)
+	defer out.Close()
+	log := out.Logger().WithName("entry")
 	checkOnHangup(o.Settings, func() settings.Validator { return &settings.DirectEntry{} }, log)
-	return node.NewEntry(s, log).Run(ctx)
+	e := node.NewEntry(s, log)
+	showLostLines(e.Metrics(), out)
+	return e.Run(ctx)
 }
 
 func runAgent(ctx context.Context, o *options) error {
@@ -103,7 +113,11 @@
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
-	log := logs.New(os.Stdout).WithName("agent")
+	out := logs.NewOutput(os.Stdout)
+	defer out.Close()
+	log := out.Logger().WithName("agent")
 	checkOnHangup(o.Settings, func() settings.Validator { return &settings.DirectAgent{} }, log)
-	return node.NewAgent(s, log).Run(ctx)
+	a := node.NewAgent(s, log)
+	showLostLines(a.Metrics(), out)
+	return a.Run(ctx)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -59,8 +59,9 @@
 	ParseLoad func(string) (fleet.Load, bool)
 	Fleet     *fleet.Fleet
 	Client    *upstream.Client
-	Log       logr.Logger
-	Stats     *Stats
+	// Log gets one line for each request; its volume is the caller's to bound.
+	Log   logr.Logger
+	Stats *Stats
 	// RepeatRatio, RepeatSlack and RepeatWindow bound the repeats to one
 	// service over all entries.
 	RepeatRatio, RepeatSlack float64
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
@@ -55,7 +56,7 @@
 	f.SetEntries(1)
 	s := &system{handler: New(Config{
 		Headers: testHeaders, ParseLoad: func(string) (fleet.Load, bool) { return fleet.Load{}, false },
-		Fleet: f, Client: upstream.NewClient(time.Second), Log: logr.Discard(), Stats: NewStats(),
+		Fleet: f, Client: upstream.NewClient(time.Second), Log: logr.Discard(), Stats: NewStats(metrics.NewSet()),
 		RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second,
 	})}
 	for i, a := range answers {
@@ -431,7 +432,7 @@
 // Guards against a configuration that goes back, and answers before there is one.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
-	h := New(Config{Headers: testHeaders, Fleet: fleet.New("z", nil), Log: logr.Discard(), Stats: NewStats()})
+	h := New(Config{Headers: testHeaders, Fleet: fleet.New("z", nil), Log: logr.Discard(), Stats: NewStats(metrics.NewSet())})
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
 	is.Equal(w.Code, http.StatusServiceUnavailable)
--- a/forward/send.go
+++ b/forward/send.go
@@ -49,6 +49,11 @@
 	failed
 )
 
+// String implements fmt.Stringer.
+func (v verdict) String() string {
+	return [...]string{"delivered", "unreached", "rejected", "lost", "failed"}[v]
+}
+
 // serve sends the request to endpoints until one answers or no other may be tried.
 func (x *exchange) serve() *api.Refusal {
 	ctx, cancel := x.context()
@@ -70,6 +75,7 @@
 			return x.giveUp(last)
 		}
 		last = x.attempt(ctx, pick)
+		x.h.cfg.Stats.attempt(last)
 		switch last {
 		case delivered:
 			return nil
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -1,77 +1,43 @@
 package forward
 
 import (
-	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-	"golang.org/x/time/rate"
+	"github.com/VictoriaMetrics/metrics"
 )
 
-const (
-	// linesPerSecond and lineBurst bound the log lines about requests; more
-	// would take a noticeable part of a small VM's processor.
-	linesPerSecond = 100
-	lineBurst      = 200
-	// histogramMax is the longest time that is told apart, in milliseconds.
-	histogramMax = 60_000
-)
+// secondsBuckets are the upper bounds of the latency histograms in seconds:
+// finer around the target latencies of 0.1 to 1 s, and up to the longest
+// timeouts.
+var secondsBuckets = []float64{.005, .01, .025, .05, .1, .15, .2, .3, .4, .6, .8, 1.2, 2, 4, 8, 16, 60}
 
 // Stats counts what callers got. It is safe for concurrent use.
 type Stats struct {
-	lines *rate.Limiter
-
-	mu       sync.Mutex
-	outcomes map[string]int64
-	dropped  int64
-	first    *hdrhistogram.Histogram
-	total    *hdrhistogram.Histogram
+	set    *metrics.Set
+	first  *metrics.PrometheusHistogram
+	total  *metrics.PrometheusHistogram
+	queued *metrics.PrometheusHistogram
 }
 
-// NewStats returns empty statistics.
-func NewStats() *Stats {
+// NewStats returns empty statistics, which set shows.
+func NewStats(set *metrics.Set) *Stats {
 	return &Stats{
-		lines:    rate.NewLimiter(linesPerSecond, lineBurst),
-		outcomes: make(map[string]int64),
-		first:    hdrhistogram.New(1, histogramMax, 1),
-		total:    hdrhistogram.New(1, histogramMax, 1),
+		set:    set,
+		first:  set.NewPrometheusHistogramExt("wasabinotch_first_byte_seconds", secondsBuckets),
+		total:  set.NewPrometheusHistogramExt("wasabinotch_request_seconds", secondsBuckets),
+		queued: set.NewPrometheusHistogramExt("wasabinotch_queued_seconds", secondsBuckets),
 	}
 }
 
-func (s *Stats) firstByte(x *exchange) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	observe(s.first, time.Since(x.arrived))
-}
-
-func observe(h *hdrhistogram.Histogram, d time.Duration) {
-	_ = h.RecordValue(min(d.Milliseconds(), histogramMax)) // in range by the line above
-}
-
-// Snapshot returns counters and latency quantiles for the metrics page.
-func (s *Stats) Snapshot() map[string]any {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	outcomes := make(map[string]int64, len(s.outcomes))
-	for k, v := range s.outcomes {
-		outcomes[k] = v
-	}
-	return map[string]any{
-		"outcomes": outcomes, "log_lines_dropped": s.dropped,
-		"first_byte_ms": quantiles(s.first), "total_ms": quantiles(s.total),
-	}
-}
+func (s *Stats) firstByte(x *exchange) { s.first.Update(time.Since(x.arrived).Seconds()) }
 
-func quantiles(h *hdrhistogram.Histogram) map[string]int64 {
-	return map[string]int64{
-		"count": h.TotalCount(), "p50": h.ValueAtQuantile(50), "p90": h.ValueAtQuantile(90),
-		"p99": h.ValueAtQuantile(99), "max": h.Max(),
-	}
+// attempt counts an attempt at an endpoint by what it meant for the request.
+func (s *Stats) attempt(v verdict) {
+	s.set.GetOrCreateCounter(`wasabinotch_attempts_total{verdict="` + v.String() + `"}`).Inc()
 }
 
-// finish counts a request and logs its decisions, unless lines come too fast.
+// finish counts a request and logs its decisions.
 func (x *exchange) finish() {
-	s := x.h.cfg.Stats
 	outcome := x.relay.outcome
 	if outcome == "" {
 		outcome = "broken"
@@ -79,18 +45,11 @@
 			outcome = "cancelled"
 		}
 	}
-	s.mu.Lock()
-	s.outcomes[outcome]++
-	observe(s.total, time.Since(x.arrived))
-	log := s.lines.Allow()
-	if !log {
-		s.dropped++
-	}
-	s.mu.Unlock()
-	if !log {
-		return
-	}
-	args := []any{"request", x.id, "outcome", outcome, "status", x.relay.status, "ms", time.Since(x.arrived).Milliseconds(),
+	s, took := x.h.cfg.Stats, time.Since(x.arrived)
+	s.set.GetOrCreateCounter(`wasabinotch_requests_total{outcome="` + outcome + `"}`).Inc()
+	s.total.Update(took.Seconds())
+	s.queued.Update(x.waited.Seconds())
+	args := []any{"request", x.id, "outcome", outcome, "status", x.relay.status, "ms", took.Milliseconds(),
 		"endpoint", x.endpoint, "load", x.load, "load_age_ms", x.age.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
 		"attempts", x.attempts, "events", x.relay.events, "may_have_run", x.mayHaveRun}
 	if x.route != nil {
--- a/node/agent.go
+++ b/node/agent.go
@@ -12,8 +12,10 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/rankgroup"
 	"github.com/wasabinotch/wasabinotch/settings"
@@ -37,12 +39,14 @@
 // the entries, serves coordinators, and coordinates its rank group if no other
 // agent does.
 type Agent struct {
-	s      settings.DirectAgent
-	log    logr.Logger
-	client *upstream.Client
-	store  *platform.Store
-	engine *localRank
-	lead   leadership
+	s       settings.DirectAgent
+	log     logr.Logger
+	client  *upstream.Client
+	store   *platform.Store
+	engine  *localRank
+	lead    leadership
+	metrics *metrics.Set
+	rare    logr.Logger
 
 	mu          sync.Mutex
 	subscribers map[string]subscriber
@@ -58,7 +62,8 @@
 
 // NewAgent assembles an agent.
 func NewAgent(s settings.DirectAgent, log logr.Logger) *Agent {
-	a := &Agent{s: s, log: log, client: upstream.NewClient(dialTimeout), subscribers: make(map[string]subscriber)}
+	a := &Agent{s: s, log: log, client: upstream.NewClient(dialTimeout), subscribers: make(map[string]subscriber),
+		metrics: metrics.NewSet(), rare: logs.Limit(log, rareLines, rareBurst)}
 	a.store = platform.NewStore(s.StoreAddr, a.client)
 	a.engine = &localRank{Engine: platform.NewEngine(s.EndpointAddr, a.client)}
 	return a
@@ -68,11 +73,16 @@
 	return net.JoinHostPort(a.s.IP, strconv.Itoa(a.s.PeerPort+agentPortOffset))
 }
 
+// Metrics returns the agent's metrics.
+func (a *Agent) Metrics() *metrics.Set { return a.metrics }
+
 // Run works until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	a.log.Info("Agent starts.", "id", a.s.ID, "endpoint", a.s.EndpointAddr)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathRank, a.serveRank)
+	mux.HandleFunc("GET "+pathMetrics, metricsPage(a.metrics))
+	defer serveMetrics(a.s.MetricsAddr, a.metrics, a.log).Close()
 	ln, err := settings.Listen("peer_port", a.peerAddr())
 	if err != nil {
 		return err
@@ -105,7 +115,7 @@
 		}
 		var s wire.LoadSubscription
 		if err := json.Unmarshal(buf[:n], &s); err != nil || s.Endpoint == "" {
-			a.log.V(1).Info("Datagram ignored.", "from", from.String())
+			a.rare.Info("Datagram ignored.", "from", from.String())
 			continue
 		}
 		a.mu.Lock()
@@ -131,6 +141,9 @@
 		case <-ticker.C:
 		}
 		report, err := a.engine.Report(ctx)
+		if err != nil {
+			a.metrics.GetOrCreateCounter("wasabinotch_reports_failed_total").Inc()
+		}
 		if err != nil && !lost && ctx.Err() == nil {
 			a.log.Info("Engine lost.", "endpoint", a.s.EndpointAddr, "cause", err.Error())
 		} else if err == nil && lost {
@@ -216,7 +229,8 @@
 			continue
 		}
 		if _, err := conn.WriteTo(b, s.addr); err != nil {
-			a.log.V(1).Info("Datagram not sent.", "to", key, "cause", err.Error())
+			a.metrics.GetOrCreateCounter("wasabinotch_datagrams_lost_total").Inc()
+			a.rare.Info("Datagram not sent.", "to", key, "cause", err.Error())
 		}
 	}
 }
@@ -237,7 +251,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(&reply); err != nil {
-		a.log.V(1).Info("Answer not sent.", "cause", err.Error())
+		a.rare.Info("Answer not sent.", "cause", err.Error())
 	}
 }
 
@@ -259,8 +273,9 @@
 			return errors.New("the call has no order; send one")
 		}
 		reply.Result, err = a.engine.Order(ctx, *args.Order)
+		a.metrics.GetOrCreateCounter(`wasabinotch_orders_total{operation="` + string(args.Order.Operation) + `",result="` + reply.Result.String() + `"}`).Inc()
 		a.log.Info("Order given.", "operation", string(args.Order.Operation), "version", args.Order.Version, "step", args.Order.Step,
-			"result", int(reply.Result), "term", args.Term, "coordinator", args.Rank)
+			"result", reply.Result.String(), "term", args.Term, "coordinator", args.Rank)
 	default:
 		err = errors.New("unknown question; the coordinator may run another version")
 	}
--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -107,7 +107,7 @@
 			Ranks: own.Size, Sets: e.ExpertSets, Experts: e.Experts, Places: e.Places, Spares: e.Spares,
 			CopyTime: time.Duration(e.ExpertBytes / e.LinkBytesPerSecond * float64(time.Second)),
 		},
-		Engines: engines, Home: own.Rank, Log: a.log.WithName("coordinator"),
+		Engines: engines, Home: own.Rank, Log: a.log.WithName("coordinator"), Metrics: a.metrics,
 	}), nil
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"expvar"
 	"fmt"
 	"io"
 	"log"
@@ -18,10 +17,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/forward"
+	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/settings"
 	"github.com/wasabinotch/wasabinotch/store"
@@ -50,8 +51,6 @@
 	peerRead = 4 << 20
 	// pathOperator is where entries read the operator's state from each other.
 	pathOperator = "/operator"
-	// pathMetrics is where an entry's counters and latencies are read.
-	pathMetrics = "/metrics"
 	// peerAskInterval is the interval at which an entry asks others for the
 	// operator's state while the store fails.
 	peerAskInterval = 250 * time.Millisecond
@@ -84,7 +83,8 @@
 	store   *platform.Store
 	fleet   *fleet.Fleet
 	handler *forward.Handler
-	stats   *forward.Stats
+	metrics *metrics.Set
+	rare    logr.Logger
 	health  *storeHealth
 	op      *operator
 	eps     *endpoints
@@ -95,22 +95,34 @@
 
 // NewEntry assembles an entry.
 func NewEntry(s settings.DirectEntry, log logr.Logger) *Entry {
-	e := &Entry{s: s, log: log, client: upstream.NewClient(dialTimeout), stats: forward.NewStats()}
-	e.health = &storeHealth{log: log.WithName("store")}
+	e := &Entry{s: s, log: log, client: upstream.NewClient(dialTimeout), metrics: metrics.NewSet(), rare: logs.Limit(log, rareLines, rareBurst)}
+	e.health = &storeHealth{log: log.WithName("store"), lost: e.metrics.NewCounter("wasabinotch_store_lost_total")}
 	e.store = platform.NewStore(s.StoreAddr, e.client)
 	e.fleet = fleet.New(s.Zone, e.client.Forget)
 	e.handler = forward.New(forward.Config{
 		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, Fleet: e.fleet, Client: e.client,
-		Log: log.WithName("forward"), Stats: e.stats,
+		Log: logs.Limit(log.WithName("forward"), requestLines, requestBurst), Stats: forward.NewStats(e.metrics),
 		RepeatRatio: s.Bounds.RepeatRatio, RepeatSlack: s.Bounds.RepeatSlack,
 		RepeatWindow: time.Duration(s.Bounds.RepeatWindowS * float64(time.Second)),
 	})
 	e.op = &operator{handler: e.handler, fleet: e.fleet, bounds: s.Bounds, log: log.WithName("operator")}
 	e.eps = newEndpoints(e.fleet, e.health, log.WithName("endpoints"))
 	e.peers = newEntries(e.fleet, e.health, log.WithName("entries"))
+	e.metrics.NewGauge("wasabinotch_requests_active", func() float64 { return float64(e.handler.Active()) })
+	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.fleet.Entries()) })
+	e.metrics.NewGauge("wasabinotch_endpoints", func() float64 { return float64(len(e.fleet.Known())) })
+	e.metrics.NewGauge("wasabinotch_config_version", func() float64 {
+		if c := e.handler.Config(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
 	return e
 }
 
+// Metrics returns the entry's metrics.
+func (e *Entry) Metrics() *metrics.Set { return e.metrics }
+
 // Run serves until ctx ends, then drains within the grace period.
 func (e *Entry) Run(ctx context.Context) error {
 	e.log.Info("Entry starts.", "id", e.s.ID, "zone", e.s.Zone, "callers", e.s.CallersAddr)
@@ -215,7 +227,8 @@
 	mux.HandleFunc("GET "+platform.PathReady, e.serveReady)
 	mux.HandleFunc("GET "+platform.PathDirectory, e.serveDirectory)
 	mux.HandleFunc("GET "+pathOperator, e.serveOperator)
-	mux.HandleFunc("GET "+pathMetrics, e.serveMetrics)
+	mux.HandleFunc("GET "+pathMetrics, metricsPage(e.metrics))
+	e.servers = append(e.servers, serveMetrics(e.s.MetricsAddr, e.metrics, e.log))
 	for _, l := range []struct{ field, addr string }{
 		{"ready_addr", e.s.ReadyAddr}, {"directory_addr", e.s.DirectoryAddr}, {"peer_port", e.peerAddr()},
 	} {
@@ -236,16 +249,6 @@
 	}
 }
 
-// serveMetrics writes this entry's variables as one JSON object.
-func (e *Entry) serveMetrics(w http.ResponseWriter, r *http.Request) {
-	vars := new(expvar.Map).Init()
-	vars.Set("requests", expvar.Func(func() any { return e.stats.Snapshot() }))
-	vars.Set("active", expvar.Func(func() any { return e.handler.Active() }))
-	vars.Set("entries", expvar.Func(func() any { return e.fleet.Entries() }))
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = io.WriteString(w, vars.String()) // the reader asks again if this fails
-}
-
 func (e *Entry) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	addresses := make([]string, 0, platform.MaxAddresses)
 	self := platform.PrefixEntries + e.s.ID
@@ -298,7 +301,7 @@
 		delete(all, platform.PrefixEntries+e.s.ID)
 		for _, record := range all { // in random order
 			if err := e.askPeer(ctx, record.Peer); err != nil {
-				e.log.V(1).Info("Peer gave no operator state.", "peer", record.Peer, "cause", err.Error())
+				e.rare.Info("Peer gave no operator state.", "peer", record.Peer, "cause", err.Error())
 				continue
 			}
 			break
--- a/node/health.go
+++ b/node/health.go
@@ -4,12 +4,15 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 )
 
 // storeHealth remembers when the store last failed a call.
 type storeHealth struct {
 	log logr.Logger
+	// lost counts outages.
+	lost *metrics.Counter
 
 	mu      sync.Mutex
 	failed  time.Time
@@ -23,6 +26,7 @@
 	h.failed = time.Now()
 	if !h.failing {
 		h.failing = true
+		h.lost.Inc()
 		h.log.Info("Store lost.", "cause", err.Error())
 	}
 }
--- a/node/loads.go
+++ b/node/loads.go
@@ -75,7 +75,8 @@
 
 func (e *Entry) send(conn net.PacketConn, b []byte, to netip.AddrPort) {
 	if _, err := conn.WriteTo(b, net.UDPAddrFromAddrPort(to)); err != nil {
-		e.log.V(1).Info("Datagram not sent.", "to", to.String(), "cause", err.Error())
+		e.metrics.GetOrCreateCounter("wasabinotch_datagrams_lost_total").Inc()
+		e.rare.Info("Datagram not sent.", "to", to.String(), "cause", err.Error())
 	}
 }
 
@@ -89,7 +90,7 @@
 		}
 		var r wire.LoadReport
 		if err := json.Unmarshal(buf[:n], &r); err != nil {
-			e.log.V(1).Info("Datagram ignored.", "cause", err.Error())
+			e.rare.Info("Datagram ignored.", "cause", err.Error())
 			continue
 		}
 		e.fleet.Report(r.Endpoint, fleet.Load{
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"log"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/settings"
+)
+
+// pathMetrics is where a process's counters and latency histograms are read.
+const pathMetrics = "/metrics"
+
+const (
+	// requestLines and requestBurst bound the log lines about requests; more
+	// would take a noticeable part of a small VM's processor.
+	requestLines = 100
+	requestBurst = 200
+	// rareLines and rareBurst bound the lines about events that may come in
+	// great numbers while something is away, such as lost datagrams.
+	rareLines = 1
+	rareBurst = 5
+)
+
+// metricsPage serves a set in the text format of Prometheus.
+func metricsPage(set *metrics.Set) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		set.WritePrometheus(w)
+	}
+}
+
+// serveMetrics serves a set at addr, unless that is empty. A process whose
+// metrics can't be read still does its work.
+func serveMetrics(addr string, set *metrics.Set, l logr.Logger) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathMetrics, metricsPage(set))
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: log.New(io.Discard, "", 0)}
+	if addr == "" {
+		return s
+	}
+	ln, err := settings.Listen("metrics_addr", addr)
+	if err != nil {
+		l.Error(err, "No metrics.", "address", addr)
+		return s
+	}
+	go func() {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			l.Error(err, "Listener ended.", "address", addr)
+		}
+	}()
+	return s
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
@@ -58,7 +59,7 @@
 func TestLapsedEntriesGetTimeToReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		health := &storeHealth{log: logr.Discard()}
+		health := &storeHealth{log: logr.Discard(), lost: new(metrics.Counter)}
 		removed := make(map[string]bool)
 		l := newLapses(health, func(key string) { removed[key] = true })
 		time.Sleep(time.Minute)
@@ -138,7 +139,7 @@
 	port := freePorts(t, 8)
 	addr := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", port+i) }
 	e := &testEntry{done: make(chan error, 1), settings: settings.DirectEntry{Direct: settings.Direct{
-		ID: id, Zone: "z1", IP: "127.0.0.1", CallersAddr: addr(0), ReadyAddr: addr(1), DirectoryAddr: addr(2), PeerPort: port + 4, StoreAddr: storeAddr,
+		ID: id, Zone: "z1", IP: "127.0.0.1", CallersAddr: addr(0), ReadyAddr: addr(1), DirectoryAddr: addr(2), PeerPort: port + 4, MetricsAddr: addr(3), StoreAddr: storeAddr,
 		Bounds: settings.Bounds{GraceS: 4, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindowS: 10, ColdOverage: 1.5, ColdSlack: 5, DirectoryTTLS: 5},
 	}}}
 	if err := e.settings.Validate(); err != nil {
@@ -243,8 +244,9 @@
 	status, _ := get(t, "http://"+a.settings.ReadyAddr+platform.PathReady)
 	is.Equal(status, http.StatusOK)
 
-	_, metrics := get(t, "http://"+a.peerAddr()+pathMetrics)
-	is.True(strings.Contains(metrics, `"answered":`)) // outcomes are counted
+	_, page := get(t, "http://"+a.settings.MetricsAddr+pathMetrics)
+	is.True(strings.Contains(page, `wasabinotch_requests_total{outcome="answered"}`))
+	is.True(strings.Contains(page, `wasabinotch_first_byte_seconds_bucket{le="+Inf"}`))
 
 	sim.Put("op/config", configWith(2, "k2"))
 	eventually(t, "a new key is taken", func() bool { return a.order(t, "k2") == http.StatusOK })
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -8,7 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/logs"
 )
 
 const (
@@ -48,6 +51,8 @@
 	// Home is this process's own rank, where passes are held back.
 	Home int
 	Log  logr.Logger
+	// Metrics shows plans and switches.
+	Metrics *metrics.Set
 }
 
 // Coordinator keeps one group's maps. It is used from one goroutine.
@@ -75,18 +80,28 @@
 	lastStep uint64
 	stepAt   time.Time
 	passTime time.Duration
+
+	// rare takes lines that would repeat each round while a rank is away.
+	rare logr.Logger
 }
 
+// rareLines is the number of such lines a second.
+const rareLines = 1
+
 // nonceBits is the part of a version that names the process; versions stay
 // below 2^53, since they travel as JSON numbers.
 const nonceBits = 20
 
 // NewCoordinator returns a coordinator that knows nothing of the group yet.
 func NewCoordinator(cfg Config) *Coordinator {
-	return &Coordinator{cfg: cfg, demand: NewDemand(cfg.Dimensions), nonce: rand.Uint64N(1 << nonceBits),
-		orderedAt: make([]time.Time, len(cfg.Engines)), passTime: 100 * time.Millisecond}
+	c := &Coordinator{cfg: cfg, demand: NewDemand(cfg.Dimensions), nonce: rand.Uint64N(1 << nonceBits),
+		orderedAt: make([]time.Time, len(cfg.Engines)), passTime: 100 * time.Millisecond,
+		rare: logs.Limit(cfg.Log, rareLines, rareLines)}
+	return c
 }
 
+func (c *Coordinator) count(name string) { c.cfg.Metrics.GetOrCreateCounter(name).Inc() }
+
 // nextVersion returns a version above all that were seen.
 func (c *Coordinator) nextVersion() uint64 {
 	for {
@@ -168,7 +183,8 @@
 			return nil, err
 		}
 		if err != nil {
-			c.cfg.Log.V(1).Info("Rank not polled.", "rank", r, "cause", err.Error())
+			c.rare.Info("Rank not polled.", "rank", r, "cause", err.Error())
+			c.count("wasabinotch_polls_failed_total")
 			missing = true
 			continue
 		}
@@ -295,6 +311,8 @@
 	}
 	c.next, c.nextSince, c.preparing = &plan, now, c.nextVersion()
 	clear(c.orderedAt)
+	c.count("wasabinotch_maps_planned_total")
+	c.cfg.Metrics.GetOrCreateGauge("wasabinotch_map_skew", nil).Set(plan.After)
 	c.cfg.Log.Info("Map planned.", "version", c.preparing, "copies", plan.Copies, "skew_before", plan.Before, "skew_after", plan.After,
 		"took_ms", time.Since(now).Milliseconds())
 }
@@ -303,6 +321,7 @@
 func (c *Coordinator) prepare(ctx context.Context, reports []Report) error {
 	now := time.Now()
 	if now.Sub(c.nextSince) > prepareGiveUp {
+		c.count("wasabinotch_maps_dropped_total")
 		c.cfg.Log.Info("Map dropped; it was not ready in time.", "version", c.preparing)
 		c.next = nil
 		return nil
@@ -355,6 +374,7 @@
 		case results[r] == Superseded:
 			return ErrSuperseded
 		case results[r] == Refused:
+			c.count("wasabinotch_maps_dropped_total")
 			c.cfg.Log.Info("Map dropped; a rank refused it.", "version", c.preparing, "rank", r)
 			c.next = nil
 			return nil
@@ -376,6 +396,7 @@
 	}
 	s := c.pending
 	c.pending = nil
+	c.count(`wasabinotch_map_switches_total{outcome="` + s.outcome() + `"}`)
 	if s.Missed {
 		return nil // the copies are there; the next round tries a later pass
 	}
--- a/rankgroup/coordinator_test.go
+++ b/rankgroup/coordinator_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 )
@@ -28,7 +29,7 @@
 	for r := range engines {
 		engines[r] = &fakeEngine{g: g, rank: r, off: frozen}
 	}
-	c := NewCoordinator(Config{Dimensions: g.d, Engines: engines, Home: home, Log: logr.Discard()})
+	c := NewCoordinator(Config{Dimensions: g.d, Engines: engines, Home: home, Log: logr.Discard(), Metrics: metrics.NewSet()})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		for ctx.Err() == nil {
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -142,6 +142,11 @@
 	Superseded
 )
 
+// String implements fmt.Stringer.
+func (r Result) String() string {
+	return [...]string{"unanswered", "accepted", "refused", "superseded"}[r]
+}
+
 // Engine is one rank.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -103,6 +103,17 @@
 	orderPause = 5 * time.Millisecond
 )
 
+// outcome names the end of a finished switch.
+func (s *Switch) outcome() string {
+	switch {
+	case s.Missed:
+		return "missed"
+	case s.Undone:
+		return "undone"
+	}
+	return "done"
+}
+
 // Advance goes on until the switch is finished or ctx ends. It may be called again.
 func (s *Switch) Advance(ctx context.Context) (done bool, err error) {
 	for s.phase != finished && ctx.Err() == nil {
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -24,8 +24,11 @@
 	EndpointAddr string `json:"endpoint_addr"`
 	Service      string `json:"service"`
 	StoreAddr    string `json:"store_addr"`
-	MemoryMB     int    `json:"memory_mb"`
-	Bounds       Bounds `json:"bounds"`
+	// MetricsAddr serves counters and latency histograms as text; empty for
+	// only the internal address.
+	MetricsAddr string `json:"metrics_addr"`
+	MemoryMB    int    `json:"memory_mb"`
+	Bounds      Bounds `json:"bounds"`
 }
 
 // Bounds are the promises that the operators set for the whole system.
@@ -64,6 +67,11 @@
 	if d.Bounds.GraceS <= 0 {
 		return &Error{Field: "bounds.grace_s", Reason: "is not positive", Remedy: "set the seconds from SIGTERM to SIGKILL"}
 	}
+	if d.MetricsAddr != "" {
+		if err := checkAddr("metrics_addr", d.MetricsAddr); err != nil {
+			return err
+		}
+	}
 	return checkAddr("store_addr", d.StoreAddr)
 }
 
