Leave an attempt only with a repeat in the budget; explain failed requests

The log named the closed connection as the cause, so this was not visible before; the cause is now the decision.

Ruled out: too little room at the other group (waited_ms 0), max_attempts (1 of 2 used).

Now a repeat is taken from the budget before the attempt is ended, else the attempt goes on, and an endpoint that reports its load is waited for until half of the time is left.

wasabinotch-node explain finds a request's line and what the other processes logged around it. An age of 9e12 ms for a load never reported is now -1.

--- a/cmd/wasabinotch-node/main.go
+++ b/cmd/wasabinotch-node/main.go
@@ -1,12 +1,14 @@
 // Command wasabinotch-node runs an entry or an agent on a platform of the
 // users' own. The settings file is named by --settings or by the platform's
-// environment variable.
+// environment variable. With explain it reads the processes' logs and says why
+// a request ended as it did.
 package main
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -16,6 +18,7 @@
 	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/wasabinotch/wasabinotch/explain"
 	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/node"
 	"github.com/wasabinotch/wasabinotch/platform"
@@ -29,8 +32,9 @@
 	Settings string `long:"settings" value-name:"FILE" description:"JSON settings file; by default the one that the platform names"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Args     struct {
-		Role string `positional-arg-name:"entry|agent"`
-	} `positional-args:"yes" required:"yes"`
+		Role string   `positional-arg-name:"entry|agent|explain" required:"yes"`
+		Rest []string `positional-arg-name:"REQUEST-ID LOG..." description:"for explain: the request's ID and the logs of all processes"`
+	} `positional-args:"yes"`
 }
 
 func main() {
@@ -58,8 +62,10 @@
 		err = runEntry(ctx, &o)
 	case "agent":
 		err = runAgent(ctx, &o)
+	case "explain":
+		err = runExplain(o.Args.Rest)
 	default:
-		err = &settings.Error{Field: "(command line)", Reason: fmt.Sprintf("unknown role %q", o.Args.Role), Remedy: "name entry or agent"}
+		err = &settings.Error{Field: "(command line)", Reason: fmt.Sprintf("unknown role %q", o.Args.Role), Remedy: "name entry, agent or explain"}
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -89,6 +95,21 @@
 	}()
 }
 
+func runExplain(args []string) error {
+	if len(args) < 2 {
+		return &settings.Error{Field: "(command line)", Reason: "explain needs a request ID and logs", Remedy: "name the ID and one or more log files"}
+	}
+	var found []explain.Log
+	for _, path := range args[1:] {
+		found = append(found, explain.Log{Name: path, Open: func() (io.ReadCloser, error) { return os.Open(path) }})
+	}
+	report, err := explain.Find(args[0], found)
+	if err != nil {
+		return err
+	}
+	return report.Write(os.Stdout)
+}
+
 // showLostLines counts the log lines for which the reader of the log was too slow.
 func showLostLines(set *metrics.Set, out *logs.Output) {
 	set.NewGauge("wasabinotch_log_lines_lost", func() float64 { return float64(out.Lost()) })
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,88 @@
+package explain
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func text(name, lines string) Log {
+	return Log{Name: name, Open: func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader(lines)), nil }}
+}
+
+// Lines of one run: the coordinator's VM froze in the middle of a switch.
+const (
+	entryLog = `not a log line
+{"logger":"entry/endpoints","ts":"2026-07-02 04:29:05.000000","level":0,"msg":"Endpoint changed.","endpoint":"i-3f9a00492e","service":"nose93a","address":"10.1.0.23:8161"}
+{"logger":"entry/store","ts":"2026-07-02 04:29:05.100000","level":0,"msg":"Store lost.","cause":"long before"}
+{"logger":"entry/forward","ts":"2026-07-02 04:29:21.117535","level":0,"msg":"Request ended.","request":"811f76cc07af8666","outcome":"endpoint_failed","status":502,"ms":800,"endpoint":"i-3f9a00492e","load":2,"load_age_ms":1295,"waited_ms":0,"attempts":1,"events":0,"may_have_run":true,"route":"r-f5vqj9c","service":"nose93a","config":8,"organisation":"wule402","cause":"10.1.0.23:8161: no answer: the endpoint doesn't begin its answer; another endpoint is tried; the request may have run"}
+{"logger":"entry/endpoints","ts":"2026-07-02 04:29:22.000000","level":0,"msg":"Endpoint is gone.","endpoint":"i-other","service":"another"}
+`
+	agentLog = `-13.9 side-1 {"logger":"agent","ts":"2026-07-02 04:29:01.000000","level":0,"msg":"Agent starts.","id":"side-1","endpoint":"10.1.0.24:8161"}
+6.1 side-1 {"logger":"agent","ts":"2026-07-02 04:29:20.119529","level":0,"msg":"Coordinating.","group":"g0-0","rank":1,"term":2,"ranks":8}
+6.2 side-1 {"logger":"agent","ts":"2026-07-02 04:29:20.200000","level":0,"msg":"Engine lost.","endpoint":"10.1.0.24:8161"}
+9.4 side-1 {"logger":"agent/coordinator","ts":"2026-07-02 04:29:23.364496","level":0,"msg":"Undoing another coordinator's switch.","epoch":1,"step":175}
+`
+)
+
+// Guards against an explanation that leaves out what the other processes knew,
+// or that names lines of other endpoints and other times as causes.
+func TestFindsTheCauseInOtherLogs(t *testing.T) {
+	is := is.New(t)
+	r, err := Find("811f76cc07af8666", []Log{text("entry-1.log", entryLog), text("agents.log", agentLog)})
+	is.NoErr(err)
+	is.Equal(len(r.Ended), 1)
+	is.Equal(len(r.Around), 2) // coordination moved, and the switch was undone
+	var b strings.Builder
+	is.NoErr(r.Write(&b))
+	for _, want := range []string{"the outcome is unknown", "it may have run", "fallen silent", "side-1 agent: Coordinating.", "configuration 8"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("no %q in:\n%s", want, b.String())
+		}
+	}
+}
+
+// Guards against an empty answer that reads as if nothing had gone wrong.
+func TestUnknownRequest(t *testing.T) {
+	is := is.New(t)
+	_, err := Find("other", []Log{text("entry-1.log", entryLog)})
+	is.True(errors.Is(err, ErrNotFound))
+}
+
+// Guards against telling a caller that a request may be repeated when it may not.
+func TestRepeatAdvice(t *testing.T) {
+	is := is.New(t)
+	for _, x := range []struct {
+		fields map[string]any
+		want   string
+	}{
+		{map[string]any{"outcome": "overloaded", "status": json.Number("503"), "waited_ms": json.Number("390")}, "no endpoint had a free slot in 390 ms"},
+		{map[string]any{"outcome": "overloaded", "status": json.Number("503"), "attempts": json.Number("2")}, "2 endpoints turned it away"},
+		{map[string]any{"outcome": "overloaded", "may_have_run": false}, "may be sent again"},
+		{map[string]any{"outcome": "endpoint_failed", "status": json.Number("502"), "may_have_run": true}, "check before sending it again"},
+		{map[string]any{"outcome": "endpoint_failed", "status": json.Number("200"), "events": json.Number("7"), "may_have_run": true}, "broke off after 7 events"},
+		{map[string]any{"outcome": "overloaded", "cause": "this entry is shutting down"}, "the entry was shutting down"},
+		{map[string]any{"outcome": "timeout", "endpoint": "i-1", "load_age_ms": json.Number("-1")}, "had not reported its load"},
+		{map[string]any{"outcome": "answered", "status": json.Number("500")}, "the endpoint itself answered"},
+	} {
+		got := strings.Join(Explain(Line{Fields: x.fields}), "\n")
+		is.True(strings.Contains(got, x.want)) // the advice fits the outcome
+	}
+}
+
+// Guards against a log line that ends the tool.
+func FuzzParse(f *testing.F) {
+	for _, l := range strings.Split(entryLog+agentLog, "\n") {
+		f.Add(l)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		if l, ok := Parse(s, "file"); ok {
+			Explain(l)
+			_ = l.String()
+		}
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -327,7 +327,10 @@
 	if best == nil {
 		return nil, why
 	}
-	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), Age: now.Sub(best.reportAt), Broken: best.broken}
+	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), Age: NoReport, Broken: best.broken}
+	if !best.reportAt.IsZero() {
+		p.Age = now.Sub(best.reportAt)
+	}
 	f.place(best, limits, now)
 	return p, Free
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -260,3 +260,16 @@
 		}
 	}
 }
+
+// Guards against an age of centuries in the log of a request whose endpoint
+// never reported a load.
+func TestAgeOfNoReport(t *testing.T) {
+	is := is.New(t)
+	f := New("z", nil)
+	f.Update(Record{ID: "i-1", Service: "s", Address: "a:1", Zone: "z", Slots: 2})
+	p, _ := f.Acquire(t.Context(), &Ask{Service: "s"})
+	is.Equal(p.Age, NoReport)
+	f.Report("i-1", Load{Running: 1})
+	p, _ = f.Acquire(t.Context(), &Ask{Service: "s"})
+	is.True(p.Age >= 0)
+}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -7,7 +7,8 @@
 	Endpoint *Endpoint
 	fleet    *Fleet
 	done     bool
-	// Load and Age are the load that decided the choice and its age.
+	// Load and Age are the load that decided the choice and its age, which is
+	// NoReport if the endpoint has never reported any.
 	Load int
 	Age  time.Duration
 	// Broken is closed when the endpoint's group stands still; a request that
@@ -15,6 +16,9 @@
 	Broken <-chan struct{}
 }
 
+// NoReport is the age of a load that was never reported.
+const NoReport = -time.Millisecond
+
 func (ep *Endpoint) failing(now time.Time) float64 {
 	if ep.failureRate == 0 {
 		return 0
@@ -69,6 +73,14 @@
 	}
 }
 
+// Reporting reports whether the endpoint said a moment ago that it works.
+func (p *Pick) Reporting() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	ep := p.Endpoint
+	return !ep.gone && time.Since(ep.reportAt) <= reportValidity && !ep.report.Broken
+}
+
 // Unreachable ends a request to which the endpoint gave no answer.
 func (p *Pick) Unreachable() {
 	p.end(func(ep *Endpoint, now time.Time) {
--- a/forward/filters.go
+++ b/forward/filters.go
@@ -24,6 +24,7 @@
 	}
 	if x.h.refusing.Load() {
 		x.retryAfter(0)
+		x.cause = errLeaving
 		return api.NotRun(api.KindOverloaded, "this entry is shutting down", "try another entry")
 	}
 	if len(ids) != 1 || ids[0] == "" {
@@ -119,6 +120,9 @@
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', -1, 64))
 }
 
+// errLeaving tells refusals of an ending entry from those of a busy one.
+var errLeaving = errors.New("this entry is shutting down")
+
 // refuse ends a request with an answer of this entry's own.
 func (x *exchange) refuse(refusal *api.Refusal) {
 	if x.relay.started || x.callerLeft() {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -144,7 +144,9 @@
 	tried    []*fleet.Endpoint
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
-	waited     time.Duration
+	// reserved is set if the next attempt's repeat was taken from the budget.
+	reserved atomic.Bool
+	waited   time.Duration
 	// begun is set once the caller has got a part of its answer.
 	begun atomic.Bool
 	// relay is the state of the answer to the caller.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -180,6 +180,7 @@
 		}
 		x.cause = err
 		if ctx.Err() != nil {
+			x.cause = context.Cause(ctx) // the connection only says that it was ended
 			pick.Left()
 		} else {
 			pick.Unreachable()
--- a/forward/send.go
+++ b/forward/send.go
@@ -21,6 +21,9 @@
 	// its answer counts as failing. By then the answer is late, and another
 	// endpoint can still give one before the caller leaves.
 	slowFactor = 2
+	// watchAgain is the interval at which an attempt that should be left is
+	// looked at again.
+	watchAgain = 100 * time.Millisecond
 	// maxUnreached bounds the endpoints that are tried without reaching one.
 	maxUnreached = 3
 	// maxMoveWait bounds the wait of a request that left an endpoint; callers
@@ -70,11 +73,12 @@
 		if pick == nil {
 			return x.noPlace(why, last)
 		}
-		if x.attempts > 0 && !budget.Repeat(x.h.cfg.Fleet.Entries()) {
+		if x.attempts > 0 && !x.takeRepeat(budget) {
 			pick.Left()
+			x.cause = errors.Join(x.cause, errBudget)
 			return x.giveUp(last)
 		}
-		last = x.attempt(ctx, pick)
+		last = x.attempt(ctx, pick, budget)
 		x.h.cfg.Stats.attempt(last)
 		switch last {
 		case delivered:
@@ -99,6 +103,12 @@
 	}
 }
 
+// takeRepeat takes a repeat from the budget, unless one was taken before the
+// last attempt was ended.
+func (x *exchange) takeRepeat(budget *fleet.Budget) bool {
+	return x.reserved.Swap(false) || budget.Repeat(x.h.cfg.Fleet.Entries())
+}
+
 // place waits for an endpoint.
 func (x *exchange) place(ctx context.Context) (*fleet.Pick, fleet.Full) {
 	began := time.Now()
@@ -162,12 +172,12 @@
 }
 
 // attempt sends the request to one endpoint and passes its answer on.
-func (x *exchange) attempt(ctx context.Context, pick *fleet.Pick) verdict {
+func (x *exchange) attempt(ctx context.Context, pick *fleet.Pick, budget *fleet.Budget) verdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := make(chan struct{})
 	defer close(stop)
-	go x.watch(pick, stop, cancel)
+	go x.watch(pick, budget, stop, cancel)
 	resp, err := x.h.cfg.Client.Do(ctx, pick.Endpoint.Address, x.request(pick.Endpoint.ID))
 	if err != nil {
 		x.cause = err
@@ -214,38 +224,54 @@
 }
 
 // watch ends an attempt at an endpoint whose group stands still, or that is
-// silent for long, if another endpoint may be tried. stop ends it.
-func (x *exchange) watch(pick *fleet.Pick, stop <-chan struct{}, cancel context.CancelCauseFunc) {
+// silent for long, if another endpoint may be tried. Without a repeat left in
+// the budget the attempt goes on: a late answer is better than none. stop ends
+// watch.
+func (x *exchange) watch(pick *fleet.Pick, budget *fleet.Budget, stop <-chan struct{}, cancel context.CancelCauseFunc) {
 	move := x.mayMove()
 	slow := time.NewTimer(slowFactor * x.route.TargetLatency)
 	defer slow.Stop()
+	patience := time.Now().Add(x.remaining() / 2)
 	broken := pick.Broken
 	if !move {
 		broken = nil
 	}
+	var why error
 	for {
 		select {
 		case <-stop:
 			return
 		case <-broken:
-			cancel(errStandsStill)
-			return
+			broken, why = nil, errStandsStill
 		case <-slow.C:
-			if x.begun.Load() {
+			slow.Reset(watchAgain)
+			if why == nil && x.begun.Load() {
+				continue
+			}
+			if why == nil && pick.Reporting() && time.Now().Before(patience) {
+				// It works, but for others first. Leaving it would only repeat what
+				// it has done for this request.
 				continue
 			}
-			pick.Suspect()
-			if move {
-				cancel(errSilent)
-				return
+			if why == nil {
+				why = errSilent
+				pick.Suspect()
 			}
 		}
+		if why != nil && move && budget.Repeat(x.h.cfg.Fleet.Entries()) {
+			x.reserved.Store(true)
+			cancel(why)
+			return
+		}
 	}
 }
 
 // errSilent ends an attempt at an endpoint that doesn't begin its answer.
 var errSilent = errors.New("the endpoint doesn't begin its answer; another endpoint is tried")
 
+// errBudget keeps a request from another attempt.
+var errBudget = errors.New("the budget for repeats is spent")
+
 // errStandsStill ends an attempt at an endpoint whose group stands still.
 var errStandsStill = errors.New("the endpoint's rank group stands still; another endpoint is tried")
 
