Fault soak of the platform's processes; stand-ins for endpoints and rank groups

Real entries and agents as separate processes among stand-ins of the store, endpoints and rank groups: 19 kinds of faults and planned work in random series that overlap, checked on 14 promises from what callers and endpoints see.

The group of the model check moves to lab/ranksim, which the stand-in of the engines uses too.

Streams are waited for at an endpoint that works for at most half of the two seconds for which callers wait: before, half of the deadline, which is longer than callers stay.

--- a/forward/send.go
+++ b/forward/send.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/upstream"
 )
 
@@ -21,13 +22,15 @@
 	// its answer counts as failing. By then the answer is late, and another
 	// endpoint can still give one before the caller leaves.
 	slowFactor = 2
+	// streamSilence is how long callers wait for the next event of a stream.
+	streamSilence = 2 * time.Second
 	// watchAgain is the interval at which an attempt that should be left is
 	// looked at again.
 	watchAgain = 100 * time.Millisecond
 	// maxUnreached bounds the endpoints that are tried without reaching one.
 	maxUnreached = 3
-	// maxMoveWait bounds the wait of a request that left an endpoint; callers
-	// give a stream up after two seconds of silence.
+	// maxMoveWait bounds the wait of a request that left an endpoint; it is less
+	// than half of streamSilence.
 	maxMoveWait = 800 * time.Millisecond
 	// retryAfterPerWaiting is the time in which one waiting request is served.
 	retryAfterPerWaiting = 50 * time.Millisecond
@@ -231,7 +234,7 @@
 	move := x.mayMove()
 	slow := time.NewTimer(slowFactor * x.route.TargetLatency)
 	defer slow.Stop()
-	patience := time.Now().Add(x.remaining() / 2)
+	patience := time.Now().Add(x.patience())
 	broken := pick.Broken
 	if !move {
 		broken = nil
@@ -266,6 +269,16 @@
 	}
 }
 
+// patience is how long an answer is waited for at an endpoint that works. What
+// is left then is enough for an idle endpoint to begin an answer.
+func (x *exchange) patience() time.Duration {
+	d := x.remaining()
+	if x.route.Kind == routing.Streaming {
+		d = min(d, streamSilence)
+	}
+	return d / 2
+}
+
 // errSilent ends an attempt at an endpoint that doesn't begin its answer.
 var errSilent = errors.New("the endpoint doesn't begin its answer; another endpoint is tried")
 
--- /dev/null
+++ b/lab/ranksim/ranksim.go
@@ -0,0 +1,320 @@
+// Package ranksim is a stand-in for a group of model ranks in lock-step that
+// take orders as the platform's engines do. Orders may be lost, answered too
+// late, or carried out seconds later. It notes a pass that begins with two maps.
+package ranksim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/rankgroup"
+)
+
+const (
+	// lateMin and lateMax bound the delay of an order that is carried out late.
+	lateMin = 2 * time.Second
+	lateMax = 12 * time.Second
+)
+
+// Group is the stand-in. Its lock protects the exported fields; the methods
+// take it themselves.
+type Group struct {
+	sync.Mutex
+	rankgroup.Dimensions
+	rng *rand.Rand
+
+	Epoch uint64
+	Step  uint64
+	// Idle keeps passes from beginning, as without requests.
+	Idle  bool
+	Ranks []*Rank
+	// Lost, Mute and Late are the probabilities that an order does nothing, is
+	// done without an answer, and is done seconds later without an answer.
+	Lost, Mute, Late float64
+	// Mixed describes the first pass that began with two maps.
+	Mixed string
+	// Switches counts the ranks that changed their map.
+	Switches int
+	// Blocked is set while a rank holds the next pass back, or is dead.
+	Blocked bool
+	// Hot is where demand lies; it moves.
+	Hot int
+	// SlowCopies makes a rank take CopyTime for each expert that is new to it.
+	SlowCopies bool
+}
+
+// Rank is one rank of a group.
+type Rank struct {
+	Born    int64
+	Version uint64
+	Armed   *rankgroup.Armed
+	Held    *uint64
+	Dead    bool
+
+	content  string
+	prepared uint64
+	pending  *rankgroup.Map
+	highest  uint64
+	counts   []uint64
+	experts  [][]int
+}
+
+// New returns a group that has formed once. seed decides on the fate of orders.
+func New(d rankgroup.Dimensions, seed uint64) *Group {
+	g := &Group{Dimensions: d, rng: rand.New(rand.NewPCG(seed, 1))}
+	for range d.Ranks {
+		g.Ranks = append(g.Ranks, &Rank{})
+	}
+	g.Form()
+	return g
+}
+
+// Form opens the group anew, with the first map and without orders.
+func (g *Group) Form() {
+	g.Lock()
+	defer g.Unlock()
+	g.Epoch++
+	first := rankgroup.First(g.Dimensions)
+	for r, rank := range g.Ranks {
+		*rank = Rank{Born: rank.Born + 1, counts: make([]uint64, g.Sets*g.Experts)}
+		for s := range first.Sets {
+			rank.experts = append(rank.experts, first.Sets[s][r])
+		}
+	}
+}
+
+// Pass begins the next pass and reports whether it did; a rank may hold it.
+func (g *Group) Pass() bool {
+	g.Lock()
+	defer g.Unlock()
+	g.Blocked = false
+	next := g.Step + 1
+	for _, r := range g.Ranks {
+		if r.Dead || r.Held != nil && *r.Held <= next {
+			g.Blocked = true
+			return false
+		}
+	}
+	if g.Idle {
+		return false
+	}
+	g.Step = next
+	for i, r := range g.Ranks {
+		if r.Armed != nil && r.Armed.Step == next {
+			r.Version = r.Armed.Version
+			r.content = fmt.Sprint(r.pending.Sets)
+			r.experts = r.experts[:0]
+			for s := range r.pending.Sets {
+				r.experts = append(r.experts, r.pending.Sets[s][i])
+			}
+			r.Armed = nil
+			g.Switches++
+		}
+		for e := range g.Experts {
+			for s := range g.Sets {
+				r.counts[s*g.Experts+e] += uint64(20 + 200/(1+(e+g.Hot+s)%g.Experts))
+			}
+		}
+	}
+	for i, r := range g.Ranks {
+		if first := g.Ranks[0]; g.Mixed == "" && (r.Version != first.Version || r.content != first.content) {
+			g.Mixed = fmt.Sprintf("pass %d: rank %d has map %d, rank 0 has %d", next, i, r.Version, first.Version)
+		}
+	}
+	return true
+}
+
+// CarryOut does an order at a rank.
+func (g *Group) CarryOut(rank int, o rankgroup.Order) rankgroup.Result {
+	g.Lock()
+	defer g.Unlock()
+	return g.carryOut(rank, o)
+}
+
+func (g *Group) carryOut(rank int, o rankgroup.Order) rankgroup.Result {
+	r := g.Ranks[rank]
+	if o.Epoch != g.Epoch || r.Dead {
+		return rankgroup.Refused
+	}
+	switch o.Operation {
+	case rankgroup.Prepare:
+		return g.prepare(rank, r, o)
+	case rankgroup.Arm:
+		if r.prepared != o.Version || o.Step <= g.Step {
+			return rankgroup.Refused
+		}
+		r.Armed = &rankgroup.Armed{Version: o.Version, Step: o.Step}
+	case rankgroup.Disarm:
+		if o.Version == r.Version {
+			return rankgroup.Refused
+		}
+		if r.Armed != nil && r.Armed.Version == o.Version {
+			r.Armed = nil
+		}
+	case rankgroup.Hold:
+		if o.Step <= g.Step || r.Held != nil && *r.Held != o.Step {
+			return rankgroup.Refused
+		}
+		step := o.Step
+		r.Held = &step
+	case rankgroup.Go:
+		if r.Held != nil && *r.Held == o.Step {
+			r.Held = nil
+		}
+	}
+	return rankgroup.Accepted
+}
+
+func (g *Group) prepare(rank int, r *Rank, o rankgroup.Order) rankgroup.Result {
+	if o.Version == r.highest {
+		return rankgroup.Accepted
+	}
+	if o.Version < r.highest || r.Armed != nil {
+		return rankgroup.Refused
+	}
+	fresh := 0
+	for s := range o.Map.Sets {
+		for _, e := range o.Map.Sets[s][rank] {
+			if !contains(r.experts[s], e) {
+				fresh++
+			}
+		}
+	}
+	r.highest, r.prepared, r.pending = o.Version, 0, o.Map
+	if fresh == 0 || !g.SlowCopies {
+		r.prepared = o.Version
+		return rankgroup.Accepted
+	}
+	epoch := g.Epoch
+	time.AfterFunc(time.Duration(fresh)*g.CopyTime, func() {
+		g.Lock()
+		defer g.Unlock()
+		if g.Epoch == epoch && r.highest == o.Version {
+			r.prepared = o.Version
+		}
+	})
+	return rankgroup.Accepted
+}
+
+func contains(list []int, x int) bool {
+	for _, y := range list {
+		if x == y {
+			return true
+		}
+	}
+	return false
+}
+
+// Report returns a rank's report.
+func (g *Group) Report(rank int) rankgroup.Report {
+	g.Lock()
+	defer g.Unlock()
+	r := g.Ranks[rank]
+	rep := rankgroup.Report{Group: "g", Rank: rank, Size: len(g.Ranks), Epoch: g.Epoch, Open: true, Born: r.Born,
+		Step: g.Step, Map: r.Version, Prepared: r.prepared}
+	for _, other := range g.Ranks {
+		rep.Open = rep.Open && !other.Dead
+	}
+	if r.Armed != nil {
+		armed := *r.Armed
+		rep.Armed = &armed
+	}
+	if r.Held != nil {
+		held := *r.Held
+		rep.Held = &held
+	}
+	return rep
+}
+
+// Counts returns how often a rank's requests chose each expert.
+func (g *Group) Counts(rank int) rankgroup.Counts {
+	g.Lock()
+	defer g.Unlock()
+	return rankgroup.Counts{Epoch: g.Epoch, Experts: append([]uint64(nil), g.Ranks[rank].counts...)}
+}
+
+// Holds returns the experts that a rank holds, by set, and the version in force.
+func (g *Group) Holds(rank int) ([][]int, uint64) {
+	g.Lock()
+	defer g.Unlock()
+	r := g.Ranks[rank]
+	return append([][]int(nil), r.experts...), r.Version
+}
+
+// Take carries an order out, or not, or late. answered is false if the sender
+// learns nothing.
+func (g *Group) Take(rank int, o rankgroup.Order) (result rankgroup.Result, answered bool) {
+	g.Lock()
+	defer g.Unlock()
+	x := g.rng.Float64()
+	switch {
+	case x < g.Lost:
+		return rankgroup.Unanswered, false
+	case x < g.Lost+g.Mute:
+		g.carryOut(rank, o)
+		return rankgroup.Unanswered, false
+	case x < g.Lost+g.Mute+g.Late:
+		delay := lateMin + time.Duration(g.rng.Int64N(int64(lateMax-lateMin)))
+		time.AfterFunc(delay, func() { g.CarryOut(rank, o) })
+		return rankgroup.Unanswered, false
+	}
+	return g.carryOut(rank, o), true
+}
+
+// Engine is one rank as a coordinator in the same process sees it.
+type Engine struct {
+	Group *Group
+	Rank  int
+	// Off is set while the coordinator can't reach the rank.
+	Off func() bool
+
+	meter rankgroup.Meter
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (e *Engine) unreachable(ctx context.Context) bool {
+	return ctx.Err() != nil || e.Off != nil && e.Off()
+}
+
+// Report implements rankgroup.Engine.
+func (e *Engine) Report(ctx context.Context) (rankgroup.Report, error) {
+	e.Group.Lock()
+	dead := e.Group.Ranks[e.Rank].Dead
+	e.Group.Unlock()
+	if dead || e.unreachable(ctx) {
+		return rankgroup.Report{}, errNoAnswer
+	}
+	return e.Group.Report(e.Rank), nil
+}
+
+// Poll implements rankgroup.Engine.
+func (e *Engine) Poll(ctx context.Context, window bool) (rankgroup.Report, rankgroup.Window, error) {
+	rep, err := e.Report(ctx)
+	if err != nil || !window {
+		return rep, rankgroup.Window{}, err
+	}
+	return rep, e.meter.Window(rep.Born, e.Group.Counts(e.Rank)), nil
+}
+
+// Experts implements rankgroup.Engine.
+func (e *Engine) Experts(context.Context) ([][]int, uint64, error) {
+	sets, version := e.Group.Holds(e.Rank)
+	return sets, version, nil
+}
+
+// Order implements rankgroup.Engine.
+func (e *Engine) Order(ctx context.Context, o rankgroup.Order) (rankgroup.Result, error) {
+	if e.unreachable(ctx) {
+		return rankgroup.Unanswered, errNoAnswer
+	}
+	result, answered := e.Group.Take(e.Rank, o)
+	if !answered {
+		return rankgroup.Unanswered, errNoAnswer
+	}
+	return result, nil
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -62,7 +62,7 @@
 
 // NewAgent assembles an agent.
 func NewAgent(s settings.DirectAgent, log logr.Logger) *Agent {
-	a := &Agent{s: s, log: log, client: upstream.NewClient(dialTimeout), subscribers: make(map[string]subscriber),
+	a := &Agent{s: s, log: log, client: newClient(&s.Direct), subscribers: make(map[string]subscriber),
 		metrics: metrics.NewSet(), rare: logs.Limit(log, rareLines, rareBurst)}
 	a.store = platform.NewStore(s.StoreAddr, a.client)
 	a.engine = &localRank{Engine: platform.NewEngine(s.EndpointAddr, a.client)}
--- a/node/entry.go
+++ b/node/entry.go
@@ -95,7 +95,7 @@
 
 // NewEntry assembles an entry.
 func NewEntry(s settings.DirectEntry, log logr.Logger) *Entry {
-	e := &Entry{s: s, log: log, client: upstream.NewClient(dialTimeout), metrics: metrics.NewSet(), rare: logs.Limit(log, rareLines, rareBurst)}
+	e := &Entry{s: s, log: log, client: newClient(&s.Direct), metrics: metrics.NewSet(), rare: logs.Limit(log, rareLines, rareBurst)}
 	e.health = &storeHealth{log: log.WithName("store"), lost: e.metrics.NewCounter("wasabinotch_store_lost_total")}
 	e.store = platform.NewStore(s.StoreAddr, e.client)
 	e.fleet = fleet.New(s.Zone, e.client.Forget)
@@ -120,6 +120,12 @@
 	return e
 }
 
+func newClient(s *settings.Direct) *upstream.Client {
+	c := upstream.NewClient(dialTimeout)
+	c.DialFrom, _ = s.DialIP() // checked with the settings
+	return c
+}
+
 // Metrics returns the entry's metrics.
 func (e *Entry) Metrics() *metrics.Set { return e.metrics }
 
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -228,7 +228,9 @@
 	for _, d := range c.desks {
 		d.Close()
 	}
-	c.kv.Close()
+	if c.kv != nil {
+		c.kv.Close()
+	}
 	if keep := os.Getenv("PROOF_KEEP_LOGS"); keep != "" && c.t.Failed() {
 		target := filepath.Join(keep, c.t.Name())
 		_ = os.RemoveAll(target)
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -5,12 +5,14 @@
 	// These imports make a change to them invalidate cached results.
 	_ "github.com/wasabinotch/wasabinotch/agent"
 	_ "github.com/wasabinotch/wasabinotch/entry"
+	_ "github.com/wasabinotch/wasabinotch/node"
 
 	"fmt"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -39,7 +41,7 @@
 		if binaries.err != nil {
 			return
 		}
-		build := exec.Command("go", "build", "-o", binaries.dir, "../cmd/wasabinotch-entry", "../cmd/wasabinotch-agent")
+		build := exec.Command("go", "build", "-o", binaries.dir, "../cmd/wasabinotch-entry", "../cmd/wasabinotch-agent", "../cmd/wasabinotch-node")
 		if out, err := build.CombinedOutput(); err != nil {
 			binaries.err = fmt.Errorf("build: %w\n%s", err, out)
 		}
@@ -55,7 +57,8 @@
 	id, zone string
 	ip       netip.Addr
 	program  string
-	settings string // path
+	args     []string // before the settings
+	settings string   // path
 	cmd      *exec.Cmd
 	log      *os.File
 	exited   chan struct{}
@@ -69,7 +72,7 @@
 	log, err := os.OpenFile(filepath.Join(c.dir, id+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	c.must(err)
 	n.log = log
-	n.cmd = exec.Command(binary(c.t, n.program), "--settings", n.settings)
+	n.cmd = exec.Command(binary(c.t, n.program), append(slices.Clone(n.args), "--settings", n.settings)...)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	c.must(n.cmd.Start())
 	n.exited = make(chan struct{})
--- /dev/null
+++ b/proof/soak_test.go
@@ -0,0 +1,184 @@
+package proof
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/explain"
+)
+
+var (
+	soakFirst   = flag.Uint64("soak.first", 1, "first seed of the soak")
+	soakSeeds   = flag.Int("soak.seeds", 2, "number of seeds")
+	soakFor     = flag.Duration("soak.for", 8*time.Second, "time of faults for one seed")
+	soakCallers = flag.Int("soak.callers", 12, "callers")
+	soakEntries = flag.Int("soak.entries", 0, "entries; 0 for 3 to 5")
+	soakGroups  = flag.Int("soak.groups", 0, "rank groups; 0 for 1 to 2")
+	soakRanks   = flag.Int("soak.ranks", 0, "ranks a group; 0 for 3 to 5")
+)
+
+// soakRegressions are seeds that failed once, with the cause. They run first.
+var soakRegressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// Real entries and agents as processes under random faults, checked from what
+// callers and endpoints see. Guards against any broken promise that only shows
+// with several faults at once. More seeds: go test ./proof -run TestSoak
+// -soak.first 1000 -soak.seeds 50 -timeout 0
+func TestSoak(t *testing.T) {
+	var seeds []uint64
+	for _, r := range soakRegressions {
+		seeds = append(seeds, r.seed)
+	}
+	for i := range *soakSeeds {
+		seeds = append(seeds, *soakFirst+uint64(i))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, seed)
+		})
+	}
+}
+
+// shapeOf returns the size of a seed's system.
+func shapeOf(seed uint64) soakShape {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	s := soakShape{entries: 3 + rng.IntN(3), groups: 1 + rng.IntN(2), ranks: 3 + rng.IntN(3), desks: 2 + rng.IntN(2)}
+	if *soakEntries > 0 {
+		s.entries = *soakEntries
+	}
+	if *soakGroups > 0 {
+		s.groups = *soakGroups
+	}
+	if *soakRanks > 0 {
+		s.ranks = *soakRanks
+	}
+	return s
+}
+
+// calmEvery is how many seeds there are to one with planned work alone.
+const calmEvery = 3
+
+func runSoak(t *testing.T, seed uint64) {
+	s := newSoak(t, seed, shapeOf(seed))
+	c := startCallers(s, *soakCallers)
+	if s.awaitService(c) < 0 {
+		t.Errorf("seed %d: not served %v after the start", seed, soakRecovery)
+	}
+	newChaos(s).run(*soakFor, seed%calmEvery == 0)
+	s.note("all faults have ended")
+	recovered := s.awaitService(c)
+	attempts := c.end()
+	s.report(judge(s, attempts, recovered), attempts)
+}
+
+const (
+	// servedSpan is the time in which requests are counted that show whether
+	// callers are served, servedShare the part that must succeed.
+	servedSpan  = time.Second
+	servedShare = 0.9
+)
+
+// awaitService waits until callers are served and returns how long that took,
+// negative if they aren't within the time for recovery.
+func (s *soak) awaitService(c *callers) time.Duration {
+	began := time.Now()
+	for time.Since(began) < soakRecovery {
+		time.Sleep(100 * time.Millisecond)
+		from := time.Now().Add(-servedSpan)
+		if from.Before(began) {
+			continue
+		}
+		served, all := map[string]int{}, map[string]int{}
+		c.mu.Lock()
+		for _, a := range c.attempts {
+			if a.ended.After(from) && a.status != 401 {
+				all[a.class]++
+				if a.served() {
+					served[a.class]++
+				}
+			}
+		}
+		c.mu.Unlock()
+		enough := true
+		for _, class := range []string{"draft", "order", "lookup"} {
+			enough = enough && all[class] > 0 && float64(served[class]) >= servedShare*float64(all[class])
+		}
+		if enough {
+			return time.Since(began)
+		}
+	}
+	return -1
+}
+
+// maxShown bounds the cases that are shown for one promise.
+const maxShown = 3
+
+// report prints the verdicts, and for a broken promise the timeline and the log
+// lines that belong to the request.
+func (s *soak) report(verdicts []*verdict, attempts []*attempt) {
+	var b strings.Builder
+	outcomes := map[string]int{}
+	for _, a := range attempts {
+		switch {
+		case !a.reached:
+			outcomes["not reached"]++
+		case a.broken:
+			outcomes["broken off"]++
+		default:
+			outcomes[fmt.Sprint("status ", a.status)]++
+		}
+	}
+	fmt.Fprintf(&b, "seed %d, %+v, %d requests: %v\n", s.seed, s.shape, len(attempts), outcomes)
+	failed := false
+	for _, v := range verdicts {
+		fmt.Fprintf(&b, "  %-38s %6d cases, %d broken\n", v.promise, v.checked, len(v.broken))
+		for _, x := range v.broken[:min(len(v.broken), maxShown)] {
+			failed = true
+			fmt.Fprintf(&b, "    %s %s\n", x.request, x.what)
+			if x.request != "" {
+				b.WriteString(s.explain(x.request))
+			}
+		}
+	}
+	if !failed {
+		s.t.Log(b.String())
+		return
+	}
+	s.t.Errorf("%stimeline:\n%s", b.String(), strings.Join(s.timeline, "\n"))
+}
+
+// explain returns the log lines that belong to a request.
+func (s *soak) explain(request string) string {
+	paths, err := filepath.Glob(filepath.Join(s.dir, "*.log"))
+	if err != nil {
+		return err.Error()
+	}
+	var found []explain.Log
+	for _, path := range paths {
+		found = append(found, explain.Log{Name: path, Open: func() (io.ReadCloser, error) { return os.Open(path) }})
+	}
+	report, err := explain.Find(request, found)
+	if errors.Is(err, explain.ErrNotFound) {
+		return "    no entry has a line on it\n"
+	}
+	var b strings.Builder
+	if err == nil {
+		err = report.Write(&b)
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return b.String()
+}
--- a/rankgroup/coordinator_test.go
+++ b/rankgroup/coordinator_test.go
@@ -1,4 +1,4 @@
-package rankgroup
+package rankgroup_test
 
 import (
 	"context"
@@ -11,9 +11,12 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/lab/ranksim"
+	"github.com/wasabinotch/wasabinotch/rankgroup"
 )
 
-var testDimensions = Dimensions{Ranks: 4, Sets: 2, Experts: 8, Places: 4, Spares: 2, CopyTime: 50 * time.Millisecond}
+var testDimensions = rankgroup.Dimensions{Ranks: 4, Sets: 2, Experts: 8, Places: 4, Spares: 2, CopyTime: 50 * time.Millisecond}
 
 const (
 	testPass = 50 * time.Millisecond
@@ -24,34 +27,34 @@
 
 // startCoordinator runs a coordinator at a home rank until the returned
 // function is called, which kills it. frozen, if set, stops it for a while.
-func startCoordinator(g *fakeGroup, home int, frozen func() bool) (kill func()) {
-	engines := make([]Engine, g.d.Ranks)
+func startCoordinator(g *ranksim.Group, home int, frozen func() bool) (kill func()) {
+	engines := make([]rankgroup.Engine, len(g.Ranks))
 	for r := range engines {
-		engines[r] = &fakeEngine{g: g, rank: r, off: frozen}
+		engines[r] = &ranksim.Engine{Group: g, Rank: r, Off: frozen}
 	}
-	c := NewCoordinator(Config{Dimensions: g.d, Engines: engines, Home: home, Log: logr.Discard(), Metrics: metrics.NewSet()})
+	c := rankgroup.NewCoordinator(rankgroup.Config{Dimensions: g.Dimensions, Engines: engines, Home: home, Log: logr.Discard(), Metrics: metrics.NewSet()})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		for ctx.Err() == nil {
-			if _, err := c.Round(ctx); errors.Is(err, ErrSuperseded) {
+			if _, err := c.Round(ctx); errors.Is(err, rankgroup.ErrSuperseded) {
 				return
 			}
-			pause(ctx, 100*time.Millisecond)
+			rankgroup.Pause(ctx, 100*time.Millisecond)
 		}
 	}()
 	return cancel
 }
 
 // runPasses begins passes and moves demand until ctx ends.
-func runPasses(ctx context.Context, g *fakeGroup) {
+func runPasses(ctx context.Context, g *ranksim.Group) {
 	for n := 0; ctx.Err() == nil; n++ {
-		pause(ctx, testPass)
+		rankgroup.Pause(ctx, testPass)
 		if n%60 == 59 {
-			g.mu.Lock()
-			g.hot += 3
-			g.mu.Unlock()
+			g.Lock()
+			g.Hot += 3
+			g.Unlock()
 		}
-		g.pass()
+		g.Pass()
 	}
 }
 
@@ -62,9 +65,9 @@
 	switches := 0
 	for seed := uint64(1); seed <= 150; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			g := newFakeGroup(testDimensions, seed)
+			g := ranksim.New(testDimensions, seed)
 			faults := rand.New(rand.NewPCG(seed, 2))
-			g.lost, g.mute, g.late = 0.2*faults.Float64(), 0.2*faults.Float64(), 0.4*faults.Float64()
+			g.Lost, g.Mute, g.Late = 0.2*faults.Float64(), 0.2*faults.Float64(), 0.4*faults.Float64()
 			ctx, stop := context.WithCancel(context.Background())
 			go runPasses(ctx, g)
 			kills := []func(){startCoordinator(g, 0, nil)}
@@ -75,19 +78,17 @@
 				case 0, 1:
 					kills[len(kills)-1]()
 					time.Sleep(time.Duration(faults.IntN(1500)) * time.Millisecond)
-					kills = append(kills, startCoordinator(g, faults.IntN(g.d.Ranks), nil))
+					kills = append(kills, startCoordinator(g, faults.IntN(len(g.Ranks)), nil))
 				case 2:
 					thaw := time.Now().Add(time.Duration(faults.IntN(4000)) * time.Millisecond)
-					kills = append(kills, startCoordinator(g, faults.IntN(g.d.Ranks), func() bool { return time.Now().Before(thaw) }))
+					kills = append(kills, startCoordinator(g, faults.IntN(len(g.Ranks)), func() bool { return time.Now().Before(thaw) }))
 				case 3:
-					g.mu.Lock()
-					g.idle = !g.idle
-					g.mu.Unlock()
+					g.Lock()
+					g.Idle = !g.Idle
+					g.Unlock()
 				case 4:
 					if faults.IntN(3) == 0 {
-						g.mu.Lock()
-						g.form()
-						g.mu.Unlock()
+						g.Form()
 					}
 				}
 			}
@@ -95,21 +96,21 @@
 				kill()
 			}
 			// One sound coordinator clears up and gets the group going again.
-			g.mu.Lock()
-			g.lost, g.mute, g.late, g.idle = 0, 0, 0, false
-			g.mu.Unlock()
+			g.Lock()
+			g.Lost, g.Mute, g.Late, g.Idle = 0, 0, 0, false
+			g.Unlock()
 			time.Sleep(settleTime)
 			kill := startCoordinator(g, 1, nil)
 			time.Sleep(settleTime)
-			g.mu.Lock()
-			if g.mixed != "" {
-				t.Errorf("seed %d: %s", seed, g.mixed)
+			g.Lock()
+			if g.Mixed != "" {
+				t.Errorf("seed %d: %s", seed, g.Mixed)
 			}
-			if g.blocked {
-				t.Errorf("seed %d: the group stands still at pass %d", seed, g.step+1)
+			if g.Blocked {
+				t.Errorf("seed %d: the group stands still at pass %d", seed, g.Step+1)
 			}
-			switches += g.switches
-			g.mu.Unlock()
+			switches += g.Switches
+			g.Unlock()
 			kill()
 			stop()
 			time.Sleep(settleTime)
@@ -127,15 +128,15 @@
 func TestCoordinatorFollowsDemand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := newFakeGroup(testDimensions, 1)
+		g := ranksim.New(testDimensions, 1)
 		ctx, stop := context.WithCancel(context.Background())
 		go runPasses(ctx, g)
 		kill := startCoordinator(g, 0, nil)
 		time.Sleep(3 * time.Second)
-		g.mu.Lock()
-		is.True(g.switches >= g.d.Ranks) // a map is in force
-		is.Equal(g.mixed, "")
-		g.mu.Unlock()
+		g.Lock()
+		is.True(g.Switches >= len(g.Ranks)) // a map is in force
+		is.Equal(g.Mixed, "")
+		g.Unlock()
 		kill()
 		stop()
 		time.Sleep(time.Second)
@@ -148,15 +149,15 @@
 func TestIdleGroupKeepsItsSwitch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := newFakeGroup(testDimensions, 1)
+		g := ranksim.New(testDimensions, 1)
 		ctx, stop := context.WithCancel(context.Background())
 		go runPasses(ctx, g)
 		kill := startCoordinator(g, 0, nil)
 		armed := func() bool {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			for _, r := range g.ranks {
-				if r.armed == nil || r.held != nil {
+			g.Lock()
+			defer g.Unlock()
+			for _, r := range g.Ranks {
+				if r.Armed == nil || r.Held != nil {
 					return false
 				}
 			}
@@ -165,20 +166,20 @@
 		for !armed() {
 			time.Sleep(time.Millisecond)
 		}
-		g.mu.Lock()
-		g.idle = true
-		g.mu.Unlock()
+		g.Lock()
+		g.Idle = true
+		g.Unlock()
 		time.Sleep(5 * time.Second)
 		is.True(armed())
-		g.mu.Lock()
-		version := g.ranks[0].armed.Version
-		g.idle = false
-		g.mu.Unlock()
-		time.Sleep(maxArmLead * testPass)
-		g.mu.Lock()
-		is.True(g.ranks[0].version >= version) // the switch happened
-		is.Equal(g.mixed, "")
-		g.mu.Unlock()
+		g.Lock()
+		version := g.Ranks[0].Armed.Version
+		g.Idle = false
+		g.Unlock()
+		time.Sleep(rankgroup.MaxArmLead * testPass)
+		g.Lock()
+		is.True(g.Ranks[0].Version >= version) // the switch happened
+		is.Equal(g.Mixed, "")
+		g.Unlock()
 		kill()
 		stop()
 		time.Sleep(time.Second)
--- /dev/null
+++ b/rankgroup/export_test.go
@@ -0,0 +1,9 @@
+package rankgroup
+
+// For tests outside the package, which use the stand-in of the ranks.
+const (
+	SwitchTime = switchTime
+	MaxArmLead = maxArmLead
+)
+
+var Pause = pause
--- a/rankgroup/plan_test.go
+++ b/rankgroup/plan_test.go
@@ -127,7 +127,7 @@
 }
 
 func FuzzMapUnmarshal(f *testing.F) {
-	text, err := First(testDimensions).MarshalText()
+	text, err := First(Dimensions{Ranks: 4, Sets: 2, Experts: 8}).MarshalText()
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/rankgroup/switch_test.go
+++ b/rankgroup/switch_test.go
@@ -1,4 +1,4 @@
-package rankgroup
+package rankgroup_test
 
 import (
 	"context"
@@ -7,22 +7,25 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/lab/ranksim"
+	"github.com/wasabinotch/wasabinotch/rankgroup"
 )
 
 const testVersion = 100
 
 // armAll prepares a map at all ranks and arms them for a pass that rank 0 holds,
 // as a coordinator does that dies before the release.
-func armAll(g *fakeGroup, step uint64, except int) {
-	next := First(g.d)
+func armAll(g *ranksim.Group, step uint64, except int) {
+	next := rankgroup.First(g.Dimensions)
 	next.Sets[0][1] = append(next.Sets[0][1], 0)
-	for r := range g.ranks {
-		g.carryOut(r, Order{Operation: Prepare, Epoch: g.epoch, Version: testVersion, Map: next})
+	for r := range g.Ranks {
+		g.CarryOut(r, rankgroup.Order{Operation: rankgroup.Prepare, Epoch: g.Epoch, Version: testVersion, Map: next})
 	}
-	g.carryOut(0, Order{Operation: Hold, Epoch: g.epoch, Step: step})
-	for r := range g.ranks {
+	g.CarryOut(0, rankgroup.Order{Operation: rankgroup.Hold, Epoch: g.Epoch, Step: step})
+	for r := range g.Ranks {
 		if r != except {
-			g.carryOut(r, Order{Operation: Arm, Epoch: g.epoch, Version: testVersion, Step: step})
+			g.CarryOut(r, rankgroup.Order{Operation: rankgroup.Arm, Epoch: g.Epoch, Version: testVersion, Step: step})
 		}
 	}
 }
@@ -32,40 +35,38 @@
 func TestLateReleaseDuringUndo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := newFakeGroup(testDimensions, 1)
+		g := ranksim.New(testDimensions, 1)
 		armAll(g, 5, -1)
 		time.AfterFunc(3*time.Second, func() {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.carryOut(0, Order{Operation: Go, Epoch: g.epoch, Step: 5})
+			g.CarryOut(0, rankgroup.Order{Operation: rankgroup.Go, Epoch: g.Epoch, Step: 5})
 		})
 		away := time.Now().Add(6 * time.Second)
-		engines := make([]Engine, g.d.Ranks)
-		reports := make([]Report, g.d.Ranks)
+		engines := make([]rankgroup.Engine, len(g.Ranks))
+		reports := make([]rankgroup.Report, len(g.Ranks))
 		for r := range engines {
-			e := &fakeEngine{g: g, rank: r}
+			e := &ranksim.Engine{Group: g, Rank: r}
 			engines[r] = e
 			var err error
 			reports[r], err = e.Report(t.Context())
 			is.NoErr(err)
 		}
-		engines[3].(*fakeEngine).off = func() bool { return time.Now().Before(away) }
+		engines[3].(*ranksim.Engine).Off = func() bool { return time.Now().Before(away) }
 		version := uint64(testVersion)
-		undo := NewUndo(engines, reports, First(g.d), func() uint64 { version++; return version })
+		undo := rankgroup.NewUndo(engines, reports, rankgroup.First(g.Dimensions), func() uint64 { version++; return version })
 		ctx, stop := context.WithCancel(t.Context())
 		go runPasses(ctx, g)
 		for done := false; !done; {
-			octx, cancel := context.WithTimeout(ctx, switchTime)
+			octx, cancel := context.WithTimeout(ctx, rankgroup.SwitchTime)
 			var err error
 			done, err = undo.Advance(octx)
 			cancel()
 			is.NoErr(err)
 		}
 		time.Sleep(time.Second)
-		g.mu.Lock()
-		is.Equal(g.mixed, "")
-		is.True(g.step > 5) // the group got on
-		g.mu.Unlock()
+		g.Lock()
+		is.Equal(g.Mixed, "")
+		is.True(g.Step > 5) // the group got on
+		g.Unlock()
 		stop()
 		time.Sleep(settleTime)
 	})
@@ -76,23 +77,23 @@
 func TestLateArmAfterUndo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := newFakeGroup(testDimensions, 1)
-		g.idle = true
+		g := ranksim.New(testDimensions, 1)
+		g.Idle = true
 		armAll(g, 5, 2)
 		time.AfterFunc(4*time.Second, func() {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			is.Equal(g.carryOut(2, Order{Operation: Arm, Epoch: g.epoch, Version: testVersion, Step: 5}), Refused)
-			g.idle = false
+			is.Equal(g.CarryOut(2, rankgroup.Order{Operation: rankgroup.Arm, Epoch: g.Epoch, Version: testVersion, Step: 5}), rankgroup.Refused)
+			g.Lock()
+			g.Idle = false
+			g.Unlock()
 		})
 		ctx, stop := context.WithCancel(context.Background())
 		go runPasses(ctx, g)
 		kill := startCoordinator(g, 1, nil)
 		time.Sleep(8 * time.Second)
-		g.mu.Lock()
-		is.Equal(g.mixed, "")
-		is.True(g.step > 5)
-		g.mu.Unlock()
+		g.Lock()
+		is.Equal(g.Mixed, "")
+		is.True(g.Step > 5)
+		g.Unlock()
 		kill()
 		stop()
 		time.Sleep(settleTime)
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -13,6 +13,9 @@
 	Zone   string `json:"zone"`
 	Region string `json:"region"`
 	IP     string `json:"ip"`
+	// DialFrom is the IP number that connections come from, for VMs with
+	// several; empty lets the system choose.
+	DialFrom string `json:"dial_from"`
 	// CallersAddr, ReadyAddr and DirectoryAddr are served by entries.
 	CallersAddr   string `json:"callers_addr"`
 	ReadyAddr     string `json:"ready_addr"`
@@ -60,6 +63,9 @@
 	if _, err := netip.ParseAddr(d.IP); err != nil {
 		return &Error{Field: "ip", Reason: fmt.Sprintf("%q is not an IP number", d.IP), Remedy: "use an IP number of this machine"}
 	}
+	if _, err := d.DialIP(); err != nil {
+		return &Error{Field: "dial_from", Reason: fmt.Sprintf("%q is not an IP number", d.DialFrom), Remedy: "use an IP number of this machine, or leave it out"}
+	}
 	const lastPort = 65535 - 3
 	if d.PeerPort <= 0 || d.PeerPort > lastPort {
 		return &Error{Field: "peer_port", Reason: "is out of range", Remedy: "use the first of four free ports"}
@@ -75,6 +81,14 @@
 	return checkAddr("store_addr", d.StoreAddr)
 }
 
+// DialIP returns the IP number that connections come from, zero for any.
+func (d *Direct) DialIP() (netip.Addr, error) {
+	if d.DialFrom == "" {
+		return netip.Addr{}, nil
+	}
+	return netip.ParseAddr(d.DialFrom)
+}
+
 // DirectEntry is Direct with the checks of an entry.
 type DirectEntry struct{ Direct }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -46,8 +47,11 @@
 // Client makes calls. The zero value isn't usable; see NewClient.
 type Client struct {
 	dialTimeout time.Duration
-	mu          sync.Mutex
-	pools       map[string]*pool
+	// DialFrom is the IP number that connections come from; zero for any.
+	DialFrom netip.Addr
+
+	mu    sync.Mutex
+	pools map[string]*pool
 }
 
 // NewClient returns a client that gives up connecting after dialTimeout.
@@ -96,6 +100,9 @@
 	c.mu.Unlock()
 	dialer := net.Dialer{Timeout: c.dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}}
+	if c.DialFrom.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.DialFrom, 0))
+	}
 	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		c.count(addr, -1)
