Stop an undo whose pass was released by another coordinator; faster switches

Cause: a coordinator that undoes a switch disarmed whatever a rank was armed with. If another coordinator had released the held pass meanwhile, that was the next switch: a pass began with two maps.

Ruled out: late releases for a pass that is held again (the last released pass is now remembered all the same); holding the very next pass, which another coordinator's release may end, is not done.

Copies are awaited beside the engine instead of by polling, and a switch takes the pass after the next.

--- a/lab/ranksim/ranksim.go
+++ b/lab/ranksim/ranksim.go
@@ -318,3 +318,8 @@
 	}
 	return result, nil
 }
+
+// AwaitPrepared implements rankgroup.Engine.
+func (e *Engine) AwaitPrepared(ctx context.Context, version uint64) error {
+	return rankgroup.AwaitPrepared(ctx, e, version)
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -30,6 +30,8 @@
 	// publishPerEntry bounds the rate of reports with many entries, so that
 	// they take a few parts in a hundred of a narrow link.
 	publishPerEntry = 4 * time.Millisecond
+	// maxWait bounds the time for which a coordinator may have an agent wait.
+	maxWait = time.Second
 	// quietInterval is when an unchanged load is sent again; entries forget a
 	// load after a second.
 	quietInterval = 450 * time.Millisecond
@@ -268,6 +270,10 @@
 		reply.Report, reply.Window = &report, &window
 	case wire.AskExperts:
 		reply.Experts, reply.Version, err = a.engine.Experts(ctx)
+	case wire.AskPrepared:
+		ctx, cancel := context.WithTimeout(ctx, min(time.Duration(args.WaitMS)*time.Millisecond, maxWait))
+		defer cancel()
+		err = a.engine.AwaitPrepared(ctx, args.Version)
 	case wire.AskOrder:
 		if args.Order == nil {
 			return errors.New("the call has no order; send one")
--- a/node/rank.go
+++ b/node/rank.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/rankgroup"
@@ -37,6 +38,11 @@
 	return report, l.meter.Window(report.Born, counts), nil
 }
 
+// AwaitPrepared implements rankgroup.Engine.
+func (l *localRank) AwaitPrepared(ctx context.Context, version uint64) error {
+	return rankgroup.AwaitPrepared(ctx, l, version)
+}
+
 // remoteRank is a rank on another VM, reached through its agent. Reports are
 // fresh there and counts free of charge. If the agent can't be reached, the
 // engine is asked directly.
@@ -141,3 +147,19 @@
 	}
 	return reply.Result, nil
 }
+
+// AwaitPrepared implements rankgroup.Engine. Only an agent can wait beside the
+// engine; without one the next round's report tells.
+func (r *remoteRank) AwaitPrepared(ctx context.Context, version uint64) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return rankgroup.ErrNotPrepared
+	}
+	// The agent answers a little earlier, so that its answer isn't cut off.
+	wait := time.Until(deadline) - answerMargin
+	_, _, err := r.call(ctx, wire.RankArgs{Ask: wire.AskPrepared, Version: version, WaitMS: wait.Milliseconds()})
+	return err
+}
+
+// answerMargin is the time in which an agent's answer crosses the network.
+const answerMargin = 50 * time.Millisecond
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -30,10 +30,13 @@
 	// minGain is the least improvement that is worth a copy, in means of a set's
 	// load; passes take 15 in 100 longer while experts are copied.
 	minGain = 0.02
-	// armLead is the least time between arming and the pass of the switch.
-	armLead = 60 * time.Millisecond
-	// maxArmLead bounds it in passes, for groups whose passes are very short.
-	maxArmLead = 12
+	// holdAttempts bounds the passes that are tried in a row for one switch. A
+	// hold reaches the coordinator's own rank within a few ms, so a pass seldom
+	// begins before it.
+	holdAttempts = 2
+	// foreignSteps is how many passes ahead a coordinator that is gone may have
+	// sent a release in a group that went idle.
+	foreignSteps = 2
 	// switchTime bounds one attempt at a switch; it goes on in the next round.
 	switchTime = 400 * time.Millisecond
 	// idleTime is the time without a new pass after which a group counts as idle.
@@ -67,13 +70,16 @@
 	current *Map
 	inForce uint64
 	// next is the plan that is being copied.
-	next       *Plan
-	nextSince  time.Time
-	preparing  uint64
-	orderedAt  []time.Time
-	pending    *Switch
-	target     *Map
-	strays     int
+	next      *Plan
+	nextSince time.Time
+	preparing uint64
+	orderedAt []time.Time
+	pending   *Switch
+	target    *Map
+	strays    int
+	// released is the last pass that a release was sent for. No pass up to it is
+	// held again, since a release may still be carried out.
+	released   uint64
 	lastWindow time.Time
 	// fresh says that a window ended since the last plan.
 	fresh    bool
@@ -152,14 +158,13 @@
 	if c.current == nil && !c.learnMap(ctx, reports) {
 		return nil
 	}
-	if c.next != nil {
-		return c.prepare(ctx, reports)
+	if c.next == nil {
+		c.plan()
 	}
-	c.plan()
-	if c.next != nil {
-		return c.prepare(ctx, reports)
+	if c.next == nil {
+		return nil
 	}
-	return nil
+	return c.prepare(ctx, reports)
 }
 
 // poll reads reports and counts of all ranks. It returns nil if one is missing.
@@ -218,7 +223,7 @@
 	if first.Epoch != c.epoch {
 		c.cfg.Log.Info("Group formed.", "group", first.Group, "epoch", first.Epoch, "ranks", len(reports))
 		c.epoch, c.current, c.next, c.pending = first.Epoch, nil, nil, nil
-		c.lastStep, c.stepAt = first.Step, now
+		c.lastStep, c.stepAt, c.released = first.Step, now, first.Step+foreignSteps
 		c.fresh = c.demand.Present() != nil
 	}
 	if first.Step > c.lastStep {
@@ -337,19 +342,54 @@
 		}
 	}
 	if !ready {
-		return c.orderPrepare(ctx, reports, now)
+		if err := c.orderPrepare(ctx, reports, now); err != nil || c.next == nil {
+			return err
+		}
+		if err := c.awaitPrepared(ctx, reports); err != nil {
+			if errors.Is(err, ErrSuperseded) {
+				return err
+			}
+			return nil // the next round looks again
+		}
+	}
+	return c.beginSwitch(ctx)
+}
+
+// awaitPrepared waits until all ranks have copied the plan.
+func (c *Coordinator) awaitPrepared(ctx context.Context, reports []Report) error {
+	ctx, cancel := context.WithTimeout(ctx, copyBudget+pollTimeout)
+	defer cancel()
+	errs := make([]error, len(reports))
+	var wg sync.WaitGroup
+	for r, rep := range reports {
+		if rep.Prepared != c.preparing {
+			wg.Go(func() { errs[r] = c.cfg.Engines[r].AwaitPrepared(ctx, c.preparing) })
+		}
 	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// beginSwitch switches at the pass after the next. The next one may be held by a
+// coordinator that is undoing a switch; its release would end a hold of this one
+// too. If the pass begins before it is held, the one after it is tried.
+func (c *Coordinator) beginSwitch(ctx context.Context) error {
 	if time.Since(c.stepAt) > idleTime {
 		return nil // nothing runs; a switch would wait for the next requests
 	}
-	step := reports[0].Step
-	for _, rep := range reports {
-		step = max(step, rep.Step)
+	for range holdAttempts {
+		home, err := c.cfg.Engines[c.cfg.Home].Report(ctx)
+		if err != nil || home.Epoch != c.epoch {
+			return err
+		}
+		c.target = c.next.Map
+		step := max(home.Step+1, c.released) + 1
+		c.pending = NewSwitch(c.cfg.Engines, c.epoch, c.preparing, step, c.cfg.Home, c.current, c.nextVersion)
+		if err := c.advance(ctx); err != nil || c.next == nil || c.pending != nil {
+			return err
+		}
 	}
-	lead := min(1+uint64(armLead/max(c.passTime, time.Millisecond)), maxArmLead)
-	c.target = c.next.Map
-	c.pending = NewSwitch(c.cfg.Engines, c.epoch, c.preparing, step+1+lead, c.cfg.Home, c.current, c.nextVersion)
-	return c.advance(ctx)
+	return nil
 }
 
 // orderPrepare orders the ranks whose turn is now to copy.
@@ -396,6 +436,7 @@
 	}
 	s := c.pending
 	c.pending = nil
+	c.released = max(c.released, s.step)
 	c.count(`wasabinotch_map_switches_total{outcome="` + s.outcome() + `"}`)
 	if s.Missed {
 		return nil // the copies are there; the next round tries a later pass
--- a/rankgroup/coordinator_test.go
+++ b/rankgroup/coordinator_test.go
@@ -63,7 +63,7 @@
 // work at once, the group goes idle and forms anew.
 func TestNoPassBeginsWithTwoMaps(t *testing.T) {
 	switches := 0
-	for seed := uint64(1); seed <= 150; seed++ {
+	for seed := uint64(1); seed <= 300; seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			g := ranksim.New(testDimensions, seed)
 			faults := rand.New(rand.NewPCG(seed, 2))
@@ -175,7 +175,7 @@
 		version := g.Ranks[0].Armed.Version
 		g.Idle = false
 		g.Unlock()
-		time.Sleep(rankgroup.MaxArmLead * testPass)
+		time.Sleep(5 * testPass)
 		g.Lock()
 		is.True(g.Ranks[0].Version >= version) // the switch happened
 		is.Equal(g.Mixed, "")
--- a/rankgroup/export_test.go
+++ b/rankgroup/export_test.go
@@ -3,7 +3,6 @@
 // For tests outside the package, which use the stand-in of the ranks.
 const (
 	SwitchTime = switchTime
-	MaxArmLead = maxArmLead
 )
 
 var Pause = pause
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -158,6 +158,35 @@
 	Experts(ctx context.Context) (sets [][]int, version uint64, err error)
 	// Order gives an order. The result is Unanswered if err isn't nil.
 	Order(ctx context.Context, o Order) (Result, error)
+	// AwaitPrepared returns nil once the rank has copied a version, or an error
+	// if it hasn't when ctx ends or the rank can't be asked.
+	AwaitPrepared(ctx context.Context, version uint64) error
+}
+
+// ErrNotPrepared means that a rank hasn't copied a version yet.
+var ErrNotPrepared = errors.New("the version isn't copied yet; it is looked at again in the next round")
+
+// preparedPoll is the interval at which a rank's own report is read for the end
+// of a copy, which takes tens of milliseconds an expert.
+const preparedPoll = 15 * time.Millisecond
+
+// AwaitPrepared implements Engine.AwaitPrepared for a rank whose reports are
+// near and free.
+func AwaitPrepared(ctx context.Context, e interface {
+	Report(ctx context.Context) (Report, error)
+}, version uint64) error {
+	for {
+		rep, err := e.Report(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return ErrNotPrepared
+		case err != nil:
+			return err
+		case rep.Prepared == version:
+			return nil
+		}
+		pause(ctx, preparedPoll)
+	}
 }
 
 // Dimensions are the sizes of a group's maps.
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -253,6 +253,12 @@
 			continue
 		case rep.Epoch != s.epoch:
 			return true, nil // a new formation has no maps and no orders of this one
+		case rep.Step >= s.step:
+			// Another coordinator released the pass. What ranks are armed with now
+			// belongs to a later switch.
+			return true, nil
+		case rep.Armed != nil && rep.Armed.Step != s.step:
+			return true, nil // the pass of that switch isn't the one that is held here
 		case rep.Armed != nil:
 			if _, err := s.order(ctx, r, Order{Operation: Disarm, Version: rep.Armed.Version}); err != nil {
 				return false, err
--- a/wire/rank.go
+++ b/wire/rank.go
@@ -14,6 +14,8 @@
 	AskWindow  RankAsk = "window"
 	AskExperts RankAsk = "experts"
 	AskOrder   RankAsk = "order"
+	// AskPrepared waits for the end of a copy.
+	AskPrepared RankAsk = "prepared"
 )
 
 // RankArgs is a call of a coordinator. An agent serves the one with the highest
@@ -26,6 +28,9 @@
 	Term  uint64           `json:"term"`
 	Rank  int              `json:"rank"`
 	Order *rankgroup.Order `json:"order,omitempty"`
+	// Version and WaitMS belong to AskPrepared.
+	Version uint64 `json:"version,omitempty"`
+	WaitMS  int64  `json:"wait_ms,omitempty"`
 }
 
 // RankReply answers a RankArgs.
