--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -73,10 +73,10 @@
 		} else if time.Since(whole) > lostRanks && !c.Busy() {
 			c = nil
 		}
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
+		if c == nil {
+			continue
 		}
+		c.Wait(ctx, ticker.C)
 	}
 }
 
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -73,10 +73,14 @@
 	next      *Plan
 	nextSince time.Time
 	preparing uint64
-	orderedAt []time.Time
-	pending   *Switch
-	target    *Map
-	strays    int
+	// awaited is the version whose copies are waited for, ready the last one
+	// that copied brought.
+	awaited, ready uint64
+	copied         chan uint64
+	orderedAt      []time.Time
+	pending        *Switch
+	target         *Map
+	strays         int
 	// released is the last pass that a release was sent for. No pass up to it is
 	// held again, since a release may still be carried out.
 	released   uint64
@@ -101,7 +105,7 @@
 // NewCoordinator returns a coordinator that knows nothing of the group yet.
 func NewCoordinator(cfg Config) *Coordinator {
 	c := &Coordinator{cfg: cfg, demand: NewDemand(cfg.Dimensions), nonce: rand.Uint64N(1 << nonceBits),
-		orderedAt: make([]time.Time, len(cfg.Engines)), passTime: 100 * time.Millisecond,
+		orderedAt: make([]time.Time, len(cfg.Engines)), passTime: 100 * time.Millisecond, copied: make(chan uint64, 1),
 		rare: logs.Limit(cfg.Log, rareLines, rareLines)}
 	return c
 }
@@ -131,6 +135,10 @@
 // Round polls the ranks and does what is due. whole reports whether all ranks
 // were reached. The error is ErrSuperseded if another coordinator is in charge.
 func (c *Coordinator) Round(ctx context.Context) (whole bool, err error) {
+	if c.next != nil && c.ready == c.preparing && c.pending == nil {
+		c.ready = 0
+		return true, c.beginSwitch(ctx)
+	}
 	reports, err := c.poll(ctx)
 	if err != nil {
 		return false, err
@@ -345,29 +353,47 @@
 		if err := c.orderPrepare(ctx, reports, now); err != nil || c.next == nil {
 			return err
 		}
-		if err := c.awaitPrepared(ctx, reports); err != nil {
-			if errors.Is(err, ErrSuperseded) {
-				return err
-			}
-			return nil // the next round looks again
-		}
+		c.awaitPrepared(reports)
+		return nil
 	}
 	return c.beginSwitch(ctx)
 }
 
-// awaitPrepared waits until all ranks have copied the plan.
-func (c *Coordinator) awaitPrepared(ctx context.Context, reports []Report) error {
-	ctx, cancel := context.WithTimeout(ctx, copyBudget+pollTimeout)
-	defer cancel()
-	errs := make([]error, len(reports))
+// awaitPrepared begins to wait until all ranks have copied the plan, while the
+// rounds go on to follow demand.
+func (c *Coordinator) awaitPrepared(reports []Report) {
+	if c.awaited == c.preparing {
+		return
+	}
+	c.awaited = c.preparing
+	version := c.preparing
 	var wg sync.WaitGroup
-	for r, rep := range reports {
-		if rep.Prepared != c.preparing {
-			wg.Go(func() { errs[r] = c.cfg.Engines[r].AwaitPrepared(ctx, c.preparing) })
+	ctx, cancel := context.WithTimeout(context.Background(), copyBudget+pollTimeout)
+	errs := make([]error, len(reports))
+	for r, e := range c.cfg.Engines {
+		wg.Go(func() { errs[r] = e.AwaitPrepared(ctx, version) })
+	}
+	go func() {
+		wg.Wait()
+		cancel()
+		// After a failure the reports of later rounds tell.
+		if errors.Join(errs...) == nil {
+			select {
+			case c.copied <- version:
+			default:
+			}
 		}
+	}()
+}
+
+// Wait returns when the next round is due: at a tick, or as soon as a plan is
+// copied.
+func (c *Coordinator) Wait(ctx context.Context, tick <-chan time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-tick:
+	case c.ready = <-c.copied:
 	}
-	wg.Wait()
-	return errors.Join(errs...)
 }
 
 // beginSwitch switches at the pass after the next. The next one may be held by a
--- a/rankgroup/coordinator_test.go
+++ b/rankgroup/coordinator_test.go
@@ -35,11 +35,13 @@
 	c := rankgroup.NewCoordinator(rankgroup.Config{Dimensions: g.Dimensions, Engines: engines, Home: home, Log: logr.Discard(), Metrics: metrics.NewSet()})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
+		ticker := time.NewTicker(100 * time.Millisecond)
+		defer ticker.Stop()
 		for ctx.Err() == nil {
 			if _, err := c.Round(ctx); errors.Is(err, rankgroup.ErrSuperseded) {
 				return
 			}
-			rankgroup.Pause(ctx, 100*time.Millisecond)
+			c.Wait(ctx, ticker.C)
 		}
 	}()
 	return cancel
