--- a/proof/soak_callers_test.go
+++ b/proof/soak_callers_test.go
@@ -45,7 +45,7 @@
 }
 
 // callerPause is the usual pause of one caller between two requests.
-const callerPause = 40 * time.Millisecond
+const callerPause = 20 * time.Millisecond
 
 // callerPatience is how long a caller waits for an answer.
 const callerPatience = 3 * time.Second
--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -52,7 +52,7 @@
 	{"connections reset", 2, false, (*chaos).resetConnections},
 	{"agent cut off", 2, false, (*chaos).cutAgent},
 	{"endpoint crashes", 4, false, (*chaos).crashEndpoint},
-	{"endpoint goes wrong", 3, false, (*chaos).faultyEndpoint},
+	{"endpoint goes wrong", 6, false, (*chaos).faultyEndpoint},
 	{"orders go astray", 4, false, (*chaos).loseOrders},
 	{"zone taken out", 2, true, (*chaos).takeZoneOut},
 	{"keys changed", 2, true, (*chaos).changeKeys},
@@ -62,7 +62,7 @@
 
 // meanPause is the mean pause between two actions; they last for longer, so
 // that several overlap.
-const meanPause = 500 * time.Millisecond
+const meanPause = 300 * time.Millisecond
 
 // run does actions for d, then undoes what is left.
 func (c *chaos) run(d time.Duration, plannedOnly bool) {
@@ -360,7 +360,7 @@
 	if !ok {
 		return
 	}
-	p := 0.5 * c.rng.Float64()
+	p := 0.2 + 0.6*c.rng.Float64()
 	f := []platformsim.Faults{{Hang: p}, {Cut: p}, {Fail: p}, {Foreign: p}, {Reject: p}}[c.rng.IntN(5)]
 	d := c.between(500*time.Millisecond, 4*time.Second)
 	c.note("endpoint %s: %+v for %v", e.ID(), f, d)
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -19,7 +19,7 @@
 	soakFirst   = flag.Uint64("soak.first", 1, "first seed of the soak")
 	soakSeeds   = flag.Int("soak.seeds", 2, "number of seeds")
 	soakFor     = flag.Duration("soak.for", 8*time.Second, "time of faults for one seed")
-	soakCallers = flag.Int("soak.callers", 12, "callers")
+	soakCallers = flag.Int("soak.callers", 24, "callers")
 	soakEntries = flag.Int("soak.entries", 0, "entries; 0 for 3 to 5")
 	soakGroups  = flag.Int("soak.groups", 0, "rank groups; 0 for 1 to 2")
 	soakRanks   = flag.Int("soak.ranks", 0, "ranks a group; 0 for 3 to 5")
