--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -273,3 +274,53 @@
 	p, _ = f.Acquire(t.Context(), &Ask{Service: "s"})
 	is.True(p.Age >= 0)
 }
+
+// Guards against bytes between zones that save nobody time: with equal loads
+// most requests stay in the entry's zone, and a busier endpoint there is left.
+func TestOwnZoneComesFirst(t *testing.T) {
+	is := is.New(t)
+	f := New("z1", nil)
+	for i, zone := range []string{"z1", "z2", "z3"} {
+		f.Update(Record{ID: zone, Service: "s", Address: fmt.Sprint("a:", i), Zone: zone, Slots: 10})
+	}
+	own := 0
+	const requests = 100
+	for range requests {
+		p, _ := f.Acquire(t.Context(), &Ask{Service: "s"})
+		if p.Endpoint.Zone == "z1" {
+			own++
+		}
+		p.Done()
+	}
+	is.Equal(own, requests)
+	f.Report("z1", Load{Running: 5})
+	p, _ := f.Acquire(t.Context(), &Ask{Service: "s"})
+	is.True(p.Endpoint.Zone != "z1")
+}
+
+// Load: more requests of one rank than slots, for as long as it lasts. Guards
+// against a request that waits while later ones of its rank are served.
+func TestEqualRequestsGoInTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := New("z1", nil)
+		f.Update(Record{ID: "e", Service: "s", Address: "a:1", Zone: "z1", Slots: 1})
+		p, _ := f.Acquire(t.Context(), &Ask{Service: "s"})
+		var mu sync.Mutex
+		var served []int
+		for i := range 10 {
+			go func() {
+				p, _ := f.Acquire(t.Context(), &Ask{Service: "s", Priority: 1, MaxWait: time.Minute})
+				mu.Lock()
+				served = append(served, i)
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+				p.Done()
+			}()
+			synctest.Wait()
+		}
+		p.Done()
+		time.Sleep(time.Second)
+		is.Equal(served, []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9})
+	})
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -103,6 +103,33 @@
 	is.Equal(s.runs(), 2)
 }
 
+// Guards against events that wait for later ones: the endpoint goes on only
+// once the caller has the first event.
+func TestEventsArriveAsTheyAreMade(t *testing.T) {
+	is := is.New(t)
+	got := make(chan struct{})
+	s := newSystem(t, draft, func(c net.Conn, r *http.Request, n int) {
+		raw(streamHead+"Connection: close\r\n\r\n"+events(1, 1))(c, r, n)
+		<-got
+		raw(events(2, 2))(c, r, n)
+		c.Close()
+	})
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/a/b", strings.NewReader("body"))
+	is.NoErr(err)
+	r.Host = "host"
+	r.Header = http.Header{"Request-Id": {"id-1"}, "Authorization": {"Bearer key"}}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	first := make([]byte, len(events(1, 1)))
+	_, err = io.ReadFull(resp.Body, first)
+	is.NoErr(err)
+	close(got)
+	rest, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(first)+string(rest), events(1, 2))
+}
+
 // Guards against a cut stream that looks whole.
 func TestBrokenStreamLooksBroken(t *testing.T) {
 	is := is.New(t)
