--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -266,13 +266,13 @@
 	return max(ep.inFlight, ep.report.Running+ep.report.Waiting+ep.inFlight-ep.inFlightThen)
 }
 
-// Full says why no endpoint was chosen.
-type Full int
+// Room says whether a service had room for a request, and if not, why.
+type Room int
 
-// The reasons.
+// The cases.
 const (
 	// Free means that an endpoint was chosen.
-	Free Full = iota
+	Free Room = iota
 	// Busy means that all endpoints have their slots taken.
 	Busy
 	// Down means that there is no endpoint that could take the request, now or soon.
@@ -280,7 +280,7 @@
 )
 
 // choose returns the best endpoint of a service.
-func (f *Fleet) choose(service string, exclude []*Endpoint) (*Pick, Full) {
+func (f *Fleet) choose(service string, exclude []*Endpoint) (*Pick, Room) {
 	now := time.Now()
 	limits := f.limits[service]
 	var best, fallback *Endpoint
@@ -301,7 +301,7 @@
 			continue
 		}
 		load := ep.load(now)
-		if load >= ep.usable(limits, now) || !f.mayConnect(ep, limits) || !f.mayWarm(ep, limits, now) {
+		if load >= ep.usable(limits, now) || !f.mayConnect(ep, limits) || !f.withinRate(ep, limits, now) {
 			why = Busy
 			continue
 		}
@@ -353,9 +353,9 @@
 	return l.MaxConnections <= 0 || ep.inFlight < max(1, l.MaxConnections/f.entries)
 }
 
-// mayWarm keeps this entry's part of the rate that a cold endpoint bears. The
+// withinRate keeps this entry's part of the rate that a cold endpoint bears. The
 // burst limit holds for warm endpoints too, since any may turn cold unnoticed.
-func (f *Fleet) mayWarm(ep *Endpoint, l Limits, now time.Time) bool {
+func (f *Fleet) withinRate(ep *Endpoint, l Limits, now time.Time) bool {
 	if l.ColdPerSecond <= 0 {
 		ep.sent = ep.sent[:0]
 		return true
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -17,7 +17,7 @@
 	return Record{ID: id, Service: service, Address: address, Zone: "z1", Slots: 4, Incarnation: born}
 }
 
-func acquire(t *testing.T, f *Fleet, ask Ask) (*Pick, Full) {
+func acquire(t *testing.T, f *Fleet, ask Ask) (*Pick, Room) {
 	t.Helper()
 	ask.Service = service
 	return f.Acquire(t.Context(), &ask)
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -34,7 +34,7 @@
 const maxQueue = 64
 
 // Acquire returns an endpoint for a request, waiting for a free one if need be.
-func (f *Fleet) Acquire(ctx context.Context, ask *Ask) (*Pick, Full) {
+func (f *Fleet) Acquire(ctx context.Context, ask *Ask) (*Pick, Room) {
 	f.mu.Lock()
 	q := f.queues[ask.Service]
 	if q == nil {
@@ -88,7 +88,7 @@
 }
 
 // leave takes a waiter out of the queue; it may have got an endpoint meanwhile.
-func (f *Fleet) leave(q *queue, w *waiter) (*Pick, Full) {
+func (f *Fleet) leave(q *queue, w *waiter) (*Pick, Room) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i, other := range q.waiters {
--- a/forward/send.go
+++ b/forward/send.go
@@ -113,7 +113,7 @@
 }
 
 // place waits for an endpoint.
-func (x *exchange) place(ctx context.Context) (*fleet.Pick, fleet.Full) {
+func (x *exchange) place(ctx context.Context) (*fleet.Pick, fleet.Room) {
 	began := time.Now()
 	ask := &fleet.Ask{Service: x.service, Priority: x.priority, Exclude: x.tried, MaxWait: x.maxWait()}
 	pick, why := x.h.cfg.Fleet.Acquire(ctx, ask)
@@ -136,7 +136,7 @@
 }
 
 // noPlace refuses a request for which there is no endpoint.
-func (x *exchange) noPlace(why fleet.Full, last verdict) *api.Refusal {
+func (x *exchange) noPlace(why fleet.Room, last verdict) *api.Refusal {
 	if x.attempts > 0 || x.mayHaveRun {
 		return x.giveUp(last)
 	}
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+	"github.com/wasabinotch/wasabinotch/pause"
 )
 
 // maxZoneDelay is the target for the last new work in a zone after the command
@@ -117,7 +118,7 @@
 	running.Go(func() { g.Run(load) })
 	defer running.Wait()
 	defer cancel() // before the wait
-	sleep(ctx, opt.Phase)
+	pause.For(ctx, opt.Phase)
 	g.SetPhase("out")
 	if err := r.takeOut(ctx, opt, op, sys); err != nil {
 		return err
@@ -140,7 +141,7 @@
 	}
 	r.outAnswered = time.Since(commanded)
 	r.outConfirmed = result.ConfirmedZones
-	sleep(ctx, opt.Phase-time.Since(commanded))
+	pause.For(ctx, opt.Phase-time.Since(commanded))
 	r.lastWork = max(sys.lastWork(r.zone).Sub(commanded), 0)
 	return nil
 }
@@ -156,18 +157,11 @@
 			r.firstWork = at.Sub(commanded)
 			return nil
 		}
-		sleep(ctx, pollInterval)
+		pause.For(ctx, pollInterval)
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // judge compares what was seen with the guarantees.
 func (r *report) judge(g *loadgen.Generator, sys *system) {
 	r.load = g.Summary(sys.ledger.Counts())
--- a/lab/overload/overload.go
+++ b/lab/overload/overload.go
@@ -11,6 +11,7 @@
 
 	"github.com/wasabinotch/wasabinotch/lab/enginesim"
 	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+	"github.com/wasabinotch/wasabinotch/pause"
 )
 
 // Options describe the measurement. Zero values take the defaults of DefaultOptions.
@@ -158,9 +159,9 @@
 	for _, g := range gens {
 		group.Go(func() { g.Run(ctx) })
 	}
-	sleep(ctx, opt.Duration/2)
+	pause.For(ctx, opt.Duration/2)
 	half := whole(gens)
-	sleep(ctx, time.Until(begun.Add(opt.Duration)))
+	pause.For(ctx, time.Until(begun.Add(opt.Duration)))
 	r.Goodput = float64(whole(gens)-half) / (opt.Duration / 2).Seconds()
 	r.Relative = r.Goodput / opt.Capacity()
 	group.Wait()
@@ -194,10 +195,3 @@
 	}
 	return n
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/lab/overload/system.go
+++ b/lab/overload/system.go
@@ -21,6 +21,7 @@
 	"github.com/wasabinotch/wasabinotch/lab/kvsim"
 	"github.com/wasabinotch/wasabinotch/lab/loadgen"
 	"github.com/wasabinotch/wasabinotch/lab/vmlist"
+	"github.com/wasabinotch/wasabinotch/pause"
 )
 
 const (
@@ -238,7 +239,7 @@
 		group.Go(func() { g.Run(load) })
 	}
 	for end := time.Now().Add(2 * opt.Duration); !s.limits.full(opt.Engines) && time.Now().Before(end); {
-		sleep(ctx, pollEvery)
+		pause.For(ctx, pollEvery)
 	}
 	cancel()
 	group.Wait()
@@ -247,7 +248,7 @@
 
 // watch records when the engines are warm and the agents at the warm limit.
 func (s *system) watch(ctx context.Context, begun time.Time, opt Options) {
-	for end := begun.Add(opt.Duration); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, pollEvery) {
+	for end := begun.Add(opt.Duration); time.Now().Before(end) && ctx.Err() == nil; pause.For(ctx, pollEvery) {
 		if s.warm.Load() == 0 && s.allWarm() {
 			s.warm.Store(int64(time.Since(begun)))
 		}
@@ -267,7 +268,7 @@
 }
 
 func await(ctx context.Context, f func() error) error {
-	for end := time.Now().Add(startTimeout); ; sleep(ctx, pollEvery) {
+	for end := time.Now().Add(startTimeout); ; pause.For(ctx, pollEvery) {
 		err := f()
 		if err == nil || time.Now().After(end) || ctx.Err() != nil {
 			return err
--- a/lab/zonemove/run.go
+++ b/lab/zonemove/run.go
@@ -11,6 +11,7 @@
 	"github.com/wasabinotch/wasabinotch/lab/demo"
 	"github.com/wasabinotch/wasabinotch/lab/kvsim"
 	"github.com/wasabinotch/wasabinotch/lab/loadgen"
+	"github.com/wasabinotch/wasabinotch/pause"
 )
 
 // move is what was seen of one zone's move.
@@ -89,10 +90,10 @@
 	l.phase("settle")
 	l.start(ctx)
 	defer l.stop()
-	sleep(ctx, settle)
+	pause.For(ctx, settle)
 	r.measured = time.Now()
 	l.phase("before")
-	sleep(ctx, s.opt.Phase)
+	pause.For(ctx, s.opt.Phase)
 	for i, zone := range s.opt.moved() {
 		m, err := s.moveZone(ctx, op, l, zone, i)
 		if err != nil {
@@ -124,13 +125,13 @@
 		return nil, err
 	}
 	beside.Go(func() { m.redirects.run(probing) })
-	sleep(ctx, s.opt.Out-time.Since(m.outAt))
+	pause.For(ctx, s.opt.Out-time.Since(m.outAt))
 	if err := s.store.SetFaults(kvsim.Faults{}); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	s.coolDown(zone)
 	l.phase(prefix + "out steady")
-	sleep(ctx, s.opt.Phase)
+	pause.For(ctx, s.opt.Phase)
 	m.lastWork = max(s.lastWork(zone).Sub(m.outAt), 0)
 	if s.frozenWork != nil && i == 0 {
 		m.lastFrozen = max(s.frozenWork().Sub(m.outAt), 0)
@@ -141,12 +142,12 @@
 		return nil, err
 	}
 	if s.opt.Gap > 0 && i+1 < s.opt.Moves {
-		sleep(ctx, s.opt.Gap-time.Since(m.backAt))
+		pause.For(ctx, s.opt.Gap-time.Since(m.backAt))
 		return m, nil
 	}
-	sleep(ctx, s.opt.Back-time.Since(m.backAt))
+	pause.For(ctx, s.opt.Back-time.Since(m.backAt))
 	l.phase(prefix + "back steady")
-	sleep(ctx, s.opt.Phase)
+	pause.For(ctx, s.opt.Phase)
 	return m, nil
 }
 
@@ -158,7 +159,7 @@
 		if err := s.store.SetFaults(kvsim.Faults{Outage: kvsim.OutageRefuse}); err != nil {
 			return trace.Wrap(err)
 		}
-		sleep(ctx, storeDownLead)
+		pause.For(ctx, storeDownLead)
 	}
 	if s.frozen != nil && i == 0 {
 		s.frozen.set(true)
@@ -197,15 +198,8 @@
 		if time.Since(m.backAt) > s.opt.Back || ctx.Err() != nil {
 			return err
 		}
-		sleep(ctx, retryCommand)
+		pause.For(ctx, retryCommand)
 	}
 }
 
 const retryCommand = 200 * time.Millisecond
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabinotch/wasabinotch/pause"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/rankgroup"
 	"github.com/wasabinotch/wasabinotch/routing"
@@ -54,7 +55,7 @@
 			var err error
 			if c, err = a.newCoordinator(ctx, term, own); err != nil {
 				a.log.Info("Group not complete.", "group", own.Group, "cause", err.Error())
-				a.wait(ctx, findAgain)
+				pause.For(ctx, findAgain)
 				continue
 			}
 			whole = time.Now()
@@ -80,15 +81,6 @@
 	}
 }
 
-func (a *Agent) wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // newCoordinator finds the ranks of the group and the figures of its engine.
 func (a *Agent) newCoordinator(ctx context.Context, term uint64, own rankgroup.Report) (*rankgroup.Coordinator, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
--- a/node/follow.go
+++ b/node/follow.go
@@ -31,17 +31,17 @@
 // watch of everything takes a third of the calls of three watches.
 type followers struct {
 	watched
-	parts map[string]part
+	parts map[string]keyFollower
 }
 
-// part is a follower of the keys below one prefix.
-type part interface {
+// keyFollower follows the keys below one prefix.
+type keyFollower interface {
 	Reset(entries []store.Entry, revision uint64)
 	Apply(e store.Event)
 }
 
 func (e *Entry) followers() *followers {
-	return &followers{watched: watched{e.health}, parts: map[string]part{
+	return &followers{watched: watched{e.health}, parts: map[string]keyFollower{
 		platform.PrefixOperator: e.op, platform.PrefixEndpoints: e.eps, platform.PrefixEntries: e.peers,
 	}}
 }
@@ -80,7 +80,7 @@
 	state wire.OperatorState
 }
 
-// Reset implements part.
+// Reset implements keyFollower.
 func (o *operator) Reset(entries []store.Entry, revision uint64) {
 	next := wire.OperatorState{Revision: revision}
 	for _, e := range entries {
@@ -93,7 +93,7 @@
 	o.adopt(next)
 }
 
-// Apply implements part.
+// Apply implements keyFollower.
 func (o *operator) Apply(e store.Event) {
 	next := o.snapshot()
 	next.Revision = max(next.Revision, e.Revision)
@@ -180,7 +180,7 @@
 	}
 }
 
-// Reset implements part.
+// Reset implements keyFollower.
 func (e *endpoints) Reset(entries []store.Entry, revision uint64) {
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
@@ -194,7 +194,7 @@
 	}
 }
 
-// Apply implements part.
+// Apply implements keyFollower.
 func (e *endpoints) Apply(ev store.Event) {
 	if ev.Deleted {
 		e.lapses.gone(ev.Key)
@@ -246,7 +246,7 @@
 	e.fleet.SetEntries(len(e.known))
 }
 
-// Reset implements part.
+// Reset implements keyFollower.
 func (e *entries) Reset(list []store.Entry, revision uint64) {
 	listed := make(map[string]bool, len(list))
 	for _, entry := range list {
@@ -260,7 +260,7 @@
 	}
 }
 
-// Apply implements part.
+// Apply implements keyFollower.
 func (e *entries) Apply(ev store.Event) {
 	if ev.Deleted {
 		e.lapses.gone(ev.Key)
--- a/rankgroup/coordinator_test.go
+++ b/rankgroup/coordinator_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wasabinotch/wasabinotch/lab/ranksim"
+	"github.com/wasabinotch/wasabinotch/pause"
 	"github.com/wasabinotch/wasabinotch/rankgroup"
 )
 
@@ -50,7 +51,7 @@
 // runPasses begins passes and moves demand until ctx ends.
 func runPasses(ctx context.Context, g *ranksim.Group) {
 	for n := 0; ctx.Err() == nil; n++ {
-		rankgroup.Pause(ctx, testPass)
+		pause.For(ctx, testPass)
 		if n%60 == 59 {
 			g.Lock()
 			g.Hot += 3
--- a/rankgroup/export_test.go
+++ b/rankgroup/export_test.go
@@ -1,8 +1,4 @@
 package rankgroup
 
-// For tests outside the package, which use the stand-in of the ranks.
-const (
-	SwitchTime = switchTime
-)
-
-var Pause = pause
+// SwitchTime is for tests outside the package, which use the stand-in of the ranks.
+const SwitchTime = switchTime
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -17,6 +17,8 @@
 	"io"
 	"math"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/pause"
 )
 
 // Report is what a rank says about itself.
@@ -185,7 +187,7 @@
 		case rep.Prepared == version:
 			return nil
 		}
-		pause(ctx, preparedPoll)
+		pause.For(ctx, preparedPoll)
 	}
 }
 
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/pause"
 )
 
 // ErrSuperseded means that another coordinator is in charge; it clears up what
@@ -147,20 +149,11 @@
 			}
 			return result, nil
 		}
-		pause(ctx, orderPause)
+		pause.For(ctx, orderPause)
 	}
 	return Unanswered, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (s *Switch) hold(ctx context.Context) error {
 	results := make([]Result, len(s.holders))
 	errs := make([]error, len(s.holders))
@@ -249,7 +242,7 @@
 		rep, err := s.ranks[r].Report(ctx)
 		switch {
 		case err != nil:
-			pause(ctx, orderPause)
+			pause.For(ctx, orderPause)
 			continue
 		case rep.Epoch != s.epoch:
 			return true, nil // a new formation has no maps and no orders of this one
@@ -275,7 +268,7 @@
 			// The rank has had a newer version, or a late order armed it.
 			blank = s.blankVersion()
 		}
-		pause(ctx, orderPause)
+		pause.For(ctx, orderPause)
 	}
 	return false, nil
 }
--- a/store/follow.go
+++ b/store/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/pause"
 )
 
 // ErrCompacted means that the history after a revision is gone; list the keys again.
@@ -70,7 +72,7 @@
 			lostAt = time.Now()
 			f.Lost(err)
 		}
-		sleep(ctx, backoff.Fail())
+		pause.For(ctx, backoff.Fail())
 	}
 	for ctx.Err() == nil {
 		lctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -99,17 +101,8 @@
 			}
 			revision = max(revision, next)
 			if len(events) > 0 {
-				sleep(ctx, settle)
+				pause.For(ctx, settle)
 			}
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
