Copy less for one plan

Cause: after a shift of demand the passes of a group are late until the first plan is in force, which waited for 0.3 s of copies; most of its gain lies in the first few.

--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -24,9 +24,10 @@
 	prepareAgain = time.Second
 	// prepareGiveUp is when a map that isn't ready everywhere is dropped.
 	prepareGiveUp = 6 * time.Second
-	// copyBudget bounds the copying for one plan on one rank. Demand changes
-	// within seconds, so a few useful copies now beat a perfect map later.
-	copyBudget = 300 * time.Millisecond
+	// copyBudget bounds the copying for one plan on one rank. Right after a shift
+	// of demand most of the gain lies in the first few copies, and passes are late
+	// until they are in force.
+	copyBudget = 120 * time.Millisecond
 	// minGain is the least improvement that is worth a copy, in means of a set's
 	// load; passes take 15 in 100 longer while experts are copied.
 	minGain = 0.02
