--- a/lab/platformsim/group.go
+++ b/lab/platformsim/group.go
@@ -77,7 +77,7 @@
 }
 
 // hotEvery is the number of passes after which demand moves.
-const hotEvery = 100
+const hotEvery = 40
 
 func (g *Group) run() {
 	ticker := time.NewTicker(g.cfg.Pass)
--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -53,7 +53,7 @@
 	{"agent cut off", 2, false, (*chaos).cutAgent},
 	{"endpoint crashes", 4, false, (*chaos).crashEndpoint},
 	{"endpoint goes wrong", 6, false, (*chaos).faultyEndpoint},
-	{"orders go astray", 4, false, (*chaos).loseOrders},
+	{"orders go astray", 7, false, (*chaos).loseOrders},
 	{"zone taken out", 2, true, (*chaos).takeZoneOut},
 	{"keys changed", 2, true, (*chaos).changeKeys},
 	{"endpoint drains", 2, true, (*chaos).drainEndpoint},
@@ -371,7 +371,7 @@
 
 func (c *chaos) loseOrders() {
 	g := c.groups[c.rng.IntN(len(c.groups))]
-	d := c.between(time.Second, 5*time.Second)
+	d := c.between(2*time.Second, 6*time.Second)
 	c.note("orders to group %p go astray for %v", g, d)
 	set := func(lost, mute, late float64) {
 		g.Orders.Lock()
