--- a/cmd/wasabinotch-node/main.go
+++ b/cmd/wasabinotch-node/main.go
@@ -25,6 +25,17 @@
 	"github.com/wasabinotch/wasabinotch/settings"
 )
 
+// memoryShare is the part of the bound on memory at which the collector works
+// harder; the rest is for stacks and for bytes that the system holds.
+const memoryShare = 0.7
+
+// boundMemory keeps a burst of requests from ending the process.
+func boundMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+	}
+}
+
 // gcPercent trades processor time for memory, which is dear on these VMs.
 const gcPercent = 50
 
@@ -120,6 +131,7 @@
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
+	boundMemory(s.MemoryMB)
 	out := logs.NewOutput(os.Stdout)
 	defer out.Close()
 	log := out.Logger().WithName("entry")
@@ -134,6 +146,7 @@
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
+	boundMemory(s.MemoryMB)
 	out := logs.NewOutput(os.Stdout)
 	defer out.Close()
 	log := out.Logger().WithName("agent")
--- a/proof/soak_system_test.go
+++ b/proof/soak_system_test.go
@@ -196,7 +196,7 @@
 	storeAddr := s.addr(s.ip(netStoreOf, len(s.nodes)+1), portStore)
 	s.proxy(storeAddr, s.store.Addr())
 	s.stores[id] = s.proxies[len(s.proxies)-1]
-	d := settings.Direct{ID: id, Zone: zone, Region: "r", IP: ip.String(), DialFrom: ip.String(), PeerPort: portPeer, StoreAddr: storeAddr, MemoryMB: 100,
+	d := settings.Direct{ID: id, Zone: zone, IP: ip.String(), DialFrom: ip.String(), PeerPort: portPeer, StoreAddr: storeAddr, MemoryMB: 100,
 		CallersAddr: s.addr(ip, portCallers), ReadyAddr: s.addr(ip, portReady), DirectoryAddr: s.addr(ip, portDirectory),
 		Bounds: settings.Bounds{GraceS: soakGrace.Seconds(), RepeatRatio: soakRatio, RepeatSlack: soakSlack, RepeatWindowS: soakWindow.Seconds(),
 			ColdOverage: soakColdOver, ColdSlack: soakColdSlack, DirectoryTTLS: soakTTL.Seconds()}}
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -9,10 +9,9 @@
 // the users' own: the platform's store replaces bundles and gossip, and
 // endpoints are reached over plain HTTP.
 type Direct struct {
-	ID     string `json:"id"`
-	Zone   string `json:"zone"`
-	Region string `json:"region"`
-	IP     string `json:"ip"`
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	IP   string `json:"ip"`
 	// DialFrom is the IP number that connections come from, for VMs with
 	// several; empty lets the system choose.
 	DialFrom string `json:"dial_from"`
@@ -30,8 +29,10 @@
 	// MetricsAddr serves counters and latency histograms as text; empty for
 	// only the internal address.
 	MetricsAddr string `json:"metrics_addr"`
-	MemoryMB    int    `json:"memory_mb"`
-	Bounds      Bounds `json:"bounds"`
+	// MemoryMB is the memory in megabytes beyond which the platform ends the
+	// process; 0 for no bound.
+	MemoryMB int    `json:"memory_mb"`
+	Bounds   Bounds `json:"bounds"`
 }
 
 // Bounds are the promises that the operators set for the whole system.
