Give unanswered orders again beside the engine

Ruled out: the cut endpoints themselves (in the windows without cuts as many streams were late), refusals (93 of 2793).

The agent now repeats an order to its own engine after 20 ms. A repeated prepare that is refused counts as taken, since an engine takes a version once.

--- a/node/rank.go
+++ b/node/rank.go
@@ -38,6 +38,36 @@
 	return report, l.meter.Window(report.Born, counts), nil
 }
 
+const (
+	// nearOrder bounds one try of an order to the engine on the same VM, which
+	// answers within a few ms; an answer that is lost costs that much.
+	nearOrder = 20 * time.Millisecond
+	// nearPrepare is nearOrder for an order that carries a map.
+	nearPrepare = 60 * time.Millisecond
+)
+
+// Order implements rankgroup.Engine. An order that isn't answered is given
+// again at once: while it is under way elsewhere, a group may be held.
+func (l *localRank) Order(ctx context.Context, o rankgroup.Order) (rankgroup.Result, error) {
+	limit := nearOrder
+	if o.Operation == rankgroup.Prepare {
+		limit = nearPrepare
+	}
+	for tries := 0; ; tries++ {
+		octx, cancel := context.WithTimeout(ctx, limit)
+		result, err := l.Engine.Order(octx, o)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			continue
+		}
+		if result == rankgroup.Refused && tries > 0 && o.Operation == rankgroup.Prepare {
+			// An earlier try was carried out, and a version is taken only once.
+			result = rankgroup.Accepted
+		}
+		return result, err
+	}
+}
+
 // AwaitPrepared implements rankgroup.Engine.
 func (l *localRank) AwaitPrepared(ctx context.Context, version uint64) error {
 	return rankgroup.AwaitPrepared(ctx, l, version)
--- /dev/null
+++ b/node/rank_test.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/platform"
+	"github.com/wasabinotch/wasabinotch/rankgroup"
+	"github.com/wasabinotch/wasabinotch/upstream"
+)
+
+// engineThat returns a rank whose engine handles orders with h.
+func engineThat(t *testing.T, h http.HandlerFunc) *localRank {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body) // else the server doesn't see that the caller left
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		h(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return &localRank{Engine: platform.NewEngine(strings.TrimPrefix(server.URL, "http://"), upstream.NewClient(time.Second))}
+}
+
+// Load: orders whose answers are lost, in a group that is held meanwhile. Guards
+// against a hold that lasts for a long time-out, during which every stream of
+// the group is late.
+func TestUnansweredOrderIsGivenAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	var tries atomic.Int32
+	l := engineThat(t, func(w http.ResponseWriter, r *http.Request) {
+		if tries.Add(1) < 4 {
+			<-r.Context().Done() // carried out or not, the answer doesn't come
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	result, err := l.Order(ctx, rankgroup.Order{Operation: rankgroup.Arm, Version: 1, Step: 1})
+	is.NoErr(err)
+	is.Equal(result, rankgroup.Accepted)
+	is.Equal(tries.Load(), int32(4))
+}
+
+// Guards against a plan that is dropped because its copy had begun unnoticed:
+// an engine takes a version only once.
+func TestRepeatedPrepareIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	var taken atomic.Bool
+	l := engineThat(t, func(w http.ResponseWriter, r *http.Request) {
+		var o struct{ Version uint64 }
+		if json.NewDecoder(r.Body).Decode(&o) == nil && !taken.Swap(true) {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(http.StatusConflict)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	prepare := rankgroup.Order{Operation: rankgroup.Prepare, Version: 1, Map: &rankgroup.Map{}}
+	result, err := l.Order(ctx, prepare)
+	is.NoErr(err)
+	is.Equal(result, rankgroup.Accepted)
+	result, err = l.Order(ctx, prepare)
+	is.NoErr(err)
+	is.Equal(result, rankgroup.Refused) // a first refusal stays one
+}
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -98,9 +98,10 @@
 }
 
 const (
-	// orderTimeout bounds one order. An engine answers within a few ms; an
-	// order whose answer is lost is repeated.
-	orderTimeout = 60 * time.Millisecond
+	// orderTimeout bounds one order. An engine answers within a few ms, and the
+	// agent beside it repeats an order whose answer is lost; this is for agents
+	// that don't answer.
+	orderTimeout = 100 * time.Millisecond
 	// orderPause is the pause before an order is repeated.
 	orderPause = 5 * time.Millisecond
 )
