Plan again right after a switch; pack a map once

On a grown site 0.2 to 0.4 s passed between the end of a switch and the next plan, and a map was compressed 31 times for one plan on a quarter of a core.

--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/wasabinotch/wasabinotch/logs"
+	"github.com/wasabinotch/wasabinotch/pause"
 )
 
 const (
@@ -412,17 +413,52 @@
 		c.target = c.next.Map
 		step := max(home.Step+1, c.released) + 1
 		c.pending = NewSwitch(c.cfg.Engines, c.epoch, c.preparing, step, c.cfg.Home, c.current, c.nextVersion)
-		if err := c.advance(ctx); err != nil || c.next == nil || c.pending != nil {
+		if err := c.advance(ctx); err != nil || c.pending != nil {
 			return err
 		}
+		if c.next == nil {
+			return c.planAgain(ctx)
+		}
 	}
 	return nil
 }
 
+// awaitPass waits for the pass of the last switch. Until it begins, ranks are
+// armed and take no other map.
+func (c *Coordinator) awaitPass(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	for {
+		home, err := c.cfg.Engines[c.cfg.Home].Report(ctx)
+		switch {
+		case err != nil || home.Epoch != c.epoch:
+			return false
+		case home.Step >= c.released:
+			return true
+		}
+		pause.For(ctx, preparedPoll)
+	}
+}
+
+// planAgain plans right after a switch, if demand was read while its copies were
+// awaited: a shift takes a few small plans, and each round of waiting counts.
+func (c *Coordinator) planAgain(ctx context.Context) error {
+	if c.current == nil || !c.awaitPass(ctx) {
+		return nil // undone, or the group went idle
+	}
+	if c.plan(); c.next == nil {
+		return nil
+	}
+	return c.prepare(ctx, make([]Report, len(c.cfg.Engines))) // no rank has the plan yet
+}
+
 // orderPrepare orders the ranks whose turn is now to copy.
 func (c *Coordinator) orderPrepare(ctx context.Context, reports []Report, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	if err := c.next.Map.Pack(); err != nil {
+		return err
+	}
 	results := make([]Result, len(reports))
 	errs := make([]error, len(reports))
 	var wg sync.WaitGroup
--- a/rankgroup/coordinator_test.go
+++ b/rankgroup/coordinator_test.go
@@ -146,6 +146,34 @@
 	})
 }
 
+// Load: a shift of demand that takes several small plans. Guards against plans
+// that are ordered while the ranks are armed for the last one, which refuse them.
+func TestPlansFollowEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := ranksim.New(testDimensions, 1)
+		g.SlowCopies = true
+		ctx, stop := context.WithCancel(context.Background())
+		go runPasses(ctx, g)
+		engines := make([]rankgroup.Engine, len(g.Ranks))
+		for r := range engines {
+			engines[r] = &ranksim.Engine{Group: g, Rank: r}
+		}
+		set := metrics.NewSet()
+		c := rankgroup.NewCoordinator(rankgroup.Config{Dimensions: g.Dimensions, Engines: engines, Log: logr.Discard(), Metrics: set})
+		ticker := time.NewTicker(100 * time.Millisecond)
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+			_, err := c.Round(ctx)
+			is.NoErr(err)
+			c.Wait(ctx, ticker.C)
+		}
+		is.Equal(set.GetOrCreateCounter("wasabinotch_maps_dropped_total").Get(), uint64(0))
+		is.True(set.GetOrCreateCounter(`wasabinotch_map_switches_total{outcome="done"}`).Get() >= 10)
+		stop()
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against an undo by the coordinator that completed the switch: a group
 // that goes idle before the pass of the switch stays armed, and a release may
 // still be on its way.
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -205,10 +205,23 @@
 // Map says which ranks hold each expert: by set and rank, the experts there.
 type Map struct {
 	Sets [][][]int
+	// packed is set by Pack.
+	packed []byte
+}
+
+// Pack keeps the packed form, for a map that is sent to many ranks and doesn't
+// change any more: compressing takes a noticeable part of a small VM's processor.
+func (m *Map) Pack() error {
+	packed, err := m.MarshalText()
+	m.packed = packed
+	return err
 }
 
 // MarshalText packs the map: lists of two-byte numbers, compressed, in base64.
 func (m *Map) MarshalText() ([]byte, error) {
+	if m.packed != nil {
+		return m.packed, nil
+	}
 	var packed bytes.Buffer
 	w, err := flate.NewWriter(&packed, flate.BestSpeed)
 	if err != nil {
