--- a/rankgroup/coordinator_test.go
+++ b/rankgroup/coordinator_test.go
@@ -151,7 +151,9 @@
 func TestPlansFollowEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := ranksim.New(testDimensions, 1)
+		d := testDimensions
+		d.CopyTime = 250 * time.Millisecond // longer than a window of demand
+		g := ranksim.New(d, 1)
 		g.SlowCopies = true
 		ctx, stop := context.WithCancel(context.Background())
 		go runPasses(ctx, g)
