Keep an attempt that got on while no repeat was left

Found by reading: an attempt that should have been left, but had no repeat in the budget, was broken off once one got free, also if its group worked again by then. TestStreamThatGoesOnIsNotMoved fails first.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// BrokenAgain returns a channel that is closed when the endpoint's group stands
+// still the next time.
+func (p *Pick) BrokenAgain() <-chan struct{} {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.Endpoint.broken
+}
+
 // Reporting reports whether the endpoint said a moment ago that it works.
 func (p *Pick) Reporting() bool {
 	p.fleet.mu.Lock()
--- a/forward/send.go
+++ b/forward/send.go
@@ -248,6 +248,13 @@
 			broken, why = nil, errStandsStill
 		case <-slow.C:
 			slow.Reset(watchAgain)
+			if why == errStandsStill && pick.Reporting() || why == errSilent && x.begun.Load() {
+				// It got on while no repeat was left.
+				why = nil
+				if move {
+					broken = pick.BrokenAgain()
+				}
+			}
 			if why == nil && x.begun.Load() {
 				continue
 			}
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -72,3 +72,35 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.Equal(body, "found")
 }
+
+// Load: a group stood still for a moment and works again when a repeat gets
+// free. Guards against streams that are broken off though they go on.
+func TestStreamThatGoesOnIsNotMoved(t *testing.T) {
+	is := is.New(t)
+	route := draft
+	route.TargetLatency = 50 * time.Millisecond
+	stream := func(c net.Conn, r *http.Request, n int) {
+		raw(streamHead+"Connection: close\r\n\r\n"+events(1, 1))(c, r, n)
+		time.Sleep(800 * time.Millisecond)
+		raw(events(2, 2))(c, r, n)
+		c.Close()
+	}
+	s := newSystem(t, route, stream, stream)
+	s.handler.cfg.RepeatRatio, s.handler.cfg.RepeatSlack = 0, 2 // one repeat is left
+	s.handler.cfg.RepeatWindow = 300 * time.Millisecond
+	s.handler.budget("s").Repeat(1)
+	go func() {
+		time.Sleep(100 * time.Millisecond)
+		for _, broken := range []bool{true, false} {
+			for _, id := range []string{"e0", "e1"} {
+				s.handler.cfg.Fleet.Report(id, fleet.Load{Broken: broken})
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	resp, body, err := s.do(t, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, events(1, 2))
+	is.Equal(s.runs(), 1)
+}
