--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -91,7 +91,6 @@
 	fresh    bool
 	lastStep uint64
 	stepAt   time.Time
-	passTime time.Duration
 
 	// rare takes lines that would repeat each round while a rank is away.
 	rare logr.Logger
@@ -106,10 +105,9 @@
 
 // NewCoordinator returns a coordinator that knows nothing of the group yet.
 func NewCoordinator(cfg Config) *Coordinator {
-	c := &Coordinator{cfg: cfg, demand: NewDemand(cfg.Dimensions), nonce: rand.Uint64N(1 << nonceBits),
-		orderedAt: make([]time.Time, len(cfg.Engines)), passTime: 100 * time.Millisecond, copied: make(chan uint64, 1),
+	return &Coordinator{cfg: cfg, demand: NewDemand(cfg.Dimensions), nonce: rand.Uint64N(1 << nonceBits),
+		orderedAt: make([]time.Time, len(cfg.Engines)), copied: make(chan uint64, 1),
 		rare: logs.Limit(cfg.Log, rareLines, rareLines)}
-	return c
 }
 
 func (c *Coordinator) count(name string) { c.cfg.Metrics.GetOrCreateCounter(name).Inc() }
@@ -237,8 +235,6 @@
 		c.fresh = c.demand.Present() != nil
 	}
 	if first.Step > c.lastStep {
-		measured := now.Sub(c.stepAt) / time.Duration(first.Step-c.lastStep)
-		c.passTime += (measured - c.passTime) / 4
 		c.lastStep, c.stepAt = first.Step, now
 	}
 	return true
@@ -355,7 +351,7 @@
 		if err := c.orderPrepare(ctx, reports, now); err != nil || c.next == nil {
 			return err
 		}
-		c.awaitPrepared(reports)
+		c.awaitPrepared()
 		return nil
 	}
 	return c.beginSwitch(ctx)
@@ -363,7 +359,7 @@
 
 // awaitPrepared begins to wait until all ranks have copied the plan, while the
 // rounds go on to follow demand.
-func (c *Coordinator) awaitPrepared(reports []Report) {
+func (c *Coordinator) awaitPrepared() {
 	if c.awaited == c.preparing {
 		return
 	}
@@ -371,7 +367,7 @@
 	version := c.preparing
 	var wg sync.WaitGroup
 	ctx, cancel := context.WithTimeout(context.Background(), copyBudget+pollTimeout)
-	errs := make([]error, len(reports))
+	errs := make([]error, len(c.cfg.Engines))
 	for r, e := range c.cfg.Engines {
 		wg.Go(func() { errs[r] = e.AwaitPrepared(ctx, version) })
 	}
