--- a/forward/send.go
+++ b/forward/send.go
@@ -247,20 +247,17 @@
 		case <-broken:
 			broken, why = nil, errStandsStill
 		case <-slow.C:
-			slow.Reset(watchAgain)
 			if why == errStandsStill && pick.Reporting() || why == errSilent && x.begun.Load() {
-				// It got on while no repeat was left.
-				why = nil
-				if move {
-					broken = pick.BrokenAgain()
-				}
+				why = nil // it got on while no repeat was left
+				broken = pick.BrokenAgain()
 			}
 			if why == nil && x.begun.Load() {
-				continue
+				continue // from now on only a group that stands still matters
 			}
 			if why == nil && pick.Reporting() && time.Now().Before(patience) {
 				// It works, but for others first. Leaving it would only repeat what
 				// it has done for this request.
+				slow.Reset(watchAgain)
 				continue
 			}
 			if why == nil {
@@ -268,11 +265,15 @@
 				pick.Suspect()
 			}
 		}
-		if why != nil && move && budget.Repeat(x.h.cfg.Fleet.Entries()) {
+		if !move {
+			return
+		}
+		if budget.Repeat(x.h.cfg.Fleet.Entries()) {
 			x.reserved.Store(true)
 			cancel(why)
 			return
 		}
+		slow.Reset(watchAgain)
 	}
 }
 
