Fix a data race between an attempt and the goroutine that watches it

The race detector shows it on TestLookupIsRepeated: the watcher read the number of attempts while the next one was counted. It gets what it needs before it starts.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -321,6 +321,8 @@
 		}
 		p.Done()
 		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		is.Equal(served, []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9})
 	})
 }
--- a/forward/send.go
+++ b/forward/send.go
@@ -180,7 +180,7 @@
 	defer cancel(nil)
 	stop := make(chan struct{})
 	defer close(stop)
-	go x.watch(pick, budget, stop, cancel)
+	go x.watch(pick, budget, x.mayMove(), time.Now().Add(x.patience()), stop, cancel)
 	resp, err := x.h.cfg.Client.Do(ctx, pick.Endpoint.Address, x.request(pick.Endpoint.ID))
 	if err != nil {
 		x.cause = err
@@ -228,13 +228,12 @@
 
 // watch ends an attempt at an endpoint whose group stands still, or that is
 // silent for long, if another endpoint may be tried. Without a repeat left in
-// the budget the attempt goes on: a late answer is better than none. stop ends
-// watch.
-func (x *exchange) watch(pick *fleet.Pick, budget *fleet.Budget, stop <-chan struct{}, cancel context.CancelCauseFunc) {
-	move := x.mayMove()
+// the budget the attempt goes on: a late answer is better than none. move says
+// whether another endpoint may be tried, patience until when one that works is
+// waited for. stop ends watch.
+func (x *exchange) watch(pick *fleet.Pick, budget *fleet.Budget, move bool, patience time.Time, stop <-chan struct{}, cancel context.CancelCauseFunc) {
 	slow := time.NewTimer(slowFactor * x.route.TargetLatency)
 	defer slow.Stop()
-	patience := time.Now().Add(x.patience())
 	broken := pick.Broken
 	if !move {
 		broken = nil
