--- a/node/node_test.go
+++ b/node/node_test.go
@@ -130,10 +130,6 @@
 	done     chan error
 }
 
-func (e *testEntry) peerAddr() string {
-	return fmt.Sprintf("127.0.0.1:%d", e.settings.PeerPort)
-}
-
 func startEntry(t *testing.T, id, storeAddr string) *testEntry {
 	t.Helper()
 	port := freePorts(t, 8)
