Pause between orders to an engine that is down; a version is taken once

An unknown operation from a peer would have become the label of a metric. The stand-in of the ranks accepted a repeated prepare, which engines refuse; with that, a coordinator whose rounds fell on one instant ordered a copy twice (only a test's clock does that).

--- a/lab/ranksim/ranksim.go
+++ b/lab/ranksim/ranksim.go
@@ -170,11 +170,8 @@
 }
 
 func (g *Group) prepare(rank int, r *Rank, o rankgroup.Order) rankgroup.Result {
-	if o.Version == r.highest {
-		return rankgroup.Accepted
-	}
-	if o.Version < r.highest || r.Armed != nil {
-		return rankgroup.Refused
+	if o.Version <= r.highest || r.Armed != nil {
+		return rankgroup.Refused // also a repeated one: a version is taken once
 	}
 	fresh := 0
 	for s := range o.Map.Sets {
--- a/node/agent.go
+++ b/node/agent.go
@@ -275,8 +275,8 @@
 		defer cancel()
 		err = a.engine.AwaitPrepared(ctx, args.Version)
 	case wire.AskOrder:
-		if args.Order == nil {
-			return errors.New("the call has no order; send one")
+		if args.Order == nil || !args.Order.Operation.Valid() {
+			return errors.New("the call has no known order; the coordinator may run another version")
 		}
 		reply.Result, err = a.engine.Order(ctx, *args.Order)
 		a.metrics.GetOrCreateCounter(`wasabinotch_orders_total{operation="` + string(args.Order.Operation) + `",result="` + reply.Result.String() + `"}`).Inc()
--- a/node/rank.go
+++ b/node/rank.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabinotch/wasabinotch/pause"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/rankgroup"
 	"github.com/wasabinotch/wasabinotch/upstream"
@@ -44,6 +45,8 @@
 	nearOrder = 20 * time.Millisecond
 	// nearPrepare is nearOrder for an order that carries a map.
 	nearPrepare = 60 * time.Millisecond
+	// nearPause is the pause before an order is given again.
+	nearPause = 5 * time.Millisecond
 )
 
 // Order implements rankgroup.Engine. An order that isn't answered is given
@@ -58,6 +61,7 @@
 		result, err := l.Engine.Order(octx, o)
 		cancel()
 		if err != nil && ctx.Err() == nil {
+			pause.For(ctx, nearPause) // an engine that is down fails at once
 			continue
 		}
 		if result == rankgroup.Refused && tries > 0 && o.Operation == rankgroup.Prepare {
--- a/node/rank_test.go
+++ b/node/rank_test.go
@@ -76,3 +76,19 @@
 	is.NoErr(err)
 	is.Equal(result, rankgroup.Refused) // a first refusal stays one
 }
+
+// Guards against an agent that spends its processor on an engine that is down.
+func TestOrderToAnEngineThatIsDownPauses(t *testing.T) {
+	is := is.New(t)
+	var tries atomic.Int32
+	l := engineThat(t, func(w http.ResponseWriter, r *http.Request) {
+		tries.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	const limit = 100 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	_, err := l.Order(ctx, rankgroup.Order{Operation: rankgroup.Arm, Version: 1, Step: 1})
+	is.True(err != nil)
+	is.True(tries.Load() <= int32(limit/nearPause)+1)
+}
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -338,17 +338,18 @@
 		return nil
 	}
 	ready := true
+	due := make([]bool, len(reports))
 	for r, rep := range reports {
 		if rep.Prepared == c.preparing {
 			continue
 		}
 		ready = false
 		if now.Sub(c.orderedAt[r]) >= prepareAgain {
-			c.orderedAt[r] = now
+			due[r], c.orderedAt[r] = true, now
 		}
 	}
 	if !ready {
-		if err := c.orderPrepare(ctx, reports, now); err != nil || c.next == nil {
+		if err := c.orderPrepare(ctx, due); err != nil || c.next == nil {
 			return err
 		}
 		c.awaitPrepared()
@@ -449,17 +450,17 @@
 }
 
 // orderPrepare orders the ranks whose turn is now to copy.
-func (c *Coordinator) orderPrepare(ctx context.Context, reports []Report, now time.Time) error {
+func (c *Coordinator) orderPrepare(ctx context.Context, due []bool) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	if err := c.next.Map.Pack(); err != nil {
 		return err
 	}
-	results := make([]Result, len(reports))
-	errs := make([]error, len(reports))
+	results := make([]Result, len(due))
+	errs := make([]error, len(due))
 	var wg sync.WaitGroup
-	for r := range reports {
-		if c.orderedAt[r] != now {
+	for r := range due {
+		if !due[r] {
 			continue
 		}
 		wg.Go(func() {
@@ -467,9 +468,9 @@
 		})
 	}
 	wg.Wait()
-	for r := range reports {
+	for r := range due {
 		switch {
-		case c.orderedAt[r] != now:
+		case !due[r]:
 		case results[r] == Superseded:
 			return ErrSuperseded
 		case results[r] == Refused:
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -16,6 +16,7 @@
 	"errors"
 	"io"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/pause"
@@ -120,6 +121,11 @@
 	Go   Operation = "go"
 )
 
+// Valid reports whether o is one of the orders.
+func (o Operation) Valid() bool {
+	return slices.Contains([]Operation{Prepare, Arm, Disarm, Hold, Go}, o)
+}
+
 // Order is one order to a rank.
 type Order struct {
 	Operation Operation `json:"operation"`
