--- a/cmd/wasabinotch-node/main.go
+++ b/cmd/wasabinotch-node/main.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -110,20 +109,30 @@
 	if len(args) < 2 {
 		return &settings.Error{Field: "(command line)", Reason: "explain needs a request ID and logs", Remedy: "name the ID and one or more log files"}
 	}
-	var found []explain.Log
-	for _, path := range args[1:] {
-		found = append(found, explain.Log{Name: path, Open: func() (io.ReadCloser, error) { return os.Open(path) }})
-	}
-	report, err := explain.Find(args[0], found)
+	report, err := explain.Find(args[0], explain.Files(args[1:]...))
 	if err != nil {
 		return err
 	}
 	return report.Write(os.Stdout)
 }
 
-// showLostLines counts the log lines for which the reader of the log was too slow.
-func showLostLines(set *metrics.Set, out *logs.Output) {
-	set.NewGauge("wasabinotch_log_lines_lost", func() float64 { return float64(out.Lost()) })
+// daemon is an entry or an agent.
+type daemon interface {
+	Metrics() *metrics.Set
+	Run(ctx context.Context) error
+}
+
+// serve runs a daemon that assemble makes with a log on standard output.
+func serve(ctx context.Context, role, path string, memoryMB int, fresh func() settings.Validator, assemble func(logr.Logger) daemon) error {
+	boundMemory(memoryMB)
+	out := logs.NewOutput(os.Stdout)
+	defer out.Close()
+	log := out.Logger().WithName(role)
+	checkOnHangup(path, fresh, log)
+	d := assemble(log)
+	// Lines are lost when the reader of the log is too slow.
+	d.Metrics().NewGauge("wasabinotch_log_lines_lost", func() float64 { return float64(out.Lost()) })
+	return d.Run(ctx)
 }
 
 func runEntry(ctx context.Context, o *options) error {
@@ -131,14 +140,8 @@
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
-	boundMemory(s.MemoryMB)
-	out := logs.NewOutput(os.Stdout)
-	defer out.Close()
-	log := out.Logger().WithName("entry")
-	checkOnHangup(o.Settings, func() settings.Validator { return &settings.DirectEntry{} }, log)
-	e := node.NewEntry(s, log)
-	showLostLines(e.Metrics(), out)
-	return e.Run(ctx)
+	fresh := func() settings.Validator { return &settings.DirectEntry{} }
+	return serve(ctx, o.Args.Role, o.Settings, s.MemoryMB, fresh, func(log logr.Logger) daemon { return node.NewEntry(s, log) })
 }
 
 func runAgent(ctx context.Context, o *options) error {
@@ -146,12 +149,6 @@
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
-	boundMemory(s.MemoryMB)
-	out := logs.NewOutput(os.Stdout)
-	defer out.Close()
-	log := out.Logger().WithName("agent")
-	checkOnHangup(o.Settings, func() settings.Validator { return &settings.DirectAgent{} }, log)
-	a := node.NewAgent(s, log)
-	showLostLines(a.Metrics(), out)
-	return a.Run(ctx)
+	fresh := func() settings.Validator { return &settings.DirectAgent{} }
+	return serve(ctx, o.Args.Role, o.Settings, s.MemoryMB, fresh, func(log logr.Logger) daemon { return node.NewAgent(s, log) })
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -76,6 +77,15 @@
 	Open func() (io.ReadCloser, error)
 }
 
+// Files returns the logs in the named files.
+func Files(paths ...string) []Log {
+	var found []Log
+	for _, path := range paths {
+		found = append(found, Log{Name: path, Open: func() (io.ReadCloser, error) { return os.Open(path) }})
+	}
+	return found
+}
+
 func (l Log) each(f func(Line)) error {
 	r, err := l.Open()
 	if err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -258,9 +258,12 @@
 	f.wake(ep.Service)
 }
 
+// fresh reports whether the endpoint's last report still counts.
+func (ep *Endpoint) fresh(now time.Time) bool { return now.Sub(ep.reportAt) <= reportValidity }
+
 // load estimates the requests at the endpoint.
 func (ep *Endpoint) load(now time.Time) int {
-	if now.Sub(ep.reportAt) > reportValidity {
+	if !ep.fresh(now) {
 		return ep.inFlight
 	}
 	return max(ep.inFlight, ep.report.Running+ep.report.Waiting+ep.inFlight-ep.inFlightThen)
@@ -296,8 +299,7 @@
 		if ep.Draining || f.evacuated[ep.Zone] || f.atAddress[ep.Address] != ep || slices.Contains(exclude, ep) {
 			continue
 		}
-		fresh := now.Sub(ep.reportAt) <= reportValidity
-		if fresh && ep.report.Broken {
+		if ep.fresh(now) && ep.report.Broken {
 			continue
 		}
 		load := ep.load(now)
@@ -339,7 +341,7 @@
 // runs, the longer its passes; beyond a point all its streams are late, so a
 // group with long passes takes fewer.
 func (ep *Endpoint) usable(l Limits, now time.Time) int {
-	if l.TargetGap <= 0 || ep.report.Pass <= 0 || now.Sub(ep.reportAt) > reportValidity {
+	if l.TargetGap <= 0 || ep.report.Pass <= 0 || !ep.fresh(now) {
 		return ep.Slots
 	}
 	share := passShare * float64(l.TargetGap) / float64(ep.report.Pass)
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -86,7 +86,7 @@
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	ep := p.Endpoint
-	return !ep.gone && time.Since(ep.reportAt) <= reportValidity && !ep.report.Broken
+	return !ep.gone && ep.fresh(time.Now()) && !ep.report.Broken
 }
 
 // Unreachable ends a request to which the endpoint gave no answer.
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 )
@@ -18,15 +19,13 @@
 }
 
 type waiter struct {
-	ask     *Ask
-	arrived time.Time
-	got     chan *Pick
+	ask *Ask
+	got chan *Pick
 }
 
 // queue holds the waiting requests of one service, most urgent first.
 type queue struct {
 	waiters []*waiter
-	busy    bool
 }
 
 // maxQueue bounds the waiting requests of one service at one entry; more than
@@ -51,11 +50,9 @@
 		f.mu.Unlock()
 		return nil, Busy
 	}
-	w := &waiter{ask: ask, arrived: time.Now(), got: make(chan *Pick, 1)}
+	w := &waiter{ask: ask, got: make(chan *Pick, 1)}
 	at := sort.Search(len(q.waiters), func(i int) bool { return q.waiters[i].ask.Priority > ask.Priority })
-	q.waiters = append(q.waiters, nil)
-	copy(q.waiters[at+1:], q.waiters[at:])
-	q.waiters[at] = w
+	q.waiters = slices.Insert(q.waiters, at, w)
 	f.mu.Unlock()
 
 	timer := time.NewTimer(ask.MaxWait)
@@ -91,11 +88,9 @@
 func (f *Fleet) leave(q *queue, w *waiter) (*Pick, Room) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i, other := range q.waiters {
-		if other == w {
-			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
-			return nil, Busy
-		}
+	if i := slices.Index(q.waiters, w); i >= 0 {
+		q.waiters = slices.Delete(q.waiters, i, i+1)
+		return nil, Busy
 	}
 	return <-w.got, Free
 }
@@ -103,11 +98,9 @@
 // wake gives free endpoints to waiting requests. The lock is held.
 func (f *Fleet) wake(service string) {
 	q := f.queues[service]
-	if q == nil || q.busy {
+	if q == nil {
 		return
 	}
-	q.busy = true
-	defer func() { q.busy = false }()
 	kept := q.waiters[:0]
 	for i, w := range q.waiters {
 		p, why := f.choose(service, w.ask.Exclude)
--- a/forward/filters.go
+++ b/forward/filters.go
@@ -34,8 +34,8 @@
 	if strings.HasPrefix(x.r.RequestURI, "/") {
 		x.target = x.r.RequestURI
 	}
-	x.path, _, _ = strings.Cut(x.target, "?")
-	x.route = x.cfg.Match(x.r.Host, x.path)
+	path, _, _ := strings.Cut(x.target, "?")
+	x.route = x.cfg.Match(x.r.Host, path)
 	if x.route == nil {
 		return api.NotRun(api.KindUnknownService, "no route matches host and path", "check the host and the path")
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -130,8 +130,8 @@
 	arrived time.Time
 
 	id string
-	// target is the request target as the caller sent it, path its part before the query.
-	target, path string
+	// target is the request target as the caller sent it.
+	target       string
 	route        *routing.Route
 	service      string
 	organisation *routing.Organisation
--- a/forward/send.go
+++ b/forward/send.go
@@ -178,9 +178,7 @@
 func (x *exchange) attempt(ctx context.Context, pick *fleet.Pick, budget *fleet.Budget) verdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := make(chan struct{})
-	defer close(stop)
-	go x.watch(pick, budget, x.mayMove(), time.Now().Add(x.patience()), stop, cancel)
+	go x.watch(ctx, pick, budget, x.mayMove(), time.Now().Add(x.patience()), cancel)
 	resp, err := x.h.cfg.Client.Do(ctx, pick.Endpoint.Address, x.request(pick.Endpoint.ID))
 	if err != nil {
 		x.cause = err
@@ -230,8 +228,8 @@
 // silent for long, if another endpoint may be tried. Without a repeat left in
 // the budget the attempt goes on: a late answer is better than none. move says
 // whether another endpoint may be tried, patience until when one that works is
-// waited for. stop ends watch.
-func (x *exchange) watch(pick *fleet.Pick, budget *fleet.Budget, move bool, patience time.Time, stop <-chan struct{}, cancel context.CancelCauseFunc) {
+// waited for. ctx ends with the attempt.
+func (x *exchange) watch(ctx context.Context, pick *fleet.Pick, budget *fleet.Budget, move bool, patience time.Time, cancel context.CancelCauseFunc) {
 	slow := time.NewTimer(slowFactor * x.route.TargetLatency)
 	defer slow.Stop()
 	broken := pick.Broken
@@ -241,7 +239,7 @@
 	var why error
 	for {
 		select {
-		case <-stop:
+		case <-ctx.Done():
 			return
 		case <-broken:
 			broken, why = nil, errStandsStill
--- a/lab/platformsim/group.go
+++ b/lab/platformsim/group.go
@@ -127,21 +127,12 @@
 func (g *Group) regain(rank int) {
 	g.Orders.Lock()
 	g.Orders.Ranks[rank].Dead = false
-	whole := true
-	for _, r := range g.Orders.Ranks {
-		whole = whole && !r.Dead
-	}
 	g.Orders.Unlock()
-	if !whole {
+	if !g.Orders.Whole() {
 		return
 	}
 	time.AfterFunc(g.cfg.Form, func() {
-		g.Orders.Lock()
-		for _, r := range g.Orders.Ranks {
-			whole = whole && !r.Dead
-		}
-		g.Orders.Unlock()
-		if !whole {
+		if !g.Orders.Whole() {
 			return // another rank went meanwhile; its return forms the group
 		}
 		g.Orders.Form()
--- a/lab/ranksim/ranksim.go
+++ b/lab/ranksim/ranksim.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -176,7 +177,7 @@
 	fresh := 0
 	for s := range o.Map.Sets {
 		for _, e := range o.Map.Sets[s][rank] {
-			if !contains(r.experts[s], e) {
+			if !slices.Contains(r.experts[s], e) {
 				fresh++
 			}
 		}
@@ -197,13 +198,15 @@
 	return rankgroup.Accepted
 }
 
-func contains(list []int, x int) bool {
-	for _, y := range list {
-		if x == y {
-			return true
-		}
-	}
-	return false
+// Whole reports whether no rank is dead.
+func (g *Group) Whole() bool {
+	g.Lock()
+	defer g.Unlock()
+	return g.whole()
+}
+
+func (g *Group) whole() bool {
+	return !slices.ContainsFunc(g.Ranks, func(r *Rank) bool { return r.Dead })
 }
 
 // Report returns a rank's report.
@@ -211,11 +214,8 @@
 	g.Lock()
 	defer g.Unlock()
 	r := g.Ranks[rank]
-	rep := rankgroup.Report{Group: "g", Rank: rank, Size: len(g.Ranks), Epoch: g.Epoch, Open: true, Born: r.Born,
+	rep := rankgroup.Report{Group: "g", Rank: rank, Size: len(g.Ranks), Epoch: g.Epoch, Open: g.whole(), Born: r.Born,
 		Step: g.Step, Map: r.Version, Prepared: r.prepared}
-	for _, other := range g.Ranks {
-		rep.Open = rep.Open && !other.Dead
-	}
 	if r.Armed != nil {
 		armed := *r.Armed
 		rep.Armed = &armed
--- a/node/agent.go
+++ b/node/agent.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"strconv"
@@ -89,12 +87,8 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: log.New(io.Discard, "", 0)}
-	go func() {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			a.log.Error(err, "Listener ended.")
-		}
-	}()
+	server := newServer(mux)
+	go serve(server, ln, a.log)
 	defer server.Close()
 	conn, err := net.ListenPacket("udp", a.peerAddr())
 	if err != nil {
@@ -230,10 +224,7 @@
 			delete(a.subscribers, key)
 			continue
 		}
-		if _, err := conn.WriteTo(b, s.addr); err != nil {
-			a.metrics.GetOrCreateCounter("wasabinotch_datagrams_lost_total").Inc()
-			a.rare.Info("Datagram not sent.", "to", key, "cause", err.Error())
-		}
+		sendDatagram(conn, b, s.addr, a.metrics, a.rare)
 	}
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -5,10 +5,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -34,9 +31,6 @@
 	// dialTimeout bounds connecting. VMs are about a millisecond apart; a
 	// longer wait means that the other side is down or its queue overflows.
 	dialTimeout = 250 * time.Millisecond
-	// headerTimeout and idleTimeout hold before the first configuration.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 	// idleFactor keeps connections longer than callers may leave them idle, so
 	// that a request doesn't cross the close.
 	idleFactor = 1.25
@@ -134,7 +128,7 @@
 	e.log.Info("Entry starts.", "id", e.s.ID, "zone", e.s.Zone, "callers", e.s.CallersAddr)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	if err := e.serveInternal(background); err != nil {
+	if err := e.serveInternal(); err != nil {
 		return err
 	}
 	go store.Follow(background, e.store, "", settle, e.followers())
@@ -205,7 +199,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: log.New(io.Discard, "", 0)}
+	s := newServer(e.handler)
 	if c := e.handler.Config(); c != nil {
 		if c.Limits.HeaderTimeout > 0 {
 			s.ReadHeaderTimeout = c.Limits.HeaderTimeout
@@ -217,18 +211,12 @@
 			s.MaxHeaderBytes = c.Limits.HeaderBytes
 		}
 	}
-	go e.serve(s, ln)
+	go serve(s, ln, e.log)
 	return s, nil
 }
 
-func (e *Entry) serve(s *http.Server, ln net.Listener) {
-	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		e.log.Error(err, "Listener ended.", "address", ln.Addr().String())
-	}
-}
-
 // serveInternal opens the addresses for readiness, directory, peers and metrics.
-func (e *Entry) serveInternal(ctx context.Context) error {
+func (e *Entry) serveInternal() error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathReady, e.serveReady)
 	mux.HandleFunc("GET "+platform.PathDirectory, e.serveDirectory)
@@ -242,9 +230,9 @@
 		if err != nil {
 			return err
 		}
-		s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: log.New(io.Discard, "", 0)}
+		s := newServer(mux)
 		e.servers = append(e.servers, s)
-		go e.serve(s, ln)
+		go serve(s, ln, e.log)
 	}
 	return nil
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -68,6 +69,21 @@
 	}
 }
 
+// replace hands a listing to a follower; keys that it knows and that aren't
+// listed any more are gone.
+func replace(f keyFollower, list []store.Entry, known []string, l *lapses) {
+	listed := make(map[string]bool, len(list))
+	for _, entry := range list {
+		listed[entry.Key] = true
+		f.Apply(store.Event{Entry: entry})
+	}
+	for _, key := range known {
+		if !listed[key] {
+			l.gone(key)
+		}
+	}
+}
+
 // operator puts the operator's writes in force: the configuration, and the
 // availability zones that are taken out.
 type operator struct {
@@ -182,16 +198,11 @@
 
 // Reset implements keyFollower.
 func (e *endpoints) Reset(entries []store.Entry, revision uint64) {
-	listed := make(map[string]bool, len(entries))
-	for _, entry := range entries {
-		listed[entry.Key] = true
-		e.Apply(store.Event{Entry: entry})
-	}
+	var known []string
 	for _, r := range e.fleet.Known() {
-		if key := platform.PrefixEndpoints + r.ID; !listed[key] {
-			e.lapses.gone(key)
-		}
+		known = append(known, platform.PrefixEndpoints+r.ID)
 	}
+	replace(e, entries, known, e.lapses)
 }
 
 // Apply implements keyFollower.
@@ -248,16 +259,7 @@
 
 // Reset implements keyFollower.
 func (e *entries) Reset(list []store.Entry, revision uint64) {
-	listed := make(map[string]bool, len(list))
-	for _, entry := range list {
-		listed[entry.Key] = true
-		e.Apply(store.Event{Entry: entry})
-	}
-	for key := range e.all() {
-		if !listed[key] {
-			e.lapses.gone(key)
-		}
-	}
+	replace(e, list, slices.Collect(maps.Keys(e.all())), e.lapses)
 }
 
 // Apply implements keyFollower.
@@ -284,9 +286,5 @@
 func (e *entries) all() map[string]entryRecord {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	all := make(map[string]entryRecord, len(e.known))
-	for k, v := range e.known {
-		all[k] = v
-	}
-	return all
+	return maps.Clone(e.known)
 }
--- a/node/loads.go
+++ b/node/loads.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
-	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
@@ -31,13 +34,12 @@
 	}
 	defer conn.Close()
 	go e.receiveLoads(conn)
-	ticker := time.NewTicker(subscribeInterval)
+	ticker := time.NewTicker(subscribeInterval / 8)
 	defer ticker.Stop()
 	subscribed := make(map[string]time.Time)
-	fast := time.NewTicker(subscribeInterval / 8)
-	defer fast.Stop()
 	for {
 		now := time.Now()
+		maps.DeleteFunc(subscribed, func(_ string, at time.Time) bool { return now.Sub(at) > subscriptionLife })
 		for _, r := range e.fleet.Known() {
 			if now.Sub(subscribed[r.Address]) < subscribeInterval-subscribeInterval/16 || !e.hasAgent(r.Service) {
 				continue
@@ -45,19 +47,13 @@
 			subscribed[r.Address] = now
 			if addr, err := agentAddr(r.Address, e.s.PeerPort); err == nil {
 				hello, _ := json.Marshal(wire.LoadSubscription{Entry: e.s.ID, Endpoint: r.ID}) // strings always encode
-				e.send(conn, hello, addr)
+				sendDatagram(conn, hello, net.UDPAddrFromAddrPort(addr), e.metrics, e.rare)
 			}
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			for addr, at := range subscribed {
-				if now.Sub(at) > subscriptionLife {
-					delete(subscribed, addr)
-				}
-			}
-		case <-fast.C:
 		}
 	}
 }
@@ -73,10 +69,11 @@
 	return s != nil && s.Engine != nil
 }
 
-func (e *Entry) send(conn net.PacketConn, b []byte, to netip.AddrPort) {
-	if _, err := conn.WriteTo(b, net.UDPAddrFromAddrPort(to)); err != nil {
-		e.metrics.GetOrCreateCounter("wasabinotch_datagrams_lost_total").Inc()
-		e.rare.Info("Datagram not sent.", "to", to.String(), "cause", err.Error())
+// sendDatagram sends a datagram that the next one replaces if it is lost.
+func sendDatagram(conn net.PacketConn, b []byte, to net.Addr, set *metrics.Set, rare logr.Logger) {
+	if _, err := conn.WriteTo(b, to); err != nil {
+		set.GetOrCreateCounter("wasabinotch_datagrams_lost_total").Inc()
+		rare.Info("Datagram not sent.", "to", to.String(), "cause", err.Error())
 	}
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,9 +1,6 @@
 package node
 
 import (
-	"errors"
-	"io"
-	"log"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,7 +36,7 @@
 func serveMetrics(addr string, set *metrics.Set, l logr.Logger) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathMetrics, metricsPage(set))
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: log.New(io.Discard, "", 0)}
+	s := newServer(mux)
 	if addr == "" {
 		return s
 	}
@@ -48,10 +45,6 @@
 		l.Error(err, "No metrics.", "address", addr)
 		return s
 	}
-	go func() {
-		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			l.Error(err, "Listener ended.", "address", addr)
-		}
-	}()
+	go serve(s, ln, l)
 	return s
 }
--- a/node/register.go
+++ b/node/register.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/wasabinotch/wasabinotch/pause"
 	"github.com/wasabinotch/wasabinotch/store"
 )
 
@@ -35,9 +36,9 @@
 func (r *registration) run(ctx context.Context) {
 	backoff := store.Backoff{Max: registerRetryMax}
 	for ctx.Err() == nil {
-		pause := renewInterval
+		next := renewInterval
 		if err := r.step(ctx); err != nil {
-			pause = backoff.Fail()
+			next = backoff.Fail()
 			if ctx.Err() == nil && !errors.Is(err, store.ErrNoLease) {
 				r.health.fail(err)
 			}
@@ -45,10 +46,7 @@
 			backoff.Reset()
 			r.health.ok()
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		pause.For(ctx, next)
 	}
 	r.leave()
 }
--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -202,7 +202,7 @@
 		return
 	}
 	c.note("%s is asked to end", n.id)
-	ended := c.disturb(&c.planned, n.id)
+	ended := c.disturb(&c.stops, n.id)
 	c.stopped[n.id] = true
 	c.signal(n.id, syscall.SIGTERM)
 	limit := time.Now().Add(soakGrace + exitSlack)
@@ -414,9 +414,7 @@
 	}
 	n := c.version + 1
 	c.note("keys are changed: configuration %d", n)
-	ended := c.disturb(&c.planned, "")
 	c.configure(map[string]string{fmt.Sprintf("key-a-%d", n): "menders", fmt.Sprintf("key-b-%d", n): "riggers"})
-	ended()
 }
 
 func (c *chaos) drainEndpoint() {
--- a/proof/soak_system_test.go
+++ b/proof/soak_system_test.go
@@ -83,8 +83,8 @@
 
 	mu     sync.Mutex
 	faults []disturbance
-	// planned are the graceful stops, reloads and changes of configuration.
-	planned  []disturbance
+	// stops are the planned stops; a stopping process isn't in touch.
+	stops    []disturbance
 	timeline []string
 	version  int
 	configs  []configChange
@@ -270,8 +270,10 @@
 }
 
 // calm reports whether nothing was wrong with a process, nor with the store,
-// from the time of stability before from until to.
-func (s *soak) calm(id string, from, to time.Time) bool { return quiet(s.faults, id, from, to) }
+// and it wasn't stopped, from the time of stability before from until to.
+func (s *soak) calm(id string, from, to time.Time) bool {
+	return quiet(s.faults, id, from, to) && quiet(s.stops, id, from, to)
+}
 
 func quiet(list []disturbance, id string, from, to time.Time) bool {
 	from = from.Add(-soakStable)
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -4,9 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -165,11 +163,7 @@
 	if err != nil {
 		return err.Error()
 	}
-	var found []explain.Log
-	for _, path := range paths {
-		found = append(found, explain.Log{Name: path, Open: func() (io.ReadCloser, error) { return os.Open(path) }})
-	}
-	report, err := explain.Find(request, found)
+	report, err := explain.Find(request, explain.Files(paths...))
 	if errors.Is(err, explain.ErrNotFound) {
 		return "    no entry has a line on it\n"
 	}
--- a/proof/soak_verdicts_test.go
+++ b/proof/soak_verdicts_test.go
@@ -112,18 +112,7 @@
 // inTouch reports whether an entry was undisturbed for long enough before at
 // that bounds in time hold for it.
 func (r *record) inTouch(entry string, at time.Time) bool {
-	return entry != "" && r.calm(entry, at, at) && quiet(r.stops(entry), entry, at, at)
-}
-
-// stops are the planned stops of an entry; a stopping entry isn't in touch.
-func (r *record) stops(entry string) []disturbance {
-	var out []disturbance
-	for _, d := range r.planned {
-		if d.node == entry {
-			out = append(out, d)
-		}
-	}
-	return out
+	return entry != "" && r.calm(entry, at, at)
 }
 
 func (r *record) zonesOut() *verdict {
@@ -269,7 +258,7 @@
 func (r *record) gracefulStops() *verdict {
 	v := &verdict{promise: "a graceful stop cuts no request"}
 	for _, a := range r.attempts {
-		for _, stop := range r.planned {
+		for _, stop := range r.stops {
 			if stop.node != a.entry || a.sent.After(stop.from.Add(lateInGrace)) || a.ended.Before(stop.from) || !r.undisturbed(a) {
 				continue
 			}
@@ -302,7 +291,7 @@
 	late, over := 0, 0
 	example := ""
 	for _, a := range r.attempts {
-		if a.class == "draft" || !r.calm(a.entry, a.sent, a.ended) || !quiet(r.stops(a.entry), a.entry, a.sent, a.ended) {
+		if a.class == "draft" || !r.calm(a.entry, a.sent, a.ended) {
 			continue
 		}
 		v.checked++
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -174,29 +174,40 @@
 // ErrNotPrepared means that a rank hasn't copied a version yet.
 var ErrNotPrepared = errors.New("the version isn't copied yet; it is looked at again in the next round")
 
-// preparedPoll is the interval at which a rank's own report is read for the end
-// of a copy, which takes tens of milliseconds an expert.
-const preparedPoll = 15 * time.Millisecond
+// reportPoll is the interval at which a near rank's report is read while
+// something is awaited: a copy takes tens of milliseconds an expert, a pass about
+// a hundred.
+const reportPoll = 15 * time.Millisecond
 
-// AwaitPrepared implements Engine.AwaitPrepared for a rank whose reports are
-// near and free.
-func AwaitPrepared(ctx context.Context, e interface {
+// reporter is a rank whose reports are near and free.
+type reporter interface {
 	Report(ctx context.Context) (Report, error)
-}, version uint64) error {
+}
+
+// awaitReport reads reports until done says that one will do.
+func awaitReport(ctx context.Context, r reporter, done func(Report) bool) error {
 	for {
-		rep, err := e.Report(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return ErrNotPrepared
-		case err != nil:
+		rep, err := r.Report(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil || done(rep) {
 			return err
-		case rep.Prepared == version:
-			return nil
 		}
-		pause.For(ctx, preparedPoll)
+		pause.For(ctx, reportPoll)
 	}
 }
 
+// AwaitPrepared implements Engine.AwaitPrepared for a rank whose reports are
+// near and free.
+func AwaitPrepared(ctx context.Context, r reporter, version uint64) error {
+	err := awaitReport(ctx, r, func(rep Report) bool { return rep.Prepared == version })
+	if err != nil && ctx.Err() != nil {
+		return ErrNotPrepared
+	}
+	return err
+}
+
 // Dimensions are the sizes of a group's maps.
 type Dimensions struct {
 	Ranks, Sets, Experts int
--- a/store/backoff.go
+++ b/store/backoff.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -21,11 +22,7 @@
 
 // Fail records a failed call and returns the delay before the next one.
 func (b *Backoff) Fail() time.Duration {
-	ceiling := backoffMax
-	if b.Max > 0 {
-		ceiling = b.Max
-	}
-	limit := min(backoffMin<<min(b.failures, 4), ceiling)
+	limit := min(backoffMin<<min(b.failures, 4), cmp.Or(b.Max, backoffMax))
 	b.failures++
 	return limit/4 + rand.N(limit)
 }
