node: log and measure the watch of the store by itself

The log could not tell a silent watch from a store that works: "Store lost" is written for any failed call, and a lease renewal that succeeds ends it. The watch now has its own lines with the time since its last response, a gauge wasabinotch_store_watch_age_seconds, and each version and zone names its source (watch, listing, or the entry that it came from). No decision changes.

--- a/node/entry.go
+++ b/node/entry.go
@@ -143,7 +143,8 @@
 	if err := e.serveInternal(); err != nil {
 		return err
 	}
-	go store.Follow(background, e.store, "", settleTime, e.newStoreFollower())
+	feed := newMonitoredFeed(e.store, e.metrics)
+	go store.Follow(background, feed, "", settleTime, e.newStoreFollower(feed))
 	go e.pollPeers(background)
 	go e.subscribeLoads(background)
 	go e.expireLoop(background)
@@ -336,7 +337,7 @@
 	if err := json.Unmarshal(body, &state); err != nil {
 		return err
 	}
-	e.operator.adopt(state)
+	e.operator.adopt(state, "entry "+addr)
 	return nil
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/go-logr/logr"
 
@@ -19,20 +18,10 @@
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
-// healthFollower records the state of the store in a storeHealth. It is the part
-// of store.ChangeHandler that doesn't depend on keys.
-type healthFollower struct{ health *storeHealth }
-
-// StoreLost implements store.ChangeHandler.
-func (f healthFollower) StoreLost(err error) { f.health.recordFailure(err) }
-
-// StoreRegained implements store.ChangeHandler.
-func (f healthFollower) StoreRegained(time.Duration) { f.health.recordSuccess() }
-
 // storeFollower dispatches changes in the store by key prefix. One watch of all
 // keys takes a third of the calls of three watches.
 type storeFollower struct {
-	healthFollower
+	watchMonitor
 	byPrefix map[string]prefixFollower
 }
 
@@ -44,8 +33,8 @@
 	Apply(e store.Event)
 }
 
-func (e *Entry) newStoreFollower() *storeFollower {
-	return &storeFollower{healthFollower: healthFollower{e.health}, byPrefix: map[string]prefixFollower{
+func (e *Entry) newStoreFollower(feed *monitoredFeed) *storeFollower {
+	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: feed, log: e.log.WithName("store")}, byPrefix: map[string]prefixFollower{
 		platform.PrefixOperator: e.operator, platform.PrefixEndpoints: e.endpoints, platform.PrefixEntries: e.peers,
 	}}
 }
@@ -109,7 +98,7 @@
 			next.Config = kv.Value
 		}
 	}
-	o.adopt(next)
+	o.adopt(next, "listing")
 }
 
 // Apply implements prefixFollower.
@@ -124,7 +113,7 @@
 	} else if platform.IsConfig(e.Key) && !e.Deleted {
 		next.Config = e.Value
 	}
-	o.adopt(next)
+	o.adopt(next, "watch")
 }
 
 func (o *operatorFollower) snapshot() wire.OperatorState {
@@ -134,8 +123,8 @@
 }
 
 // adopt applies a state unless a newer one is in force. A state without a
-// configuration keeps the one in force.
-func (o *operatorFollower) adopt(next wire.OperatorState) {
+// configuration keeps the one in force. The log names the source.
+func (o *operatorFollower) adopt(next wire.OperatorState, source string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if next.Revision < o.state.Revision {
@@ -144,17 +133,17 @@
 	for _, zone := range o.state.ZonesOut {
 		if !slices.Contains(next.ZonesOut, zone) {
 			o.fleet.SetZoneOutOfService(zone, false)
-			o.log.Info("Zone returned to service.", "zone", zone, "revision", next.Revision)
+			o.log.Info("Zone returned to service.", "zone", zone, "revision", next.Revision, "source", source)
 		}
 	}
 	for _, zone := range next.ZonesOut {
 		if !slices.Contains(o.state.ZonesOut, zone) {
 			o.fleet.SetZoneOutOfService(zone, true)
-			o.log.Info("Zone taken out of service.", "zone", zone, "revision", next.Revision)
+			o.log.Info("Zone taken out of service.", "zone", zone, "revision", next.Revision, "source", source)
 		}
 	}
 	if next.Config != nil && string(next.Config) != string(o.state.Config) {
-		o.configure(next.Config, next.Revision)
+		o.configure(next.Config, next.Revision, source)
 	}
 	if next.Config == nil {
 		next.Config = o.state.Config
@@ -163,7 +152,7 @@
 }
 
 // configure applies a configuration. One that can't be decoded is ignored.
-func (o *operatorFollower) configure(b []byte, revision uint64) {
+func (o *operatorFollower) configure(b []byte, revision uint64, source string) {
 	c, err := platform.DecodeConfig(b)
 	if err != nil {
 		o.log.Error(err, "Configuration ignored.", "revision", revision)
@@ -178,7 +167,7 @@
 		})
 	})
 	if o.handler.SetConfig(c) {
-		o.log.Info("Configuration in force.", "version", c.Version, "revision", revision)
+		o.log.Info("Configuration in force.", "version", c.Version, "revision", revision, "source", source)
 	}
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -91,11 +91,11 @@
 	h := forward.New(forward.Config{Fleet: f, Log: logr.Discard()})
 	o := &operatorFollower{handler: h, fleet: f, log: logr.Discard()}
 	config := func(v int) []byte { return []byte(fmt.Sprintf(`{"version":%d}`, v)) }
-	o.adopt(wire.OperatorState{Revision: 20, Config: config(2), ZonesOut: []string{"z1"}})
-	o.adopt(wire.OperatorState{Revision: 10, Config: config(1)})
+	o.adopt(wire.OperatorState{Revision: 20, Config: config(2), ZonesOut: []string{"z1"}}, "watch")
+	o.adopt(wire.OperatorState{Revision: 10, Config: config(1)}, "watch")
 	is.Equal(h.Config().Version, uint64(2))
 	is.Equal(o.snapshot().ZonesOut, []string{"z1"})
-	o.adopt(wire.OperatorState{Revision: 30})
+	o.adopt(wire.OperatorState{Revision: 30}, "watch")
 	is.Equal(h.Config().Version, uint64(2)) // a state without a configuration keeps the one in force
 	is.Equal(len(o.snapshot().ZonesOut), 0)
 }
