--- a/lab/platformsim/platformsim.go
+++ b/lab/platformsim/platformsim.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -45,11 +46,19 @@
 	changed        chan struct{}
 	down           bool
 	calls          int
+	// silenced holds the client addresses of the connections that get no more
+	// responses.
+	silenced map[string]bool
+	// watching holds the client addresses of the running watches.
+	watching map[string]bool
+	// connected holds the client addresses that made a call.
+	connected map[string]bool
 }
 
 // Listen starts a store on addr (IP:port).
 func Listen(addr string) (*Store, error) {
-	s := &Store{revision: 10, items: make(map[string]item), leases: make(map[uint64]*lease), changed: make(chan struct{})}
+	s := &Store{revision: 10, items: make(map[string]item), leases: make(map[uint64]*lease), changed: make(chan struct{}),
+		silenced: make(map[string]bool), watching: make(map[string]bool), connected: make(map[string]bool)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.list)
 	mux.HandleFunc("GET /kv-watch", s.watch)
@@ -87,6 +96,28 @@
 	s.notifyWatchers()
 }
 
+// SilenceWatch makes the connection of one running watch silent: it stays open,
+// but gets no more responses. New connections work. It reports whether a watch was
+// running.
+func (s *Store) SilenceWatch() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for client := range s.watching {
+		s.silenced[client] = true
+		s.notifyWatchers()
+		return true
+	}
+	return false
+}
+
+// SilenceConnections makes all open connections silent.
+func (s *Store) SilenceConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.Copy(s.silenced, s.connected)
+	s.notifyWatchers()
+}
+
 // Put writes an item without a lease, as an operator or an endpoint does.
 func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
@@ -158,8 +189,13 @@
 		s.mu.Lock()
 		s.calls++
 		s.expireLeases()
-		down := s.down
+		s.connected[r.RemoteAddr] = true
+		down, silenced := s.down, s.silenced[r.RemoteAddr]
 		s.mu.Unlock()
+		if silenced {
+			s.awaitDisconnect(r)
+			return
+		}
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -168,6 +204,12 @@
 	})
 }
 
+// awaitDisconnect waits until the client disconnects.
+func (s *Store) awaitDisconnect(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 func reply(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // fails only if the client disconnected
@@ -204,12 +246,17 @@
 		return
 	}
 	limit := time.After(time.Duration(wait) * time.Millisecond)
+	s.setWatching(r.RemoteAddr, true)
+	defer s.setWatching(r.RemoteAddr, false)
 	for {
 		s.mu.Lock()
+		silenced := s.silenced[r.RemoteAddr]
 		events, revision, changed, down := s.eventsSince(prefix, after), s.revision, s.changed, s.down
 		compacted := after+1 < s.oldestRevision
 		s.mu.Unlock()
 		switch {
+		case silenced:
+			s.awaitDisconnect(r)
 		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -231,6 +278,16 @@
 	}
 }
 
+func (s *Store) setWatching(client string, watching bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if watching {
+		s.watching[client] = true
+	} else {
+		delete(s.watching, client)
+	}
+}
+
 func (s *Store) eventsSince(prefix string, after uint64) []item {
 	var events []item
 	for _, i := range s.history {
