node: ignore changes of the watch that are older than the adopted state

An entry that adopts the state of another entry may get older changes from its own watch afterwards. Apply put their value under the newer revision and served that to other entries; one that the store turns away then took the old configuration for the newest and asked only for later ones. The entry itself kept routing by the newer version.

Changes older than the state are now ignored: a state includes all of the operator's changes up to its revision. TestLateWatchEventKeepsNewerState failed before (revision 20 with version 1 and a zone out of service).

--- a/node/follow.go
+++ b/node/follow.go
@@ -101,10 +101,14 @@
 	o.adopt(next, "listing")
 }
 
-// Apply implements prefixFollower.
+// Apply implements prefixFollower. A change that the state of another entry already
+// included is ignored.
 func (o *operatorFollower) Apply(e store.Event) {
 	next := o.snapshot()
-	next.Revision = max(next.Revision, e.Revision)
+	if e.Revision < next.Revision {
+		return
+	}
+	next.Revision = e.Revision
 	if zone, ok := platform.ZoneOutOfService(e.Key); ok {
 		next.ZonesOut = slices.DeleteFunc(slices.Clone(next.ZonesOut), func(z string) bool { return z == zone })
 		if !e.Deleted {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -22,6 +22,7 @@
 	"github.com/wasabinotch/wasabinotch/lab/platformsim"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/store"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
@@ -100,6 +101,21 @@
 	is.Equal(len(o.snapshot().ZonesOut), 0)
 }
 
+// Guards against a late change from the watch that replaces the newer state of another entry, which is then served on.
+func TestLateWatchEventKeepsNewerState(t *testing.T) {
+	is := is.New(t)
+	f := fleet.New("z1", nil)
+	o := &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, log: logr.Discard()}
+	newer := wire.OperatorState{Revision: 20, Config: []byte(`{"version":2}`)}
+	o.adopt(newer, "entry b")
+	late := func(key, value string) store.Event {
+		return store.Event{KeyValue: store.KeyValue{Key: key, Value: []byte(value), Revision: 15}}
+	}
+	o.Apply(late("op/config", `{"version":1}`))
+	o.Apply(late("op/evacuate/z1", `{}`))
+	is.Equal(o.snapshot(), newer)
+}
+
 // nextPort is the first port that freePorts has not tried.
 var nextPort = 21000
 
