node: entries compare what they know of the store, and end a silent watch

Callers saw requests handled by an older configuration: on one entry a version was not in force 2 s after its acknowledgement (CONFIG).

Cause: the connection of the entry's watch had fallen silent. The entry noticed only by TCP keep-alive, after 4 s (the net package rounds the probe interval of 0.5 s up to 1 s), or, where the peer's kernel still answers probes, after the call's 27 s. It asks other entries only after a failed call, and lease renewals on another connection succeeded. Evidence: "Watch lost" with silent_ms 4483 at 16.000 s on the entry that refused a request at 15.629 s; the same entry had no other line since 12.0 s.

Change: an entry now polls another entry twice a second whether or not the store works, on a new connection, and gets the revision of the newest change that it has seen. After a call without a response the idle connections to the store are closed. This bounds the delay by what other entries know instead of by the state of a connection, for endpoints and zones as well.

--- a/node/entry.go
+++ b/node/entry.go
@@ -20,6 +20,7 @@
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/forward"
 	"github.com/wasabinotch/wasabinotch/logs"
+	"github.com/wasabinotch/wasabinotch/pause"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/settings"
 	"github.com/wasabinotch/wasabinotch/store"
@@ -49,12 +50,16 @@
 	// pathOperator is the HTTP path at which entries serve the operator's state
 	// to each other.
 	pathOperator = "/operator"
-	// peerPollInterval is the interval at which an entry polls other entries for
-	// the operator's state while the store fails.
-	peerPollInterval = 250 * time.Millisecond
-	// unstableWindow is how long after a failed store call an entry continues to
-	// poll other entries.
-	unstableWindow = 3 * time.Second
+	// headerNewestChange is the header of responses at pathOperator with the
+	// revision of the newest change that the entry has seen.
+	headerNewestChange = "Newest-Change"
+	// peerPollInterval is the interval at which an entry polls another entry for
+	// the operator's state, unstablePollInterval the interval while the store fails
+	// and for unstableWindow afterwards. With staleWatchTimeout, a silent watch
+	// delays a change by about a second.
+	peerPollInterval     = 500 * time.Millisecond
+	unstablePollInterval = 250 * time.Millisecond
+	unstableWindow       = 3 * time.Second
 	// settleTime is how long a change in the store may wait so that one call
 	// reads further changes too, since every call is billed. It is a small part
 	// of the two seconds within which configurations and leaving endpoints must
@@ -83,6 +88,7 @@
 	log     logr.Logger
 	client  *upstream.Client
 	store   *platform.Store
+	feed    *monitoredFeed
 	fleet   *fleet.Fleet
 	handler *forward.Handler
 	metrics *metrics.Set
@@ -103,6 +109,7 @@
 	e := &Entry{cfg: s, log: log, client: newClient(&s.PlatformNode), metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst)}
 	e.health = &storeHealth{log: log.WithName("store"), outages: e.metrics.NewCounter("wasabinotch_store_lost_total")}
 	e.store = platform.NewStore(s.StoreAddr, e.client)
+	e.feed = newMonitoredFeed(e.store, e.metrics, log.WithName("store"))
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
 	e.handler = forward.New(forward.Config{
 		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, Fleet: e.fleet, Client: e.client,
@@ -143,8 +150,7 @@
 	if err := e.serveInternal(); err != nil {
 		return err
 	}
-	feed := newMonitoredFeed(e.store, e.metrics)
-	go store.Follow(background, feed, "", settleTime, e.newStoreFollower(feed))
+	go store.Follow(background, e.feed, "", settleTime, e.newStoreFollower())
 	go e.pollPeers(background)
 	go e.subscribeLoads(background)
 	go e.expireLoop(background)
@@ -170,7 +176,7 @@
 
 func (e *Entry) registration() *registration {
 	value, _ := json.Marshal(entryRecord{Callers: e.cfg.CallersAddr, Peer: e.peerAddr(), Zone: e.cfg.Zone}) // strings always encode
-	return &registration{leaser: e.store, health: e.health, key: platform.PrefixEntries + e.cfg.ID, value: value, log: e.log.WithName("register")}
+	return &registration{leaser: e.store, health: e.health, connectionLost: e.feed.connectionLost, key: platform.PrefixEntries + e.cfg.ID, value: value, log: e.log.WithName("register")}
 }
 
 func (e *Entry) peerAddr() string { return net.JoinHostPort(e.cfg.IP, strconv.Itoa(e.cfg.PeerPort)) }
@@ -282,8 +288,10 @@
 }
 
 // serveOperator serves the operator's state to other entries if it is newer than
-// the revision in the query parameter "after".
+// the revision in the query parameter "after", and in any case the revision of the
+// newest change seen.
 func (e *Entry) serveOperator(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerNewestChange, strconv.FormatUint(e.feed.newestChange(), 10))
 	state := e.operator.snapshot()
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
@@ -300,18 +308,20 @@
 	}
 }
 
-// pollPeers reads the operator's state from other entries while this entry's
-// calls to the store fail. It tries them in random order until one responds.
+// pollPeers reads the operator's state and the newest change from other entries until
+// ctx ends. Each time it tries them in random order until one responds. It also polls
+// while the store works, since a watch may be silent without a failed call.
 func (e *Entry) pollPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		time.Sleep(peerPollInterval)
-		if !e.health.failedWithin(unstableWindow) {
-			continue
+		interval := peerPollInterval
+		if e.health.failedWithin(unstableWindow) {
+			interval = unstablePollInterval
 		}
+		pause.For(ctx, interval)
 		all := e.peers.all()
 		delete(all, platform.PrefixEntries+e.cfg.ID)
 		for _, record := range all { // map order is random
-			if err := e.fetchOperatorState(ctx, record.Peer); err != nil {
+			if err := e.pollPeer(ctx, record.Peer); err != nil {
 				e.limitedLog.Info("Peer returned no operator state.", "peer", record.Peer, "cause", err.Error())
 				continue
 			}
@@ -320,24 +330,35 @@
 	}
 }
 
-// fetchOperatorState reads the operator's state from the entry at addr and adopts
-// it.
-func (e *Entry) fetchOperatorState(ctx context.Context, addr string) error {
+// pollPeer reads the operator's state from the entry at addr and adopts it.
+func (e *Entry) pollPeer(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
 	defer cancel()
 	target := pathOperator + "?after=" + strconv.FormatUint(e.operator.snapshot().Revision, 10)
-	status, body, err := e.client.Call(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr}, maxPeerResponseBytes)
-	if err != nil || status == http.StatusNoContent {
+	// A kept connection could be silent like that of the watch.
+	header := http.Header{"Connection": {"close"}}
+	resp, err := e.client.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: header})
+	if err != nil {
 		return err
 	}
-	if status != http.StatusOK {
-		return fmt.Errorf("peer responded with status %d; it may run another version", status)
-	}
-	var state wire.OperatorState
-	if err := json.Unmarshal(body, &state); err != nil {
+	defer resp.Close()
+	body, err := resp.ReadAll(maxPeerResponseBytes)
+	if err != nil {
 		return err
 	}
-	e.operator.adopt(state, "entry "+addr)
+	if resp.Status == http.StatusOK {
+		var state wire.OperatorState
+		if err := json.Unmarshal(body, &state); err != nil {
+			return err
+		}
+		e.operator.adopt(state, "entry "+addr)
+	} else if resp.Status != http.StatusNoContent {
+		return fmt.Errorf("peer responded with status %d; it may run another version", resp.Status)
+	}
+	// Entries of earlier versions don't send the header.
+	if newest, err := strconv.ParseUint(resp.Header.Get(headerNewestChange), 10, 64); err == nil {
+		e.feed.recordPeer(newest)
+	}
 	return nil
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -33,8 +33,8 @@
 	Apply(e store.Event)
 }
 
-func (e *Entry) newStoreFollower(feed *monitoredFeed) *storeFollower {
-	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: feed, log: e.log.WithName("store")}, byPrefix: map[string]prefixFollower{
+func (e *Entry) newStoreFollower() *storeFollower {
+	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: e.feed, log: e.log.WithName("store")}, byPrefix: map[string]prefixFollower{
 		platform.PrefixOperator: e.operator, platform.PrefixEndpoints: e.endpoints, platform.PrefixEntries: e.peers,
 	}}
 }
--- a/node/register.go
+++ b/node/register.go
@@ -27,9 +27,11 @@
 type registration struct {
 	leaser store.Leaser
 	health *storeHealth
-	key    string
-	value  []byte
-	log    logr.Logger
+	// connectionLost is called after a call without a response.
+	connectionLost func()
+	key            string
+	value          []byte
+	log            logr.Logger
 	// lease is the ID of the current lease, 0 for none.
 	lease uint64
 }
@@ -43,6 +45,9 @@
 			next = backoff.NextDelay()
 			if ctx.Err() == nil && !errors.Is(err, store.ErrNoLease) {
 				r.health.recordFailure(err)
+				if errors.Is(err, store.ErrResultUnknown) {
+					r.connectionLost()
+				}
 			}
 		} else {
 			backoff.Reset()
--- a/store/follow.go
+++ b/store/follow.go
@@ -12,6 +12,10 @@
 // keys again.
 var ErrCompacted = errors.New("store: compacted: the history has been removed; list the keys again")
 
+// ErrWatchStale means that a call for changes was ended because the store has changes
+// that it should have returned; list the keys again.
+var ErrWatchStale = errors.New("store: the watch is stale: it has missed changes; list the keys again")
+
 // ErrNoLease means that a lease has ended; grant a new one.
 var ErrNoLease = errors.New("store: no such lease: it has ended; grant a new one and write its keys again")
 
@@ -93,7 +97,7 @@
 		for ctx.Err() == nil {
 			events, next, err := feed.Changes(ctx, prefix, revision, changesWait)
 			if err != nil {
-				if !errors.Is(err, ErrCompacted) {
+				if !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrWatchStale) {
 					fail(err)
 				}
 				break
