--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -18,9 +18,10 @@
 	// headers of a response and a few events.
 	readBufferBytes = 2048
 	// keepAliveIdle, keepAliveInterval and keepAliveProbes detect an
-	// unreachable peer within about 2 s, before a caller gives up a stream.
+	// unreachable peer within 4 s. Package net rounds the times up to whole
+	// seconds.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
+	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
 	// defaultIdleTimeout is how long an idle connection is kept if the server
 	// names no time, maxIdleTimeout the longest time in any case.
