forward: log the prompt parts of requests that an endpoint broke off before the first event

The log could not tell a prompt part that crashes endpoints from load after a first crash or from one caller. Each request whose endpoint broke off before its first event now logs its shared prompt parts and whether anything still listens at the endpoint's address. No decision changes.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -47,7 +47,7 @@
 	// TokenUsage holds the number of tokens of the prompt and the maximum
 	// number of tokens of the response.
 	TokenUsage string
-	// PromptParts names the shared parts of the prompt.
+	// PromptParts names the parts of the prompt.
 	PromptParts string
 	// LastEventID holds the ID of the last event that the receiver has.
 	LastEventID string
@@ -61,8 +61,11 @@
 	Headers Headers
 	// ParseLoad decodes the value of the load header.
 	ParseLoad func(string) (fleet.Load, bool)
-	Fleet     *fleet.Fleet
-	Client    *upstream.Client
+	// SharedParts returns the IDs of the prompt parts in the value of the
+	// PromptParts header that other requests may have too.
+	SharedParts func(string) []string
+	Fleet       *fleet.Fleet
+	Client      *upstream.Client
 	// Log gets one line for each request. It should limit the rate of lines.
 	Log   logr.Logger
 	Stats *Stats
@@ -155,6 +158,9 @@
 	// of all attempts.
 	attempts int
 	tried    []*fleet.Endpoint
+	// brokeOff is set if the endpoint broke off the last attempt before its first
+	// event.
+	brokeOff bool
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// retryReserved is set if the retry for the next attempt was already taken
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -145,6 +145,7 @@
 func (x *exchange) relayStream(ctx context.Context, pick *fleet.Pick, resp *upstream.Response) verdict {
 	var pending []byte
 	buf := make([]byte, streamReadBytes)
+	eventsBefore := x.response.eventCount
 	controller := http.NewResponseController(x.w)
 	for {
 		n, err := resp.Read(buf)
@@ -193,6 +194,7 @@
 			pick.EndInconclusive()
 		} else {
 			pick.EndUnusable()
+			x.brokeOff = x.response.eventCount == eventsBefore
 		}
 		return lost
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -105,6 +105,9 @@
 		case lost, failed:
 			x.attempts++
 			x.mayHaveRun = true
+			if x.brokeOff {
+				x.recordBreak(pick.Endpoint)
+			}
 			if !x.route.Retryable() {
 				return x.giveUp(last)
 			}
@@ -195,6 +198,7 @@
 func (x *exchange) attempt(ctx context.Context, pick *fleet.Pick, budget *fleet.RetryBudget) verdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	x.brokeOff = false
 	go x.watch(ctx, pick, budget, x.mayFailOver(), time.Now().Add(x.maxResponseWait()), cancel)
 	resp, err := x.handler.cfg.Client.Do(ctx, pick.Endpoint.Address, x.endpointRequest(pick.Endpoint.ID))
 	if err != nil {
@@ -214,6 +218,7 @@
 			return delivered
 		}
 		pick.EndUnusable()
+		x.brokeOff = true
 		return lost
 	}
 	defer resp.Close()
@@ -242,6 +247,29 @@
 	return x.deliver(ctx, pick, resp)
 }
 
+// recordBreak logs that an endpoint broke off a request before its first event,
+// whether the endpoint is gone, and the prompt parts that may have crashed it.
+func (x *exchange) recordBreak(endpoint *fleet.Endpoint) {
+	parts := x.sharedParts()
+	if len(parts) == 0 {
+		return
+	}
+	h, id, address, request, cause := x.handler, endpoint.ID, endpoint.Address, x.requestID, x.cause
+	go func() {
+		gone := h.cfg.Client.Refuses(context.Background(), address)
+		h.cfg.Log.Info("Endpoint broke off before the first event.", "request", request, "endpoint", id, "gone", gone, "parts", parts, "cause", cause.Error())
+	}()
+}
+
+// sharedParts returns the IDs of the prompt parts that other requests may have too.
+func (x *exchange) sharedParts() []string {
+	value := x.r.Header.Get(x.handler.cfg.Headers.PromptParts)
+	if value == "" || x.handler.cfg.SharedParts == nil {
+		return nil
+	}
+	return x.handler.cfg.SharedParts(value)
+}
+
 // watch cancels an attempt if the endpoint's rank group stalls or if its
 // response is overdue, provided that mayFailOver is set and the budget has a
 // retry left. Without one the attempt continues: a late response is better than
--- a/node/entry.go
+++ b/node/entry.go
@@ -112,7 +112,7 @@
 	e.feed = newMonitoredFeed(e.store, e.metrics, log.WithName("store"))
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
 	e.handler = forward.New(forward.Config{
-		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, Fleet: e.fleet, Client: e.client,
+		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, Fleet: e.fleet, Client: e.client,
 		Log: logs.Limit(log.WithName("forward"), requestLinesPerSecond, requestLineBurst), Stats: forward.NewStats(e.metrics),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
 		RetryWindow: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -95,6 +96,22 @@
 		}
 		c.discard(addr, idle)
 	}
+	return c.dial(ctx, addr)
+}
+
+// Refuses reports whether nothing listens at an address any more. A connection that
+// it opens is kept for later calls.
+func (c *Client) Refuses(ctx context.Context, addr string) bool {
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.release(addr, conn, defaultIdleTimeout)
+	return false
+}
+
+// dial opens a connection.
+func (c *Client) dial(ctx context.Context, addr string) (*conn, error) {
 	c.mu.Lock()
 	p := c.pools[addr]
 	if p == nil {
