quarantine: hold prompt parts on which endpoints crash

Callers saw three of four requests refused, cut or late for 25 s: one part of a prompt crashed each endpoint that began to answer it, a crash stalls the endpoint's whole rank group, and entries went on sending such prompts, also a second time after a crash (BUDGET; LOST for sound requests with the same caller or first part).

Cause: an entry took a connection that broke off for a fault of the endpoint, whatever was on it, and nothing remembered what an endpoint had been sent when it crashed.

Change: package quarantine. A crash (broken off before the answer began, and the port refuses connections) counts against the shared parts of the prompt. Entries report it to each other at once and answer which parts are proven sound by an answer; an unproven part that is left alone is held for 1 to 2 minutes, then one prompt at a time tries it. A proven part is held after three crashes without an answer. While several parts remain suspect, prompts with only one of them try these after 1 to 2 s. Prompts with a held part are refused at once (503, not run, Retry-After), those that wait at endpoints are ended, and a prompt isn't sent on after a crash unless its parts are proven. Holds are kept in the store for entries that start later.

--- a/api/refusal.go
+++ b/api/refusal.go
@@ -44,6 +44,7 @@
 	KindTimeout           Kind = "timeout" // the timeout of the service has passed
 	KindCancelled         Kind = "cancelled"
 	KindRequestTimeout    Kind = "request_timeout" // the request body did not arrive in time
+	KindQuarantined       Kind = "quarantined"     // a part of the prompt is held
 	KindInternal          Kind = "internal"
 )
 
@@ -69,6 +70,7 @@
 	KindLastZone:          http.StatusConflict,
 	KindTimeout:           http.StatusGatewayTimeout,
 	KindRequestTimeout:    http.StatusRequestTimeout,
+	KindQuarantined:       http.StatusServiceUnavailable,
 	KindCancelled:         499, // nginx's status for a request that the client closed
 }
 
--- a/explain/describe.go
+++ b/explain/describe.go
@@ -34,6 +34,8 @@
 		return head + fmt.Sprintf("refused for lack of capacity; no endpoint had a free slot in %.0f ms of waiting", l.numberField("waited_ms"))
 	case "no_endpoint":
 		return head + "refused; no endpoint of the service could take work: zones out of service, stalled rank groups, or none listed"
+	case "quarantined":
+		return head + "refused; a part of the prompt is held because endpoints crashed on it"
 	case "endpoint_failed":
 		if status == 200 {
 			return head + fmt.Sprintf("the response broke off after %.0f events and no other endpoint continued it", l.numberField("events"))
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -89,6 +89,14 @@
 	return p.Endpoint.stalled
 }
 
+// Leaving reports whether the endpoint drains or has left the store: it then ends
+// without a crash.
+func (p *Pick) Leaving() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.Endpoint.removed || p.Endpoint.Draining
+}
+
 // ReportsHealthy reports whether the endpoint's last load report is recent and shows
 // that it isn't stalled.
 func (p *Pick) ReportsHealthy() bool {
--- a/forward/filters.go
+++ b/forward/filters.go
@@ -41,6 +41,9 @@
 	}
 	x.service = x.config.Target(x.route, x.requestID)
 	x.priority = x.route.Priority
+	if v := x.r.Header.Get(names.PromptParts); v != "" {
+		x.promptParts = x.handler.cfg.SharedParts(v)
+	}
 	x.deadline = x.arrived.Add(x.route.Timeout)
 	if v := x.r.Header.Get(names.Deadline); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -20,6 +20,7 @@
 
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/quarantine"
 	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/upstream"
 )
@@ -64,8 +65,10 @@
 	// SharedParts returns the IDs of the prompt parts in the value of the
 	// PromptParts header that other requests may have too.
 	SharedParts func(string) []string
-	Fleet       *fleet.Fleet
-	Client      *upstream.Client
+	// Quarantine holds the prompt parts that crash endpoints.
+	Quarantine *quarantine.Tracker
+	Fleet      *fleet.Fleet
+	Client     *upstream.Client
 	// Log gets one line for each request. It should limit the rate of lines.
 	Log   logr.Logger
 	Stats *Stats
@@ -158,9 +161,14 @@
 	// of all attempts.
 	attempts int
 	tried    []*fleet.Endpoint
-	// brokeOff is set if the endpoint broke off the last attempt before its first
-	// event.
+	// promptParts lists the prompt parts that other requests may have too.
+	promptParts []string
+	// brokeOff is set if the endpoint broke off the last attempt before its answer
+	// began.
 	brokeOff bool
+	// heldFor is the time after which the request may return if a part of its prompt
+	// is held.
+	heldFor time.Duration
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	// retryReserved is set if the retry for the next attempt was already taken
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/quarantine"
 	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/upstream"
 )
@@ -39,7 +40,7 @@
 
 // deliver relays a response to the caller, or returns a verdict that lets
 // another endpoint be tried.
-func (x *exchange) deliver(ctx context.Context, pick *fleet.Pick, resp *upstream.Response) verdict {
+func (x *exchange) deliver(ctx context.Context, pick *fleet.Pick, guard *quarantine.Attempt, resp *upstream.Response) verdict {
 	signed := resp.Header.Get(x.handler.cfg.Headers.Signature) != ""
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
@@ -48,7 +49,7 @@
 		pick.EndUnusable()
 		return lost
 	case success && x.route.Kind == routing.Streaming:
-		return x.relayStream(ctx, pick, resp)
+		return x.relayStream(ctx, pick, guard, resp)
 	}
 	if x.response.started {
 		// The caller already receives a stream, so an error response can't be
@@ -57,6 +58,9 @@
 		return failed
 	}
 	body, err := resp.ReadAll(maxBufferedBytes)
+	if success && (err == nil || int64(len(body)) > maxBufferedBytes) {
+		guard.Began()
+	}
 	if err == nil {
 		return x.relayComplete(pick, resp, body, success)
 	}
@@ -142,16 +146,20 @@
 
 // relayStream relays events as they arrive. It writes only complete events, so
 // that another endpoint can continue the stream after the last one.
-func (x *exchange) relayStream(ctx context.Context, pick *fleet.Pick, resp *upstream.Response) verdict {
+func (x *exchange) relayStream(ctx context.Context, pick *fleet.Pick, guard *quarantine.Attempt, resp *upstream.Response) verdict {
 	var pending []byte
 	buf := make([]byte, streamReadBytes)
-	eventsBefore := x.response.eventCount
+	began := false
 	controller := http.NewResponseController(x.w)
 	for {
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
 		events, rest := splitEvents(pending)
 		if len(events) > 0 {
+			if !began {
+				began = true
+				guard.Began()
+			}
 			if !x.response.started {
 				x.copyHeaders(resp)
 				x.startResponse(resp.Status)
@@ -194,7 +202,7 @@
 			pick.EndInconclusive()
 		} else {
 			pick.EndUnusable()
-			x.brokeOff = x.response.eventCount == eventsBefore
+			x.brokeOff = !began
 		}
 		return lost
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/quarantine"
 	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/upstream"
 )
@@ -62,11 +63,13 @@
 	// failed: the endpoint responded with an error that doesn't say that the
 	// request wasn't run. How much of it ran is unknown.
 	failed
+	// held: the request wasn't sent, since a part of its prompt is held.
+	held
 )
 
 // String implements fmt.Stringer.
 func (v verdict) String() string {
-	return [...]string{"delivered", "unreached", "rejected", "lost", "failed"}[v]
+	return [...]string{"delivered", "unreached", "rejected", "lost", "failed", "held"}[v]
 }
 
 // serve sends the request to endpoints until one responds or no other may be
@@ -76,6 +79,9 @@
 	defer cancel()
 	budget := x.handler.retryBudget(x.service)
 	budget.RecordRequest()
+	if x.heldFor = x.handler.cfg.Quarantine.RetryAfter(x.service, x.promptParts); x.heldFor > 0 {
+		return x.refuseHeld()
+	}
 	unreachedCount := 0
 	var last verdict
 	for {
@@ -96,6 +102,8 @@
 		switch last {
 		case delivered:
 			return nil
+		case held:
+			return x.refuseHeld()
 		case unreached:
 			if unreachedCount++; unreachedCount >= maxUnreached {
 				return x.giveUp(last)
@@ -106,7 +114,7 @@
 			x.attempts++
 			x.mayHaveRun = true
 			if x.brokeOff {
-				x.recordBreak(pick.Endpoint)
+				x.recordBreak(pick)
 			}
 			if !x.route.Retryable() {
 				return x.giveUp(last)
@@ -199,6 +207,12 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.brokeOff = false
+	var guard *quarantine.Attempt
+	if guard, x.heldFor = x.handler.cfg.Quarantine.Begin(x.service, x.promptParts, cancel); guard == nil {
+		pick.EndInconclusive()
+		return held
+	}
+	defer guard.End()
 	go x.watch(ctx, pick, budget, x.mayFailOver(), time.Now().Add(x.maxResponseWait()), cancel)
 	resp, err := x.handler.cfg.Client.Do(ctx, pick.Endpoint.Address, x.endpointRequest(pick.Endpoint.ID))
 	if err != nil {
@@ -210,7 +224,7 @@
 		case upstream.NotSent(err):
 			pick.EndInconclusive()
 			return unreached
-		case context.Cause(ctx) == errGroupStalled, context.Cause(ctx) == errResponseOverdue:
+		case context.Cause(ctx) == errGroupStalled, context.Cause(ctx) == errResponseOverdue, context.Cause(ctx) == quarantine.ErrHeld:
 			pick.EndInconclusive()
 			return lost
 		case x.callerDisconnected():
@@ -244,30 +258,40 @@
 		pick.EndUnusable()
 		return lost
 	}
-	return x.deliver(ctx, pick, resp)
+	return x.deliver(ctx, pick, guard, resp)
 }
 
-// recordBreak logs that an endpoint broke off a request before its first event,
-// whether the endpoint is gone, and the prompt parts that may have crashed it.
-func (x *exchange) recordBreak(endpoint *fleet.Endpoint) {
-	parts := x.sharedParts()
-	if len(parts) == 0 {
-		return
+// refuseHeld returns the refusal of a request with a part that is held.
+func (x *exchange) refuseHeld() *api.Refusal {
+	x.cause = errors.Join(x.cause, quarantine.ErrHeld)
+	if x.mayHaveRun {
+		return api.Unknown(api.KindEndpointFailed, "the endpoint gave no whole answer, and a part of the prompt is held", "send the request without the part")
 	}
-	h, id, address, request, cause := x.handler, endpoint.ID, endpoint.Address, x.requestID, x.cause
-	go func() {
-		gone := h.cfg.Client.Refuses(context.Background(), address)
-		h.cfg.Log.Info("Endpoint broke off before the first event.", "request", request, "endpoint", id, "gone", gone, "parts", parts, "cause", cause.Error())
-	}()
+	x.setRetryAfter(x.heldFor)
+	return api.NotRun(api.KindQuarantined, "a part of the prompt is held because endpoints crashed on it", "send the request without the part, or again after the given time")
 }
 
-// sharedParts returns the IDs of the prompt parts that other requests may have too.
-func (x *exchange) sharedParts() []string {
-	value := x.r.Header.Get(x.handler.cfg.Headers.PromptParts)
-	if value == "" || x.handler.cfg.SharedParts == nil {
-		return nil
+// recordBreak reports the crash of an endpoint that broke off a request before its
+// answer began, if nothing listens there any more. It waits for the result only if the
+// request may have caused the crash, since it must then not be sent to another endpoint.
+func (x *exchange) recordBreak(pick *fleet.Pick) {
+	if len(x.promptParts) == 0 || pick.Leaving() {
+		return
+	}
+	h, endpoint, service, parts := x.handler, pick.Endpoint, x.service, x.promptParts
+	request, cause := x.requestID, x.cause
+	report := func() {
+		gone := h.cfg.Client.Refuses(context.Background(), endpoint.Address) // the caller may have left; the dial timeout bounds it
+		h.cfg.Log.Info("Endpoint broke off before the first event.", "request", request, "endpoint", endpoint.ID, "gone", gone, "parts", parts, "cause", cause.Error())
+		if gone {
+			h.cfg.Quarantine.ReportCrash(endpoint.ID+"@"+strconv.FormatInt(endpoint.Incarnation, 10), service, parts)
+		}
+	}
+	if h.cfg.Quarantine.Suspected(service, parts) {
+		report()
+	} else {
+		go report()
 	}
-	return x.handler.cfg.SharedParts(value)
 }
 
 // watch cancels an attempt if the endpoint's rank group stalls or if its
--- a/forward/testentry_test.go
+++ b/forward/testentry_test.go
@@ -16,8 +16,10 @@
 
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/logs"
+	"github.com/wasabinotch/wasabinotch/quarantine"
 	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/upstream"
+	"github.com/wasabinotch/wasabinotch/wire"
 )
 
 var testHeaders = Headers{
@@ -32,6 +34,7 @@
 	mu           sync.Mutex
 	requests     []*http.Request
 	disconnected chan struct{}
+	listener     net.Listener
 }
 
 func (e *fakeEndpoint) received() []*http.Request {
@@ -76,6 +79,7 @@
 	log := &logBuffer{}
 	s := &testEntry{log: log, handler: New(Config{
 		Headers: testHeaders, ParseLoad: func(string) (fleet.Load, bool) { return fleet.Load{}, false },
+		SharedParts: func(v string) []string { return strings.Split(v, ",") }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
 		Fleet: f, Client: upstream.NewClient(time.Second), Log: logs.New(log), Stats: NewStats(metrics.NewSet()),
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 	})}
@@ -87,6 +91,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { ln.Close() })
+		e.listener = ln
 		go e.serve(ln, respond)
 		f.Update(fleet.Record{ID: fmt.Sprint("e", i), Service: "s", Address: ln.Addr().String(), Zone: "z1", Slots: 4})
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -98,6 +98,7 @@
 	operator   *operatorFollower
 	endpoints  *endpointFollower
 	peers      *entryFollower
+	holds      *holdSharer
 	// ready is true while the entry accepts callers and is not draining.
 	ready atomic.Bool
 	// servers are the internal HTTP servers; they run until the end of a drain.
@@ -111,8 +112,10 @@
 	e.store = platform.NewStore(s.StoreAddr, e.client)
 	e.feed = newMonitoredFeed(e.store, e.metrics, log.WithName("store"))
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
+	e.holds = e.newHoldSharer()
 	e.handler = forward.New(forward.Config{
-		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, Fleet: e.fleet, Client: e.client,
+		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts,
+		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client,
 		Log: logs.Limit(log.WithName("forward"), requestLinesPerSecond, requestLineBurst), Stats: forward.NewStats(e.metrics),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
 		RetryWindow: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
@@ -152,6 +155,7 @@
 	}
 	go store.Follow(background, e.feed, "", settleTime, e.newStoreFollower())
 	go e.pollPeers(background)
+	go e.holds.run(background)
 	go e.subscribeLoads(background)
 	go e.expireLoop(background)
 	e.awaitConfig(ctx)
@@ -242,6 +246,7 @@
 	mux.HandleFunc("GET "+platform.PathReady, e.serveReady)
 	mux.HandleFunc("GET "+platform.PathDirectory, e.serveDirectory)
 	mux.HandleFunc("GET "+pathOperator, e.serveOperator)
+	mux.Handle("POST "+wire.PathQuarantine, e.holds)
 	mux.HandleFunc("GET "+pathMetrics, metricsPage(e.metrics))
 	e.servers = append(e.servers, serveMetrics(e.cfg.MetricsAddr, e.metrics, e.log))
 	for _, l := range []struct{ field, addr string }{
--- a/node/follow.go
+++ b/node/follow.go
@@ -36,6 +36,7 @@
 func (e *Entry) newStoreFollower() *storeFollower {
 	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: e.feed, log: e.log.WithName("store")}, byPrefix: map[string]prefixFollower{
 		platform.PrefixOperator: e.operator, platform.PrefixEndpoints: e.endpoints, platform.PrefixEntries: e.peers,
+		platform.PrefixQuarantine: e.holds,
 	}}
 }
 
--- /dev/null
+++ b/node/quarantine.go
@@ -0,0 +1,290 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/logs"
+	"github.com/wasabinotch/wasabinotch/pause"
+	"github.com/wasabinotch/wasabinotch/platform"
+	"github.com/wasabinotch/wasabinotch/quarantine"
+	"github.com/wasabinotch/wasabinotch/store"
+	"github.com/wasabinotch/wasabinotch/upstream"
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+const (
+	// maxPendingReports bounds the reports that wait to be shared; more are dropped.
+	maxPendingReports = 256
+	// maxReportBytes bounds a report or its reply.
+	maxReportBytes = 64 << 10
+	// maxSharers bounds the calls to other entries at the same time.
+	maxSharers = 32
+	// maxHoldLease is the longest lease that the store grants.
+	maxHoldLease = 10 * time.Minute
+	// minHoldLease is the shortest one.
+	minHoldLease = time.Second
+	// holdCheckInterval is the mean interval at which an entry checks that its holds are
+	// in the store. The first of the entries writes a new hold.
+	holdCheckInterval = time.Second
+)
+
+// holdSharer shares what this entry learns about prompt parts: with the other entries
+// directly, and through the store with those that start later.
+type holdSharer struct {
+	tracker *quarantine.Tracker
+	store   *platform.Store
+	client  *upstream.Client
+	// peers returns the addresses of the other entries.
+	peers func() []string
+	log   logr.Logger
+	// limitedLog is log with a rate limit, for faults that can occur very often.
+	limitedLog logr.Logger
+	pending    chan wire.QuarantineReport
+
+	mu sync.Mutex
+	// stored holds the number of crashes in each record of a hold, by store key.
+	stored map[string]int
+}
+
+func newHoldSharer(s *platform.Store, c *upstream.Client, peers func() []string, log logr.Logger) *holdSharer {
+	h := &holdSharer{store: s, client: c, peers: peers, log: log, limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst),
+		pending: make(chan wire.QuarantineReport, maxPendingReports), stored: make(map[string]int)}
+	h.tracker = quarantine.New(h.enqueue)
+	return h
+}
+
+// enqueue passes a report to run without blocking.
+func (h *holdSharer) enqueue(r wire.QuarantineReport) {
+	select {
+	case h.pending <- r:
+	default:
+		h.limitedLog.Info("Report on prompt parts dropped.", "crash", r.Crash, "parts", r.Parts)
+	}
+}
+
+// run shares reports and keeps the holds in the store until ctx ends.
+func (h *holdSharer) run(ctx context.Context) {
+	go h.keepHolds(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-h.pending:
+			h.shareReport(ctx, h.merge(r))
+		}
+	}
+}
+
+// merge adds the parts of further pending reports on the same crash to a report.
+func (h *holdSharer) merge(r wire.QuarantineReport) wire.QuarantineReport {
+	for range len(h.pending) {
+		next := <-h.pending
+		if r.Crash == "" || next.Crash != r.Crash || next.Service != r.Service {
+			h.enqueue(next)
+			continue
+		}
+		for _, part := range next.Parts {
+			if !slices.Contains(r.Parts, part) {
+				r.Parts = append(slices.Clip(r.Parts), part)
+			}
+		}
+	}
+	return r
+}
+
+// shareReport sends a report to the other entries. If they have proven parts of a crash
+// sound, it tells all of them.
+func (h *holdSharer) shareReport(ctx context.Context, r wire.QuarantineReport) {
+	h.limitedLog.Info("Prompt parts reported.", "service", r.Service, "crash", r.Crash, "parts", r.Parts, "answered", r.Answered, "proven", r.Proven)
+	proven := h.send(ctx, r)
+	if len(proven) > 0 {
+		update := wire.QuarantineReport{Service: r.Service, Proven: proven}
+		h.tracker.Receive(update)
+		h.send(ctx, update)
+	}
+	if len(r.Answered) > 0 {
+		h.forget(ctx, r.Service, r.Answered)
+	}
+}
+
+// send sends a report to all other entries at once and returns the parts that any of
+// them has proven sound.
+func (h *holdSharer) send(ctx context.Context, r wire.QuarantineReport) (proven []string) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		h.log.Error(err, "Report on prompt parts not encoded.")
+		return nil
+	}
+	var mu sync.Mutex
+	var senders sync.WaitGroup
+	slots := make(chan struct{}, maxSharers)
+	for _, addr := range h.peers() {
+		slots <- struct{}{}
+		senders.Go(func() {
+			defer func() { <-slots }()
+			reply, err := h.sendTo(ctx, addr, body)
+			if err != nil {
+				h.limitedLog.Info("Report on prompt parts not received.", "peer", addr, "cause", err.Error())
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, part := range reply.Proven {
+				if !slices.Contains(proven, part) {
+					proven = append(proven, part)
+				}
+			}
+		})
+	}
+	senders.Wait()
+	return proven
+}
+
+func (h *holdSharer) sendTo(ctx context.Context, addr string, body []byte) (wire.QuarantineReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
+	defer cancel()
+	// A kept connection could have fallen silent.
+	header := http.Header{"Connection": {"close"}, "Content-Type": {"application/json"}}
+	status, b, err := h.client.Call(ctx, addr, &upstream.Request{Method: http.MethodPost, Target: wire.PathQuarantine, Host: addr, Header: header, Body: body}, maxReportBytes)
+	var reply wire.QuarantineReply
+	switch {
+	case err != nil:
+		return reply, err
+	case status != http.StatusOK:
+		return reply, fmt.Errorf("peer responded with status %d; it may run another version", status)
+	}
+	return reply, json.Unmarshal(b, &reply)
+}
+
+// ServeHTTP receives reports of other entries.
+func (h *holdSharer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var report wire.QuarantineReport
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxReportBytes)).Decode(&report); err != nil {
+		http.Error(w, "the report can't be read; send a QuarantineReport object", http.StatusBadRequest)
+		return
+	}
+	reply := wire.QuarantineReply{Proven: h.tracker.Receive(report)}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(reply); err != nil {
+		h.limitedLog.Info("Reply not sent.", "cause", err.Error())
+	}
+}
+
+// heldRecord is the record of a held part in the store. It is removed with its lease.
+type heldRecord struct {
+	Crashes int `json:"crashes"`
+}
+
+func holdKey(service, part string) string {
+	return platform.PrefixQuarantine + url.PathEscape(service) + "/" + url.PathEscape(part)
+}
+
+// keepHolds writes the holds that the store doesn't have until ctx ends.
+func (h *holdSharer) keepHolds(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.For(ctx, rand.N(2*holdCheckInterval))
+		for _, hold := range h.tracker.Holds() {
+			if h.isStored(hold) {
+				continue
+			}
+			h.log.Info("Prompt part held.", "service", hold.Service, "part", hold.Part, "crashes", hold.Crashes, "hold_ms", hold.Remaining.Milliseconds())
+			if err := h.write(ctx, hold); err != nil {
+				h.limitedLog.Info("Hold not written to the store.", "part", hold.Part, "cause", err.Error())
+			}
+		}
+	}
+}
+
+func (h *holdSharer) isStored(hold quarantine.Hold) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stored[holdKey(hold.Service, hold.Part)] >= hold.Crashes
+}
+
+// write writes a hold to the store for as long as it lasts.
+func (h *holdSharer) write(ctx context.Context, hold quarantine.Hold) error {
+	lease, err := h.store.Grant(ctx, min(max(hold.Remaining, minHoldLease), maxHoldLease))
+	if err != nil {
+		return err
+	}
+	value, _ := json.Marshal(heldRecord{Crashes: hold.Crashes}) // numbers always encode
+	return h.store.Put(ctx, holdKey(hold.Service, hold.Part), value, lease)
+}
+
+// forget removes the holds of parts from the store. A hold that stays there only delays
+// the part at entries that start later.
+func (h *holdSharer) forget(ctx context.Context, service string, parts []string) {
+	var keys []string
+	h.mu.Lock()
+	for _, part := range parts {
+		if key := holdKey(service, part); h.stored[key] > 0 {
+			keys = append(keys, key)
+		}
+	}
+	h.mu.Unlock()
+	if len(keys) == 0 {
+		return
+	}
+	if err := h.store.Remove(ctx, keys...); err != nil {
+		h.limitedLog.Info("Hold not removed from the store.", "parts", parts, "cause", err.Error())
+	}
+}
+
+// Reset implements prefixFollower.
+func (h *holdSharer) Reset(kvs []store.KeyValue, _ uint64) {
+	h.mu.Lock()
+	clear(h.stored)
+	h.mu.Unlock()
+	for _, kv := range kvs {
+		h.Apply(store.Event{KeyValue: kv})
+	}
+}
+
+// Apply implements prefixFollower. A key that is removed ends no hold: each entry ends
+// it by itself, or when it learns of an answer.
+func (h *holdSharer) Apply(e store.Event) {
+	if e.Deleted {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.stored, e.Key)
+		return
+	}
+	service, part, ok := strings.Cut(strings.TrimPrefix(e.Key, platform.PrefixQuarantine), "/")
+	service, serviceErr := url.PathUnescape(service)
+	part, partErr := url.PathUnescape(part)
+	var record heldRecord
+	if !ok || serviceErr != nil || partErr != nil || json.Unmarshal(e.Value, &record) != nil {
+		h.limitedLog.Info("Record ignored.", "key", e.Key)
+		return
+	}
+	h.mu.Lock()
+	h.stored[e.Key] = record.Crashes
+	h.mu.Unlock()
+	h.tracker.Restore(service, part, record.Crashes)
+}
+
+// newHoldSharer returns the entry's holdSharer.
+func (e *Entry) newHoldSharer() *holdSharer {
+	peers := func() []string {
+		var addrs []string
+		for key, record := range e.peers.all() {
+			if key != platform.PrefixEntries+e.cfg.ID {
+				addrs = append(addrs, record.Peer)
+			}
+		}
+		return addrs
+	}
+	return newHoldSharer(e.store, e.client, peers, e.log.WithName("quarantine"))
+}
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -197,3 +197,32 @@
 	is.True(log.after(crashBound, noticeTime) <= lateBound)
 	is.True(2*begun >= sound) // sound requests with the same first part are served
 }
+
+// Guards against entries that forget the held parts when all of them restart.
+func TestHeldPartsSurviveARestartOfAllEntries(t *testing.T) {
+	is := is.New(t)
+	sim, err := platformsim.Listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer sim.Close()
+	sim.Put("op/config", []byte(streamConfig))
+	log := &crashLog{}
+	startCrashingEngine(t, "i0", sim, log)
+	startCrashingEngine(t, "i1", sim, log)
+	a, b := startEntry(t, "a", sim.Addr()), startEntry(t, "b", sim.Addr())
+	for _, e := range []*testEntry{a, b} {
+		eventually(t, "a stream is served", func() bool { began, _ := e.sendPrompt(t, "warm", "shared:40,own:100"); return began })
+	}
+	a.sendPrompt(t, "deadly1", "shared:40,"+deadlyPart+":30,own:100")
+	is.Equal(log.crashCount(), 1)
+	time.Sleep(3 * holdCheckInterval) // the hold is in the store
+	a.stop()
+	b.stop()
+	is.NoErr(<-a.done)
+	is.NoErr(<-b.done)
+
+	c := startEntry(t, "c", sim.Addr())
+	eventually(t, "a stream is served again", func() bool { began, _ := c.sendPrompt(t, "sound", "shared:40,own:100"); return began })
+	_, status := c.sendPrompt(t, "deadly2", "shared:40,"+deadlyPart+":30,own:100")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(log.crashCount(), 1)
+}
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,408 @@
+package quarantine
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+const (
+	// crashesIfProven is the number of crashes without an answer between them after
+	// which a part that was proven sound is held. A part that many requests have is in
+	// most crashes, whatever causes them.
+	crashesIfProven = 3
+	// ambiguousHold is the hold if several parts may have caused a crash: all but one
+	// of them are sound, and trials tell them apart.
+	ambiguousHold = time.Second
+	// firstHold is the hold if only one part may have caused its first crash, and
+	// repeatedHold the hold if it is the only one again. A trial that fails costs a
+	// rank group for seconds.
+	firstHold    = time.Minute
+	repeatedHold = 5 * time.Minute
+	// maxJitter is the factor by which a hold may be longer at one entry than at
+	// another, so that entries don't all try a part at the same time.
+	maxJitter = 2
+	// MaxHold is the longest hold.
+	MaxHold = maxJitter * repeatedHold
+	// memory is the time for which a proof of soundness and a crash count.
+	memory = 2 * MaxHold
+	// maxParts bounds the parts in memory. If there are more, those proven longest ago
+	// are forgotten.
+	maxParts = 4096
+	// trialRetryAfter is the time after which a request may return that was refused
+	// because another one tries its part; by then its answer has begun or not.
+	trialRetryAfter = time.Second
+)
+
+// ErrHeld ends an attempt whose prompt has a part that was held meanwhile.
+var ErrHeld = errors.New("a part of the prompt is held because endpoints crashed on it; send the request without the part, or retry after the given time")
+
+// partID identifies a part of a service's prompts.
+type partID struct{ service, part string }
+
+// part is what is known of one part.
+type part struct {
+	provenAt time.Time
+	// crashes lists the crashes since the last answer.
+	crashes   []*crash
+	heldUntil time.Time
+	// trial is the attempt that tries the part after a hold, nil without one.
+	trial *Attempt
+	// waiting holds the attempts whose answer hasn't begun.
+	waiting map[*Attempt]bool
+}
+
+// crash is one crash of an endpoint.
+type crash struct {
+	// at is when it became known here.
+	at time.Time
+	// parts are those of the requests whose answer hadn't begun.
+	parts []partID
+}
+
+// forgotten reports whether the crash no longer counts.
+func (c *crash) forgotten() bool { return time.Since(c.at) > memory }
+
+// Tracker is an entry's knowledge of prompt parts. It is safe for concurrent use.
+type Tracker struct {
+	share  func(wire.QuarantineReport)
+	jitter float64
+
+	mu      sync.Mutex
+	parts   map[partID]*part
+	crashes map[string]*crash
+}
+
+// New returns a Tracker that knows no part. share is called with what other entries
+// should learn; it must not block.
+func New(share func(wire.QuarantineReport)) *Tracker {
+	return &Tracker{share: share, jitter: 1 + rand.Float64()*(maxJitter-1), parts: make(map[partID]*part), crashes: make(map[string]*crash)}
+}
+
+// Attempt is a request's attempt at an endpoint.
+type Attempt struct {
+	tracker *Tracker
+	ids     []partID
+	cancel  func(error)
+	ended   bool
+}
+
+// Begin registers an attempt at an endpoint of a service with the given shared parts
+// of its prompt. cancel is called with ErrHeld if a part is held before the answer
+// begins. If a part is held already, Begin returns nil and the time after which the
+// request may return.
+func (t *Tracker) Begin(service string, parts []string, cancel func(error)) (*Attempt, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := partIDs(service, parts)
+	suspect, retryAfter := t.check(ids)
+	if retryAfter > 0 {
+		return nil, retryAfter
+	}
+	a := &Attempt{tracker: t, ids: ids, cancel: cancel}
+	for _, id := range ids {
+		t.part(id).waiting[a] = true
+	}
+	if suspect != nil {
+		suspect.trial = a
+	}
+	return a, 0
+}
+
+// RetryAfter returns the time after which a request with the given parts may return,
+// 0 if it may be sent now.
+func (t *Tracker) RetryAfter(service string, parts []string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, retryAfter := t.check(partIDs(service, parts))
+	return retryAfter
+}
+
+// check returns the part that a request would try, nil if none is suspect, or the time
+// after which the request may return. A request with several suspect parts can't tell
+// them apart.
+func (t *Tracker) check(ids []partID) (suspect *part, retryAfter time.Duration) {
+	now := time.Now()
+	for _, id := range ids {
+		p := t.parts[id]
+		if p == nil || p.heldUntil.IsZero() {
+			continue
+		}
+		switch {
+		case now.Before(p.heldUntil):
+			retryAfter = max(retryAfter, p.heldUntil.Sub(now))
+		case p.trial != nil, suspect != nil:
+			retryAfter = max(retryAfter, trialRetryAfter)
+		}
+		suspect = p
+	}
+	return suspect, retryAfter
+}
+
+func partIDs(service string, parts []string) []partID {
+	ids := make([]partID, 0, len(parts))
+	for _, name := range parts {
+		if id := (partID{service, name}); !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// part returns what is known of a part, and adds it if it is unknown.
+func (t *Tracker) part(id partID) *part {
+	p := t.parts[id]
+	if p == nil {
+		if len(t.parts) >= maxParts {
+			t.prune()
+		}
+		p = &part{waiting: make(map[*Attempt]bool)}
+		t.parts[id] = p
+	}
+	return p
+}
+
+// prune forgets what no longer counts, and then the parts proven longest ago, until a
+// quarter of the parts is free.
+func (t *Tracker) prune() {
+	var idle []partID
+	for id, p := range t.parts {
+		p.crashes = slices.DeleteFunc(p.crashes, (*crash).forgotten)
+		if len(p.crashes) == 0 && len(p.waiting) == 0 {
+			idle = append(idle, id)
+		}
+	}
+	slices.SortFunc(idle, func(a, b partID) int { return t.parts[a].provenAt.Compare(t.parts[b].provenAt) })
+	for _, id := range idle[:min(len(idle), maxParts/4)] {
+		delete(t.parts, id)
+	}
+}
+
+// Began records that the answer to the attempt has begun: its parts are sound.
+func (a *Attempt) Began() {
+	t := a.tracker
+	t.mu.Lock()
+	var cleared []string
+	for _, id := range a.ids {
+		if t.recordAnswer(id) {
+			cleared = append(cleared, id.part)
+		}
+	}
+	service := ""
+	if len(a.ids) > 0 {
+		service = a.ids[0].service
+	}
+	a.end()
+	t.mu.Unlock()
+	if len(cleared) > 0 {
+		t.share(wire.QuarantineReport{Service: service, Answered: cleared})
+	}
+}
+
+// End ends the attempt. Further calls have no effect.
+func (a *Attempt) End() {
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	a.end()
+}
+
+// end removes the attempt from its parts. The caller holds the tracker's lock.
+func (a *Attempt) end() {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	for _, id := range a.ids {
+		p := a.tracker.part(id)
+		delete(p.waiting, a)
+		if p.trial == a {
+			p.trial = nil
+		}
+	}
+}
+
+// recordAnswer records an answer to a prompt with a part and reports whether the part
+// had been in a crash since its last answer.
+func (t *Tracker) recordAnswer(id partID) bool {
+	p := t.part(id)
+	p.provenAt = time.Now()
+	crashes := p.crashes
+	p.crashes, p.heldUntil = nil, time.Time{}
+	for _, c := range crashes {
+		t.assess(c)
+	}
+	return len(crashes) > 0
+}
+
+// Suspected reports whether a crash may be due to one of the parts: the request must
+// not be sent to another endpoint before it is known whether its endpoint crashed.
+func (t *Tracker) Suspected(service string, parts []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range partIDs(service, parts) {
+		if p := t.parts[id]; p == nil || len(p.crashes)+1 >= p.crashesToHold() {
+			return true
+		}
+	}
+	return false
+}
+
+// crashesToHold returns the number of crashes after which the part is held.
+func (p *part) crashesToHold() int {
+	if !p.provenAt.IsZero() && time.Since(p.provenAt) <= memory {
+		return crashesIfProven
+	}
+	return 1
+}
+
+// ReportCrash records that an endpoint crashed before the answer to a prompt with the
+// given parts began, and shares it. name identifies the crash; other requests may be in
+// it.
+func (t *Tracker) ReportCrash(name, service string, parts []string) {
+	r := wire.QuarantineReport{Service: service, Crash: name, Parts: parts}
+	t.Receive(r)
+	t.share(r)
+}
+
+// Receive records what another entry shared. It returns the parts of the report's crash
+// that are proven sound here.
+func (t *Tracker) Receive(r wire.QuarantineReport) (proven []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range partIDs(r.Service, r.Answered) {
+		t.recordAnswer(id)
+	}
+	for _, id := range partIDs(r.Service, r.Proven) {
+		t.recordProven(id)
+	}
+	if r.Crash == "" {
+		return nil
+	}
+	c := t.crashes[r.Crash]
+	if c == nil {
+		maps.DeleteFunc(t.crashes, func(_ string, c *crash) bool { return c.forgotten() })
+		c = &crash{at: time.Now()}
+		t.crashes[r.Crash] = c
+	}
+	for _, id := range partIDs(r.Service, r.Parts) {
+		p := t.part(id)
+		p.crashes = slices.DeleteFunc(p.crashes, (*crash).forgotten)
+		if p.crashesToHold() > 1 {
+			proven = append(proven, id.part)
+		}
+		if !slices.Contains(c.parts, id) {
+			c.parts = append(c.parts, id)
+			p.crashes = append(p.crashes, c)
+		}
+	}
+	t.assess(c)
+	return proven
+}
+
+// recordProven records that a part is proven sound at another entry, by an answer from
+// before its last crash.
+func (t *Tracker) recordProven(id partID) {
+	p := t.part(id)
+	if p.crashesToHold() > 1 {
+		return
+	}
+	p.provenAt = time.Now()
+	for _, c := range p.crashes {
+		t.assess(c)
+	}
+}
+
+// suspects returns the parts that may have caused a crash.
+func (t *Tracker) suspects(c *crash) []*part {
+	var suspects []*part
+	for _, id := range c.parts {
+		if p := t.part(id); len(p.crashes) >= p.crashesToHold() {
+			suspects = append(suspects, p)
+		}
+	}
+	return suspects
+}
+
+// assess holds the parts that may have caused a crash, and releases those of its parts
+// that have become sound. The caller holds mu.
+func (t *Tracker) assess(c *crash) {
+	for _, id := range c.parts {
+		p := t.part(id)
+		p.heldUntil = time.Time{}
+		if len(p.crashes) < p.crashesToHold() {
+			continue
+		}
+		for _, c := range p.crashes {
+			hold := p.unambiguousHold()
+			if len(t.suspects(c)) > 1 {
+				hold = ambiguousHold
+			}
+			if until := c.at.Add(time.Duration(t.jitter * float64(hold))); until.After(p.heldUntil) {
+				p.heldUntil = until
+			}
+		}
+		// Of the attempts that wait with one of several suspects, most are sound.
+		if len(t.suspects(c)) == 1 {
+			p.cancelWaiting()
+		}
+	}
+}
+
+// cancelWaiting ends the attempts whose answer hasn't begun.
+func (p *part) cancelWaiting() {
+	for a := range p.waiting {
+		a.cancel(ErrHeld)
+	}
+}
+
+func (p *part) unambiguousHold() time.Duration {
+	if len(p.crashes) > p.crashesToHold() {
+		return repeatedHold
+	}
+	return firstHold
+}
+
+// Hold is a part that is held because it alone may have caused a crash.
+type Hold struct {
+	Service, Part string
+	// Crashes is the number of crashes since the last answer.
+	Crashes int
+	// Remaining is the time until a request may try the part.
+	Remaining time.Duration
+}
+
+// Holds returns the holds that are longer than those of ambiguous crashes.
+func (t *Tracker) Holds() []Hold {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var holds []Hold
+	for id, p := range t.parts {
+		if remaining := time.Until(p.heldUntil); remaining > maxJitter*ambiguousHold {
+			holds = append(holds, Hold{Service: id.service, Part: id.part, Crashes: len(p.crashes), Remaining: remaining})
+		}
+	}
+	slices.SortFunc(holds, func(a, b Hold) int { return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part)) })
+	return holds
+}
+
+// Restore holds a part that another entry, or this one before a restart, held after the
+// given number of crashes. It has no effect on a part that is known here.
+func (t *Tracker) Restore(service, name string, crashes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.part(partID{service, name})
+	if crashes <= 0 || !p.provenAt.IsZero() || len(p.crashes) > 0 {
+		return
+	}
+	for range min(crashes, crashesIfProven) {
+		p.crashes = append(p.crashes, &crash{at: time.Now()})
+	}
+	p.heldUntil = time.Now().Add(time.Duration(t.jitter * float64(p.unambiguousHold())))
+	p.cancelWaiting()
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,174 @@
+package quarantine
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// newTracker returns a tracker and the reports that it shares.
+func newTracker() (*Tracker, *[]wire.QuarantineReport) {
+	var shared []wire.QuarantineReport
+	return New(func(r wire.QuarantineReport) { shared = append(shared, r) }), &shared
+}
+
+// answer sends a prompt whose answer begins.
+func answer(t *testing.T, tr *Tracker, parts ...string) {
+	t.Helper()
+	a, retryAfter := tr.Begin("s", parts, func(error) {})
+	if a == nil {
+		t.Fatalf("parts %v are held for %v", parts, retryAfter)
+	}
+	a.Began()
+}
+
+// held reports whether a prompt with the parts is refused.
+func held(tr *Tracker, parts ...string) bool { return tr.RetryAfter("s", parts) > 0 }
+
+// Guards against holding the parts that a deadly one shares its prompts with.
+func TestOnlyTheUnprovenPartIsHeldAfterACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, shared := newTracker()
+		answer(t, tr, "sound")
+		tr.ReportCrash("e1", "s", []string{"sound", "deadly"})
+		is.True(held(tr, "sound", "deadly"))
+		is.True(!held(tr, "sound"))
+		is.Equal((*shared)[0].Parts, []string{"sound", "deadly"})
+		is.Equal(tr.Holds()[0].Part, "deadly")
+		time.Sleep(firstHold - time.Second)
+		is.True(held(tr, "deadly"))
+		is.True(tr.RetryAfter("other-service", []string{"deadly"}) == 0)
+	})
+}
+
+// Guards against refusing a part at one entry for long although it was answered at another.
+func TestProofAtAnotherEntryNarrowsTheSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		here, shared := newTracker()
+		there, _ := newTracker()
+		answer(t, there, "sound")
+		here.ReportCrash("e1", "s", []string{"sound", "deadly"})
+		is.True(held(here, "sound") && len(here.Holds()) == 0) // either may be deadly
+		proven := there.Receive((*shared)[0])
+		is.Equal(proven, []string{"sound"})
+		here.Receive(wire.QuarantineReport{Service: "s", Proven: proven})
+		is.True(!held(here, "sound"))
+		is.Equal(len(here.Holds()), 1)
+		is.Equal(len(there.Holds()), 1)
+	})
+}
+
+// Guards against trials by prompts that can't tell suspects apart, and by several prompts at once.
+func TestSuspectsAreTriedOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		tr.ReportCrash("e1", "s", []string{"a", "b"})
+		is.True(held(tr, "a"))
+		time.Sleep(maxJitter * ambiguousHold)
+		is.True(held(tr, "a", "b")) // its crash would blame both
+		trial, _ := tr.Begin("s", []string{"a"}, func(error) {})
+		is.True(trial != nil)
+		is.True(held(tr, "a"))
+		trial.Began()
+		is.True(!held(tr, "a"))
+		is.True(held(tr, "b") && len(tr.Holds()) == 1) // the only suspect left
+	})
+}
+
+// Guards against a trial whose result is unknown and that blocks its part for good.
+func TestInconclusiveTrialAllowsAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		tr.ReportCrash("e1", "s", []string{"a"})
+		time.Sleep(maxJitter * firstHold)
+		trial, _ := tr.Begin("s", []string{"a"}, func(error) {})
+		trial.End()
+		trial, _ = tr.Begin("s", []string{"a"}, func(error) {})
+		is.True(trial != nil)
+		tr.ReportCrash("e2", "s", []string{"a"})
+		trial.End()
+		time.Sleep(repeatedHold - time.Second)
+		is.True(held(tr, "a"))
+	})
+}
+
+// Guards against a part that was sound for a long time and crashes endpoints from now on.
+func TestProvenPartIsHeldAfterSeveralCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		answer(t, tr, "popular", "turned")
+		for i := range crashesIfProven {
+			is.True(!held(tr, "popular", "turned"))
+			answer(t, tr, "popular")
+			tr.ReportCrash(fmt.Sprint("e", i), "s", []string{"popular", "turned"})
+		}
+		is.True(held(tr, "turned"))
+		is.True(!held(tr, "popular"))
+	})
+}
+
+// Guards against counting a crash once for each request that it broke off.
+func TestOneCrashCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		answer(t, tr, "popular")
+		for range 2 * crashesIfProven {
+			tr.ReportCrash("e1", "s", []string{"popular"})
+		}
+		is.True(!held(tr, "popular"))
+	})
+}
+
+// Guards against requests that wait at other endpoints and crash these when their part is held already.
+func TestHeldPartEndsWaitingAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		var ended error
+		_, _ = tr.Begin("s", []string{"deadly"}, func(err error) { ended = err })
+		begun, _ := tr.Begin("s", []string{"deadly2"}, func(error) { t.Error("an attempt whose answer has begun was ended") })
+		begun.Began()
+		tr.ReportCrash("e1", "s", []string{"deadly"})
+		is.True(errors.Is(ended, ErrHeld))
+	})
+}
+
+// Guards against an old record that holds a part which is known to be sound.
+func TestRestoreHoldsUnknownPartsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		answer(t, tr, "sound")
+		tr.Restore("s", "sound", 2)
+		tr.Restore("s", "deadly", 2)
+		is.True(!held(tr, "sound"))
+		time.Sleep(repeatedHold - time.Second)
+		is.True(held(tr, "deadly"))
+	})
+}
+
+// Guards against memory that grows with the number of different parts.
+func TestPartsInMemoryAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		tr.ReportCrash("e1", "s", []string{"deadly"})
+		for i := range 3 * maxParts {
+			answer(t, tr, fmt.Sprint("p", i))
+		}
+		is.True(len(tr.parts) <= maxParts+1)
+		is.True(held(tr, "deadly"))
+	})
+}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -145,3 +145,15 @@
 	_, _, err = NewClient(time.Second).Call(t.Context(), addr, getRequest, 10)
 	is.True(NotSent(err))
 }
+
+// Guards against taking an endpoint that still listens for one that crashed.
+func TestRefusesOnlyWithoutAListener(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	c := NewClient(time.Second)
+	is.True(!c.Refuses(t.Context(), ln.Addr().String()))
+	is.Equal(len(c.pools[ln.Addr().String()].idle), 1) // the connection is kept for a call
+	ln.Close()
+	is.True(c.Refuses(t.Context(), ln.Addr().String()))
+}
