upstream: bound the head of a response

A server in trouble may send bytes without end where the head of its response is due; the entry kept them all until the caller's deadline, at link speed, and would have been ended for its memory. Status line, headers and interim responses together are now bounded by 64 KB; beyond that the call fails and its connection is reset. Bodies and events were bounded before. TestEndlessHeadEndsTheCall failed before in all four forms (10 s, until its deadline).

--- a/upstream/call.go
+++ b/upstream/call.go
@@ -139,6 +139,8 @@
 
 // readHead reads the headers of the final response and skips interim ones.
 func readHead(conn *conn, method string) (*http.Response, error) {
+	conn.head.remaining = maxHeadBytes
+	defer func() { conn.head.remaining = noLimit }()
 	for {
 		parsed, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -36,10 +38,39 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
+	head    *headLimiter
 	reused  bool
 	expires time.Time
 }
 
+// headLimiter is a Reader that fails after remaining bytes, unless that is noLimit.
+type headLimiter struct {
+	io.Reader
+	remaining int
+}
+
+const (
+	// maxHeadBytes bounds the interim responses, the status line and the headers of a
+	// response together.
+	maxHeadBytes = 64 << 10
+	noLimit      = -1
+)
+
+var errHeadTooLong = fmt.Errorf("the head of the response is longer than %d bytes", maxHeadBytes)
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if l.remaining == noLimit {
+		return l.Reader.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // pool holds the idle connections of one address, most recently used last.
 type pool struct {
 	idle []*conn
@@ -130,7 +161,8 @@
 		c.addOpen(addr, -1)
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	head := &headLimiter{Reader: nc, remaining: noLimit}
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 func (c *Client) popIdle(addr string) *conn {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -157,3 +158,38 @@
 	ln.Close()
 	is.True(c.Refuses(t.Context(), ln.Addr().String()))
 }
+
+// Guards against memory that fills up with a response whose head never ends.
+func TestEndlessHeadEndsTheCall(t *testing.T) {
+	for name, chunk := range map[string]string{
+		"status_line":       "HTTP/1.1 200 OK OK OK OK OK OK OK OK",
+		"header_line":       "X: " + strings.Repeat("x", 100),
+		"headers":           "X: y\r\n",
+		"interim_responses": "HTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sent := make(chan int, 1)
+			addr := serve(t, func(c net.Conn, n int) {
+				defer c.Close()
+				readRequest(c)
+				total := 0
+				if name == "header_line" || name == "headers" {
+					io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+				}
+				for {
+					n, err := io.WriteString(c, strings.Repeat(chunk, 100))
+					if total += n; err != nil {
+						sent <- total
+						return
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := NewClient(time.Second).Do(ctx, addr, getRequest)
+			is.True(err != nil && ctx.Err() == nil) // the call doesn't wait for its deadline
+			is.True(<-sent < 16<<20)                // what the socket buffers hold is discarded
+		})
+	}
+}
