forward: an unframed stream without an event has been broken off

A response with neither a length nor chunks ends with its connection. If its endpoint ended before the first event, the entry returned an empty stream as complete, and didn't count the crash against the prompt. Such a stream now counts as broken off and is sent to another endpoint where that is allowed. TestUnframedStreamWithoutAnEventIsBrokenOff failed before (status 200). The other two tests passed before and cover the line: an end inside an event is continued elsewhere, and a reset is not an end.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -343,3 +343,53 @@
 		x.recordEventIDs(complete)
 	}
 }
+
+const unframedHead = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\n\r\n"
+
+// respondAndClose writes text and closes the connection.
+func respondAndClose(text string) responder {
+	return func(c net.Conn, r *http.Request, n int) {
+		respondRaw(text)(c, r, n)
+		c.Close()
+	}
+}
+
+// Guards against a stream without a length that ends inside an event and is taken for complete.
+func TestUnframedStreamThatEndsInsideAnEventIsContinued(t *testing.T) {
+	is := is.New(t)
+	first := func(c net.Conn, r *http.Request, n int) {
+		if r.Header.Get("Last-Event-Id") == "" {
+			respondAndClose(unframedHead+"id: 1\ndata: a\n\nid: 2\nda")(c, r, n)
+			return
+		}
+		respondAndClose(unframedHead+"id: 2\ndata: b\n\n")(c, r, n)
+	}
+	s := newTestEntry(t, streamingRoute, first, first)
+	resp, body, err := s.send(t, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+}
+
+// Guards against an endpoint's end before the first event that is taken for an empty stream.
+func TestUnframedStreamWithoutAnEventIsBrokenOff(t *testing.T) {
+	is := is.New(t)
+	s := newTestEntry(t, streamingRoute, respondAndClose(unframedHead))
+	resp, _, err := s.send(t, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+}
+
+// Guards against a response without a length that is not returned, or is returned although its connection was reset.
+func TestUnframedResponseEndsWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	s := newTestEntry(t, orderRoute, respondAndClose(unframedHead+"whole"))
+	resp, body, err := s.send(t, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, "whole")
+	s = newTestEntry(t, orderRoute, respondAndReset(unframedHead+"half"))
+	resp, _, err = s.send(t, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -183,7 +183,7 @@
 		switch {
 		case err == nil:
 			continue
-		case err == io.EOF && len(pending) == 0:
+		case err == io.EOF && len(pending) == 0 && (began || !resp.Unframed):
 			if !x.response.started {
 				x.copyHeaders(resp)
 				x.startResponse(resp.Status)
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -52,7 +52,10 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes, -1 if unknown.
-	Length      int64
+	Length int64
+	// Unframed is set if the body has neither a length nor chunks and ends with its
+	// connection, even if the server has failed.
+	Unframed    bool
 	body        io.ReadCloser
 	client      *Client
 	addr        string
@@ -109,7 +112,8 @@
 	}
 	return &Response{
 		Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, body: parsed.Body,
-		client: c, addr: addr, conn: conn, stopCancel: stop, bodyWrite: w, idleTimeout: idleTimeout(parsed),
+		Unframed: parsed.ContentLength < 0 && len(parsed.TransferEncoding) == 0,
+		client:   c, addr: addr, conn: conn, stopCancel: stop, bodyWrite: w, idleTimeout: idleTimeout(parsed),
 	}, nil
 }
 
