fleet: choose an endpoint last whose agent stopped reporting

Cause: an entry went by the last load report of such an endpoint until it was 1 s old, and then took the endpoint for nearly idle. Agents report at least every 0.45 s. An endpoint without a report for 0.6 s is now chosen last, and doesn't count as working when a response is overdue, as long as the reports of most other agents of its service arrive; otherwise the network or the entry is at fault and nothing changes. Endpoints without an agent, whose load comes with responses, are not concerned.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,6 +41,9 @@
 	// reportValidity is the age at which a load report becomes less accurate than the
 	// count of this entry's requests at the endpoint.
 	reportValidity = time.Second
+	// reportSilence is the age of an agent's last report from which its endpoint may be
+	// frozen or cut off. Agents report at least every 0.45 s, so one report is missing.
+	reportSilence = 600 * time.Millisecond
 	// backoffMin and backoffMax bound the backoff after a request to which an endpoint
 	// didn't respond; the backoff doubles with each consecutive failure.
 	backoffMin = 500 * time.Millisecond
@@ -80,9 +83,11 @@
 	inFlight  int
 	// report is the last load report, received at reportAt; inFlightAtReport is inFlight
 	// at that time.
-	report              Load
-	reportAt            time.Time
-	inFlightAtReport    int
+	report           Load
+	reportAt         time.Time
+	inFlightAtReport int
+	// agentReportAt is when the endpoint's agent last reported, zero if it never did.
+	agentReportAt       time.Time
 	consecutiveFailures int
 	backoffUntil        time.Time
 	failureRate         float64
@@ -253,10 +258,32 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if ep := f.byID[id]; ep != nil {
+		ep.agentReportAt = time.Now()
 		f.applyLoad(ep, l)
 	}
 }
 
+// isSilent reports whether the reports of an endpoint's agent are missing although
+// those of most agents of the service arrive. If they don't, the network or this entry
+// is at fault.
+func (f *Fleet) isSilent(ep *Endpoint, now time.Time) bool {
+	missing := func(ep *Endpoint) bool { return now.Sub(ep.agentReportAt) > reportSilence }
+	if ep.agentReportAt.IsZero() || !missing(ep) {
+		return false
+	}
+	balance := 0
+	for _, other := range f.byService[ep.Service] {
+		switch {
+		case other.agentReportAt.IsZero():
+		case missing(other):
+			balance--
+		default:
+			balance++
+		}
+	}
+	return balance > 0
+}
+
 func (f *Fleet) applyLoad(ep *Endpoint, l Load) {
 	now := time.Now()
 	if l.Stalled && !ep.report.Stalled {
@@ -324,7 +351,7 @@
 		if ep.Zone != f.zone {
 			cost += zoneCost
 		}
-		if now.Before(ep.backoffUntil) {
+		if now.Before(ep.backoffUntil) || f.isSilent(ep, now) {
 			if fallback == nil || cost < fallbackCost {
 				fallback, fallbackCost = ep, cost
 			}
@@ -336,7 +363,7 @@
 		}
 	}
 	if best == nil && availability == Unavailable {
-		// Only endpoints in backoff after a recent failure are left.
+		// Only endpoints in backoff after a recent failure, or silent ones, are left.
 		best = fallback
 	}
 	if best == nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -326,3 +326,85 @@
 		is.Equal(served, []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9})
 	})
 }
+
+// Guards against choosing a frozen endpoint until its last load report expires.
+func TestEndpointWhoseReportsStopIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := New("z1", nil)
+		for _, id := range []string{"a", "b", "c"} {
+			f.Update(record(id, id, 1))
+			f.RecordLoad(id, Load{Slots: 4})
+		}
+		time.Sleep(reportSilence)
+		time.Sleep(time.Millisecond)
+		f.RecordLoad("b", Load{Slots: 4, Running: 3})
+		f.RecordLoad("c", Load{Slots: 4, Running: 3})
+		for range 20 {
+			p, _ := acquire(t, f, Request{})
+			is.True(p.Endpoint.ID != "a")
+			p.EndSucceeded()
+		}
+		for range 2 {
+			_, _ = acquire(t, f, Request{}) // fills the others
+		}
+		p, _ := acquire(t, f, Request{})
+		is.True(p == nil) // the others are only busy
+		f.Remove("b")
+		f.Remove("c")
+		p, _ = acquire(t, f, Request{})
+		is.Equal(p.Endpoint.ID, "a")
+	})
+}
+
+// Guards against avoiding endpoints because this entry gets no reports at all.
+func TestEntryWithoutReportsAvoidsNoEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := New("z1", nil)
+		for _, id := range []string{"a", "b", "c"} {
+			f.Update(record(id, id, 1))
+			f.RecordLoad(id, Load{Slots: 4})
+		}
+		time.Sleep(2 * reportSilence)
+		f.RecordLoad("c", Load{Slots: 4})
+		chosen := make(map[string]bool)
+		for range 100 {
+			p, _ := acquire(t, f, Request{})
+			chosen[p.Endpoint.ID] = true
+			p.EndSucceeded()
+		}
+		is.Equal(len(chosen), 3)
+	})
+}
+
+// Guards against avoiding an endpoint that gets no requests and so reports no load in responses.
+func TestEndpointWithoutAgentIsNotTakenForSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := New("z1", nil)
+		for _, id := range []string{"a", "b", "c"} {
+			f.Update(record(id, id, 1))
+		}
+		var picks []*Pick
+		for range 3 {
+			p, _ := acquire(t, f, Request{})
+			picks = append(picks, p)
+			p.RecordLoad(Load{Slots: 4, Running: 1})
+		}
+		time.Sleep(2 * reportSilence)
+		for _, p := range picks[:2] {
+			p.RecordLoad(Load{Slots: 4, Running: 1})
+		}
+		for _, p := range picks {
+			p.EndSucceeded()
+		}
+		chosen := make(map[string]bool)
+		for range 100 {
+			p, _ := acquire(t, f, Request{})
+			chosen[p.Endpoint.ID] = true
+			p.EndSucceeded()
+		}
+		is.Equal(len(chosen), 3)
+	})
+}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -102,8 +102,8 @@
 func (p *Pick) ReportsHealthy() bool {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	ep := p.Endpoint
-	return !ep.removed && ep.hasFreshReport(time.Now()) && !ep.report.Stalled
+	ep, now := p.Endpoint, time.Now()
+	return !ep.removed && ep.hasFreshReport(now) && !p.fleet.isSilent(ep, now) && !ep.report.Stalled
 }
 
 // EndUnusable ends a request to which the endpoint gave no usable response: it can't be
