forward: an attempt that the entry ends in a body says nothing about the endpoint

The log gave the closed connection as the cause. Such an attempt now ends without a verdict on the endpoint, as in streams, and the log names the reason.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -393,3 +393,38 @@
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
 }
+
+// Guards against avoiding an endpoint as unreachable after the entry ended an attempt in the middle of a buffered response.
+func TestEndedAttemptInABodyHarmsNoEndpoint(t *testing.T) {
+	is := is.New(t)
+	halfSent := make(chan struct{})
+	half := func(c net.Conn, r *http.Request, n int) {
+		if r.Header.Get("Request-Id") != "half" {
+			respondOK("short")(c, r, n)
+			return
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nRequest-Id: half\r\nResponse-Signature: sig\r\nContent-Length: 10\r\n\r\nhalf")
+		close(halfSent)
+		_, _ = c.Read(make([]byte, 1)) // until the entry ends the attempt
+	}
+	s := newTestEntry(t, idempotentRoute, half, respondOK("short"))
+	fl := s.handler.cfg.Fleet
+	fl.RecordLoad("e1", fleet.Load{Stalled: true}) // the request goes to e0
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if _, _, err := s.send(t, func(r *http.Request) { r.Header.Set("Request-Id", "half") }); err != nil {
+			t.Error(err)
+		}
+	}()
+	<-halfSent
+	fl.RecordLoad("e1", fleet.Load{})
+	fl.RecordLoad("e0", fleet.Load{Stalled: true})
+	<-done
+	fl.RecordLoad("e0", fleet.Load{})
+	for range 20 {
+		_, _, err := s.send(t, nil)
+		is.NoErr(err)
+	}
+	is.True(len(s.endpoints[0].received()) > 1)
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -68,9 +68,14 @@
 		return x.relayLong(pick, resp, body)
 	}
 	x.cause = err
-	if x.callerDisconnected() {
+	switch {
+	case x.callerDisconnected():
 		pick.EndInconclusive()
 		return delivered
+	case ctx.Err() != nil:
+		x.cause = context.Cause(ctx) // err only says that the connection was closed
+		pick.EndInconclusive()
+		return lost
 	}
 	pick.EndUnusable()
 	return lost
