--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -394,6 +395,53 @@
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
 }
 
+// otherEndpoint returns the index of the endpoint that received no request yet.
+func (s *testEntry) otherEndpoint() int {
+	for i, e := range s.endpoints {
+		if len(e.received()) == 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// Guards against avoiding a working endpoint because a caller left during a response that is too long to be buffered.
+func TestCallerThatLeavesALongResponseHarmsNoEndpoint(t *testing.T) {
+	is := is.New(t)
+	long := func(c net.Conn, r *http.Request, n int) {
+		if r.Header.Get("Request-Id") != "long" {
+			respondOK("short")(c, r, n)
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: long\r\nResponse-Signature: sig\r\nContent-Length: %d\r\n\r\n", 64<<20)
+		for range 64 {
+			if _, err := c.Write(make([]byte, 1<<20)); err != nil {
+				return
+			}
+		}
+	}
+	s := newTestEntry(t, idempotentRoute, long, long)
+	ctx, leave := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/a/b", nil)
+	is.NoErr(err)
+	r.Host = "host"
+	r.Header = http.Header{"Request-Id": {"long"}, "Authorization": {"Bearer key"}}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	is.NoErr(err)
+	_, err = io.ReadFull(resp.Body, make([]byte, 1<<20))
+	is.NoErr(err)
+	used := 1 - s.otherEndpoint()
+	leave()
+	for s.handler.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for range 20 {
+		_, _, err := s.send(t, nil)
+		is.NoErr(err)
+	}
+	is.True(len(s.endpoints[used].received()) > 1)
+}
+
 // Guards against avoiding an endpoint as unreachable after the entry ended an attempt in the middle of a buffered response.
 func TestEndedAttemptInABodyHarmsNoEndpoint(t *testing.T) {
 	is := is.New(t)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -65,7 +65,7 @@
 		return x.relayComplete(pick, resp, body, success)
 	}
 	if int64(len(body)) > maxBufferedBytes && success {
-		return x.relayLong(pick, resp, body)
+		return x.relayLong(ctx, pick, resp, body)
 	}
 	x.cause = err
 	switch {
@@ -110,27 +110,48 @@
 
 // relayLong relays a response that is too long to be buffered. head is the part
 // already read.
-func (x *exchange) relayLong(pick *fleet.Pick, resp *upstream.Response, head []byte) verdict {
+func (x *exchange) relayLong(ctx context.Context, pick *fleet.Pick, resp *upstream.Response, head []byte) verdict {
 	x.copyHeaders(resp)
 	if resp.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	x.startResponse(resp.Status)
 	_, err := x.w.Write(head)
+	body := &errorReader{Reader: resp}
 	if err == nil {
-		_, err = io.Copy(x.w, resp)
+		_, err = io.Copy(x.w, body)
 	}
-	if err != nil {
-		x.cause = err
-		x.response.mustAbort = true
-		pick.EndUnusable()
+	switch {
+	case err == nil:
+		x.response.outcome = "answered"
+		pick.EndSucceeded()
 		return delivered
+	case body.err != nil && ctx.Err() == nil:
+		pick.EndUnusable()
+	default: // the caller left, or the entry ended the attempt
+		pick.EndInconclusive()
 	}
-	x.response.outcome = "answered"
-	pick.EndSucceeded()
+	x.cause = err
+	x.response.mustAbort = true
 	return delivered
 }
 
+// errorReader is a Reader that keeps its error, so that it can be told from one of the
+// Writer in io.Copy.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 func (x *exchange) copyHeaders(resp *upstream.Response) {
 	connectionListed := connectionTokens(resp.Header)
 	out := x.w.Header()
