--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,6 +85,42 @@
 	})
 }
 
+// Guards against a deferred removal that takes away an endpoint whose key was written while it ran.
+func TestKeyWrittenDuringDeferredRemovalStays(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	present := map[string]bool{"a": true, "b": true}
+	set := func(key string, to bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		present[key] = to
+	}
+	health := &storeHealth{log: logr.Discard(), outages: new(metrics.Counter)}
+	removing := make(chan struct{}, 2)
+	d := newDeferredRemovals(health, func(key string) {
+		removing <- struct{}{}
+		time.Sleep(50 * time.Millisecond)
+		set(key, false)
+	})
+	health.recordFailure(io.ErrUnexpectedEOF)
+	d.keyDeleted("a")
+	d.keyDeleted("b")
+	health.recordSuccess()
+	time.Sleep(reregisterGrace + 10*time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.removePending()
+	}()
+	<-removing
+	for _, key := range []string{"a", "b"} {
+		d.keyWritten(key)
+		set(key, true)
+	}
+	<-done
+	is.True(present["a"] && present["b"])
+}
+
 // Guards against a peer or a delayed store response that replaces the operator's
 // state by an older one.
 func TestOlderOperatorStateIsIgnored(t *testing.T) {
--- a/node/removals.go
+++ b/node/removals.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// keyWritten cancels the deferred removal of a key that is in the store again. It
-// doesn't cancel a removal that removePending has already begun.
+// keyWritten cancels the deferred removal of a key that is in the store again. It waits
+// for a removal in progress, so that the caller can add the key again afterwards.
 func (d *deferredRemovals) keyWritten(key string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -59,13 +59,9 @@
 		return
 	}
 	d.mu.Lock()
-	keys := make([]string, 0, len(d.pending))
+	defer d.mu.Unlock()
 	for key := range d.pending {
-		keys = append(keys, key)
-	}
-	clear(d.pending)
-	d.mu.Unlock()
-	for _, key := range keys {
 		d.remove(key)
 	}
+	clear(d.pending)
 }
