gate: a timer from before an endpoint's restart lowers no later count

The count starts anew when the endpoint has restarted, but the timers of earlier requests went on and each took one later request out of the count, so that an endpoint got more work than its limit.

--- a/gate/admission_test.go
+++ b/gate/admission_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/control"
 	"github.com/wasabinotch/wasabinotch/order"
 	"github.com/wasabinotch/wasabinotch/wire"
@@ -142,6 +143,39 @@
 	is.Equal(h.Load().Limit, 2)
 }
 
+// Guards against a timer of a request from before the endpoint's restart that lowers the count of later ones.
+func TestTimerFromBeforeARestartLowersNoLaterCount(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.ep.noLoadReports = true
+	h.poll(t.Context())
+	const timeout = 10 * time.Second
+	locked := func(f func()) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		f()
+	}
+	locked(func() {
+		h.service = &bundle.Service{TimeoutMS: timeout.Milliseconds()}
+		h.addUnaccounted()
+		h.markReady(0) // after a restart
+	})
+	h.clock.Advance(timeout / 2)
+	locked(h.addUnaccounted)
+	h.clock.Advance(timeout / 2)
+	time.Sleep(20 * time.Millisecond) // the timer runs in a goroutine of its own
+	locked(func() { is.Equal(h.endpoint.unaccounted, 1) })
+	h.clock.Advance(timeout / 2)
+	for range 1000 {
+		count := 0
+		if locked(func() { count = h.endpoint.unaccounted }); count == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the request still counts after its timeout")
+}
+
 // Guards against sending a queued request to the endpoint after the zone or VM
 // was taken out of service, the view expired or the bundle was removed.
 func TestZoneGateAppliesAfterQueueing(t *testing.T) {
--- a/gate/poll.go
+++ b/gate/poll.go
@@ -33,7 +33,10 @@
 	bootID        string
 	// unaccounted is the number of requests at the endpoint that hold no slot of
 	// this gate. With load reports, only one made after unaccountedSince lowers it.
-	unaccounted      int
+	unaccounted int
+	// readyCount counts the times that the endpoint became ready. unaccounted starts
+	// anew each time.
+	readyCount       int
 	unaccountedSince time.Time
 	// noLoadReports is set for an endpoint without load reports.
 	noLoadReports bool
@@ -174,6 +177,7 @@
 func (g *Gate) markReady(unaccounted int) {
 	e := &g.endpoint
 	e.ready, e.lastFailure, e.unaccounted = true, "", unaccounted
+	e.readyCount++
 	g.cfg.Log.Info("Endpoint is ready.", "limit", g.limit.current, "work_from_before", unaccounted)
 }
 
@@ -236,9 +240,13 @@
 	if g.service != nil && g.service.TimeoutMS > 0 {
 		timeout = time.Duration(g.service.TimeoutMS) * time.Millisecond
 	}
+	readyCount := e.readyCount
 	g.cfg.Clock.AfterFunc(timeout, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		if e.readyCount != readyCount {
+			return // the request ended with the endpoint's restart
+		}
 		e.unaccounted = max(0, e.unaccounted-1)
 		g.grantSlots()
 	})
