--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -1,15 +1,23 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
 	"github.com/wasabinotch/wasabinotch/lab/platformsim"
+	"github.com/wasabinotch/wasabinotch/pause"
+	"github.com/wasabinotch/wasabinotch/store"
 )
 
 // applyBound is the time within which the users' platform requires that a
@@ -87,6 +95,46 @@
 	}
 }
 
+// slowFeed is a store whose listings take a time and whose watch returns nothing.
+type slowFeed struct{ listTime time.Duration }
+
+func (f slowFeed) List(context.Context, string) ([]store.KeyValue, uint64, error) {
+	time.Sleep(f.listTime)
+	return nil, 10, nil
+}
+
+func (f slowFeed) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]store.Event, uint64, error) {
+	pause.For(ctx, wait)
+	return nil, 10, context.Cause(ctx)
+}
+
+// Guards against listing the keys of a slow store again and again because its changes arrive late.
+func TestWatchOfASlowStoreGetsMoreTime(t *testing.T) {
+	for _, c := range []struct{ listTime, ended time.Duration }{
+		{0, staleWatchTimeout},
+		{time.Second, staleWatchTimeout + listTimes*time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			m := newMonitoredFeed(slowFeed{c.listTime}, metrics.NewSet(), logr.Discard())
+			_, _, err := m.List(t.Context(), "")
+			is.NoErr(err)
+			began := time.Now()
+			var peer sync.WaitGroup
+			defer peer.Wait()
+			peer.Go(func() {
+				for time.Since(began) <= c.ended {
+					m.recordPeer(11)
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+			_, _, err = m.Changes(t.Context(), "", 10, time.Minute)
+			is.True(errors.Is(err, store.ErrWatchStale))
+			is.Equal(time.Since(began), c.ended)
+		})
+	}
+}
+
 // Guards against an entry that waits on silent connections one after the other.
 func TestSilentConnectionsMissNoChange(t *testing.T) {
 	is := is.New(t)
--- a/node/watchmonitor.go
+++ b/node/watchmonitor.go
@@ -12,14 +12,18 @@
 	"github.com/wasabinotch/wasabinotch/store"
 )
 
-// staleWatchTimeout is how long the watch may return nothing although another entry has
-// seen a newer change. Changes that arrive in time differ by settleTime and the
-// duration of a call between entries.
-const staleWatchTimeout = 400 * time.Millisecond
+const (
+	// staleWatchTimeout is how long the watch may return nothing although another entry
+	// has seen a newer change, beside listTimes times the duration of the last listing.
+	// Changes that arrive in time differ by settleTime and the duration of two calls
+	// between entries; a slow store must not be listed again for that.
+	staleWatchTimeout = 400 * time.Millisecond
+	listTimes         = 2
+)
 
 // monitoredFeed is a store.ChangeFeed that ends a call for changes which should have
-// returned: the connection of the call may be silent, and then only a newer change that
-// another entry has seen shows it. Connections of other calls say nothing about it.
+// returned. Its connection may be silent; calls that succeed on other connections don't
+// show that, but a newer change that another entry has seen does.
 type monitoredFeed struct {
 	store.ChangeFeed
 	log logr.Logger
@@ -28,6 +32,8 @@
 
 	mu           sync.Mutex
 	lastResponse time.Time
+	// listTime is the duration of the last listing.
+	listTime time.Duration
 	// revision is the one up to which all changes are known, newest that of the newest
 	// change. Revisions may increase without a change.
 	revision, newest uint64
@@ -72,10 +78,14 @@
 
 // List implements store.ChangeFeed.
 func (m *monitoredFeed) List(ctx context.Context, prefix string) ([]store.KeyValue, uint64, error) {
+	began := time.Now()
 	kvs, revision, err := m.ChangeFeed.List(ctx, prefix)
 	if err != nil {
 		return nil, 0, err
 	}
+	m.mu.Lock()
+	m.listTime = time.Since(began)
+	m.mu.Unlock()
 	newest := uint64(0)
 	for _, kv := range kvs {
 		newest = max(newest, kv.Revision)
@@ -113,7 +123,7 @@
 }
 
 // recordPeer records the newest change that another entry has seen, and ends the call
-// for changes if it has returned nothing for staleWatchTimeout since a newer one.
+// for changes if it has returned nothing for too long since a newer one.
 func (m *monitoredFeed) recordPeer(newest uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -123,7 +133,7 @@
 		m.behindSince = time.Time{}
 	case m.behindSince.IsZero():
 		m.behindSince = time.Now()
-	case time.Since(m.behindSince) >= staleWatchTimeout:
+	case time.Since(m.behindSince) >= staleWatchTimeout+listTimes*m.listTime:
 		m.end("another entry has seen a newer change")
 	}
 }
