quarantine: don't blame sound parts for a crash that a held one caused

Cause: when a part is held, entries end the attempts that wait with it. An attempt ended at the moment at which it crashed its endpoint was reported by nobody, and the crash was then put down to the sound parts beside it. Attempts that ended without an answer or a rejection in the last 0.5 s now count in a crash of their endpoint. Of several suspects only those in most crashes remain, which also finds the part sooner if a crash was ambiguous. A hold is written to the store only after 0.5 s, when the reports of a crash are in, and the log line follows the write.

--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -73,7 +73,7 @@
 func TestProvenPromptIsSentAgainAfterACrash(t *testing.T) {
 	is := is.New(t)
 	s := newCrashingEntry(t)
-	a, _ := s.handler.cfg.Quarantine.Begin("s", []string{"deadly"}, func(error) {})
+	a, _ := s.handler.cfg.Quarantine.Begin("s", []string{"deadly"}, "e0", func(error) {})
 	a.Began()
 	resp, body, err := s.send(t, withPart("deadly"))
 	is.NoErr(err)
--- a/forward/send.go
+++ b/forward/send.go
@@ -208,7 +208,7 @@
 	defer cancel(nil)
 	x.brokeOff = false
 	var guard *quarantine.Attempt
-	if guard, x.heldFor = x.handler.cfg.Quarantine.Begin(x.service, x.promptParts, cancel); guard == nil {
+	if guard, x.heldFor = x.handler.cfg.Quarantine.Begin(x.service, x.promptParts, crashName(pick.Endpoint), cancel); guard == nil {
 		pick.EndInconclusive()
 		return held
 	}
@@ -241,6 +241,7 @@
 		pick.RecordLoad(load)
 	}
 	if resp.Header.Get(names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
+		guard.Rejected()
 		x.drainRejection(resp)
 		switch {
 		case resp.Header.Get(names.FailedRank) != "":
@@ -284,7 +285,7 @@
 		gone := h.cfg.Client.Refuses(context.Background(), endpoint.Address) // the caller may have left; the dial timeout bounds it
 		h.cfg.Log.Info("Endpoint broke off before the first event.", "request", request, "endpoint", endpoint.ID, "gone", gone, "parts", parts, "cause", cause.Error())
 		if gone {
-			h.cfg.Quarantine.ReportCrash(endpoint.ID+"@"+strconv.FormatInt(endpoint.Incarnation, 10), service, parts)
+			h.cfg.Quarantine.ReportCrash(crashName(endpoint), service, parts)
 		}
 	}
 	if h.cfg.Quarantine.Suspected(service, parts) {
@@ -294,6 +295,11 @@
 	}
 }
 
+// crashName returns the name of the crash that ends an incarnation of an endpoint.
+func crashName(endpoint *fleet.Endpoint) string {
+	return endpoint.ID + "@" + strconv.FormatInt(endpoint.Incarnation, 10)
+}
+
 // watch cancels an attempt if the endpoint's rank group stalls or if its
 // response is overdue, provided that mayFailOver is set and the budget has a
 // retry left. Without one the attempt continues: a late response is better than
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -38,6 +38,9 @@
 	// holdCheckInterval is the mean interval at which an entry checks that its holds are
 	// in the store. The first of the entries writes a new hold.
 	holdCheckInterval = time.Second
+	// holdSettleTime is the age from which a hold is written: by then other entries have
+	// reported further parts of the crash, which may release the part.
+	holdSettleTime = 500 * time.Millisecond
 )
 
 // holdSharer shares what this entry learns about prompt parts: with the other entries
@@ -196,13 +199,14 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, rand.N(2*holdCheckInterval))
 		for _, hold := range h.tracker.Holds() {
-			if h.isStored(hold) {
+			if hold.Age < holdSettleTime || h.isStored(hold) {
 				continue
 			}
-			h.log.Info("Prompt part held.", "service", hold.Service, "part", hold.Part, "crashes", hold.Crashes, "hold_ms", hold.Remaining.Milliseconds())
 			if err := h.write(ctx, hold); err != nil {
-				h.limitedLog.Info("Hold not written to the store.", "part", hold.Part, "cause", err.Error())
+				h.limitedLog.Info("Prompt part held, but not in the store.", "service", hold.Service, "part", hold.Part, "crashes", hold.Crashes, "cause", err.Error())
+				continue
 			}
+			h.log.Info("Prompt part held.", "service", hold.Service, "part", hold.Part, "crashes", hold.Crashes, "hold_ms", hold.Remaining.Milliseconds())
 		}
 	}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -35,6 +35,9 @@
 	// maxParts bounds the parts in memory. If there are more, those proven longest ago
 	// are forgotten.
 	maxParts = 4096
+	// endedAttemptMemory is the time for which an attempt that ended without an answer
+	// may still have crashed its endpoint.
+	endedAttemptMemory = 500 * time.Millisecond
 	// trialRetryAfter is the time after which a request may return that was refused
 	// because another one tries its part; by then its answer has begun or not.
 	trialRetryAfter = time.Second
@@ -77,6 +80,15 @@
 	mu      sync.Mutex
 	parts   map[partID]*part
 	crashes map[string]*crash
+	// ended lists the attempts of the last endedAttemptMemory that ended without an
+	// answer or a rejection, oldest first.
+	ended []endedAttempt
+}
+
+// endedAttempt is an attempt that ended before its answer began.
+type endedAttempt struct {
+	*Attempt
+	at time.Time
 }
 
 // New returns a Tracker that knows no part. share is called with what other entries
@@ -89,15 +101,18 @@
 type Attempt struct {
 	tracker *Tracker
 	ids     []partID
-	cancel  func(error)
-	ended   bool
+	// crashName is the name that a crash of the endpoint has.
+	crashName string
+	cancel    func(error)
+	ended     bool
 }
 
 // Begin registers an attempt at an endpoint of a service with the given shared parts
-// of its prompt. cancel is called with ErrHeld if a part is held before the answer
+// of its prompt. crashName is the name that a crash of the endpoint has in reports.
+// cancel is called with ErrHeld if a part is held before the answer
 // begins. If a part is held already, Begin returns nil and the time after which the
 // request may return.
-func (t *Tracker) Begin(service string, parts []string, cancel func(error)) (*Attempt, time.Duration) {
+func (t *Tracker) Begin(service string, parts []string, crashName string, cancel func(error)) (*Attempt, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ids := partIDs(service, parts)
@@ -105,7 +120,7 @@
 	if retryAfter > 0 {
 		return nil, retryAfter
 	}
-	a := &Attempt{tracker: t, ids: ids, cancel: cancel}
+	a := &Attempt{tracker: t, ids: ids, crashName: crashName, cancel: cancel}
 	for _, id := range ids {
 		t.part(id).waiting[a] = true
 	}
@@ -205,13 +220,32 @@
 	}
 }
 
-// End ends the attempt. Further calls have no effect.
-func (a *Attempt) End() {
+// Rejected ends the attempt: the endpoint didn't run it.
+func (a *Attempt) Rejected() {
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
 	a.end()
 }
 
+// End ends the attempt without a result. It has no effect after another call that ended
+// the attempt.
+func (a *Attempt) End() {
+	t := a.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a.ended || len(a.ids) == 0 {
+		return
+	}
+	a.end()
+	t.forgetEnded()
+	t.ended = append(t.ended, endedAttempt{a, time.Now()})
+}
+
+// forgetEnded removes the attempts that ended too long ago to have caused a crash.
+func (t *Tracker) forgetEnded() {
+	t.ended = slices.DeleteFunc(t.ended, func(e endedAttempt) bool { return time.Since(e.at) > endedAttemptMemory })
+}
+
 // end removes the attempt from its parts. The caller holds the tracker's lock.
 func (a *Attempt) end() {
 	if a.ended {
@@ -273,6 +307,16 @@
 // Receive records what another entry shared. It returns the parts of the report's crash
 // that are proven sound here.
 func (t *Tracker) Receive(r wire.QuarantineReport) (proven []string) {
+	proven, own := t.receive(r)
+	if len(own) > 0 {
+		t.share(wire.QuarantineReport{Service: r.Service, Crash: r.Crash, Parts: own})
+	}
+	return proven
+}
+
+// receive records a report. own lists further parts that this entry adds to its crash:
+// those of attempts that ended here just before.
+func (t *Tracker) receive(r wire.QuarantineReport) (proven, own []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range partIDs(r.Service, r.Answered) {
@@ -282,7 +326,7 @@
 		t.recordProven(id)
 	}
 	if r.Crash == "" {
-		return nil
+		return nil, nil
 	}
 	c := t.crashes[r.Crash]
 	if c == nil {
@@ -291,18 +335,32 @@
 		t.crashes[r.Crash] = c
 	}
 	for _, id := range partIDs(r.Service, r.Parts) {
-		p := t.part(id)
-		p.crashes = slices.DeleteFunc(p.crashes, (*crash).forgotten)
-		if p.crashesToHold() > 1 {
+		if t.part(id).crashesToHold() > 1 {
 			proven = append(proven, id.part)
 		}
-		if !slices.Contains(c.parts, id) {
-			c.parts = append(c.parts, id)
-			p.crashes = append(p.crashes, c)
+		t.addToCrash(c, id)
+	}
+	t.forgetEnded()
+	for _, e := range t.ended {
+		for _, id := range e.ids {
+			if e.crashName == r.Crash && t.addToCrash(c, id) {
+				own = append(own, id.part)
+			}
 		}
 	}
-	t.assess(c)
-	return proven
+	t.assessAll(c)
+	return proven, own
+}
+
+// addToCrash adds a part to a crash and reports whether it is new there.
+func (t *Tracker) addToCrash(c *crash, id partID) bool {
+	if slices.Contains(c.parts, id) {
+		return false
+	}
+	p := t.part(id)
+	p.crashes = append(slices.DeleteFunc(p.crashes, (*crash).forgotten), c)
+	c.parts = append(c.parts, id)
+	return true
 }
 
 // recordProven records that a part is proven sound at another entry, by an answer from
@@ -318,39 +376,60 @@
 	}
 }
 
-// suspects returns the parts that may have caused a crash.
+// suspects returns the parts that may have caused a crash: of those with enough crashes
+// to be held, those with the most beyond that.
 func (t *Tracker) suspects(c *crash) []*part {
 	var suspects []*part
+	most := 0
 	for _, id := range c.parts {
-		if p := t.part(id); len(p.crashes) >= p.crashesToHold() {
-			suspects = append(suspects, p)
+		p := t.part(id)
+		excess := len(p.crashes) - p.crashesToHold()
+		if excess < most {
+			continue
 		}
+		if excess > most {
+			most, suspects = excess, nil
+		}
+		suspects = append(suspects, p)
 	}
 	return suspects
 }
 
+// assessAll assesses a crash and the other crashes of its parts, whose suspects may have
+// changed. The caller holds mu.
+func (t *Tracker) assessAll(c *crash) {
+	crashes := map[*crash]bool{c: true}
+	for _, id := range c.parts {
+		for _, other := range t.part(id).crashes {
+			crashes[other] = true
+		}
+	}
+	for c := range crashes {
+		t.assess(c)
+	}
+}
+
 // assess holds the parts that may have caused a crash, and releases those of its parts
-// that have become sound. The caller holds mu.
+// that are no longer suspect. The caller holds mu.
 func (t *Tracker) assess(c *crash) {
 	for _, id := range c.parts {
 		p := t.part(id)
 		p.heldUntil = time.Time{}
-		if len(p.crashes) < p.crashesToHold() {
-			continue
-		}
 		for _, c := range p.crashes {
+			suspects := t.suspects(c)
+			if len(c.parts) > 0 && !slices.Contains(suspects, p) {
+				continue
+			}
 			hold := p.unambiguousHold()
-			if len(t.suspects(c)) > 1 {
+			if len(suspects) > 1 {
 				hold = ambiguousHold
+			} else {
+				p.cancelWaiting()
 			}
 			if until := c.at.Add(time.Duration(t.jitter * float64(hold))); until.After(p.heldUntil) {
 				p.heldUntil = until
 			}
 		}
-		// Of the attempts that wait with one of several suspects, most are sound.
-		if len(t.suspects(c)) == 1 {
-			p.cancelWaiting()
-		}
 	}
 }
 
@@ -373,8 +452,9 @@
 	Service, Part string
 	// Crashes is the number of crashes since the last answer.
 	Crashes int
-	// Remaining is the time until a request may try the part.
-	Remaining time.Duration
+	// Age is the time since the last crash, Remaining the time until a request may try
+	// the part.
+	Age, Remaining time.Duration
 }
 
 // Holds returns the holds that are longer than those of ambiguous crashes.
@@ -384,7 +464,8 @@
 	var holds []Hold
 	for id, p := range t.parts {
 		if remaining := time.Until(p.heldUntil); remaining > maxJitter*ambiguousHold {
-			holds = append(holds, Hold{Service: id.service, Part: id.part, Crashes: len(p.crashes), Remaining: remaining})
+			last := p.crashes[len(p.crashes)-1]
+			holds = append(holds, Hold{Service: id.service, Part: id.part, Crashes: len(p.crashes), Age: time.Since(last.at), Remaining: remaining})
 		}
 	}
 	slices.SortFunc(holds, func(a, b Hold) int { return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part)) })
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -21,7 +21,7 @@
 // answer sends a prompt whose answer begins.
 func answer(t *testing.T, tr *Tracker, parts ...string) {
 	t.Helper()
-	a, retryAfter := tr.Begin("s", parts, func(error) {})
+	a, retryAfter := tr.Begin("s", parts, "e0", func(error) {})
 	if a == nil {
 		t.Fatalf("parts %v are held for %v", parts, retryAfter)
 	}
@@ -75,7 +75,7 @@
 		is.True(held(tr, "a"))
 		time.Sleep(maxJitter * ambiguousHold)
 		is.True(held(tr, "a", "b")) // its crash would blame both
-		trial, _ := tr.Begin("s", []string{"a"}, func(error) {})
+		trial, _ := tr.Begin("s", []string{"a"}, "e2", func(error) {})
 		is.True(trial != nil)
 		is.True(held(tr, "a"))
 		trial.Began()
@@ -91,9 +91,9 @@
 		tr, _ := newTracker()
 		tr.ReportCrash("e1", "s", []string{"a"})
 		time.Sleep(maxJitter * firstHold)
-		trial, _ := tr.Begin("s", []string{"a"}, func(error) {})
+		trial, _ := tr.Begin("s", []string{"a"}, "e2", func(error) {})
 		trial.End()
-		trial, _ = tr.Begin("s", []string{"a"}, func(error) {})
+		trial, _ = tr.Begin("s", []string{"a"}, "e2", func(error) {})
 		is.True(trial != nil)
 		tr.ReportCrash("e2", "s", []string{"a"})
 		trial.End()
@@ -137,14 +137,63 @@
 		is := is.New(t)
 		tr, _ := newTracker()
 		var ended error
-		_, _ = tr.Begin("s", []string{"deadly"}, func(err error) { ended = err })
-		begun, _ := tr.Begin("s", []string{"deadly2"}, func(error) { t.Error("an attempt whose answer has begun was ended") })
+		_, _ = tr.Begin("s", []string{"deadly"}, "e2", func(err error) { ended = err })
+		begun, _ := tr.Begin("s", []string{"deadly2"}, "e2", func(error) { t.Error("an attempt whose answer has begun was ended") })
 		begun.Began()
 		tr.ReportCrash("e1", "s", []string{"deadly"})
 		is.True(errors.Is(ended, ErrHeld))
 	})
 }
 
+// Guards against holding parts that were only beside a deadly one in its second crash.
+func TestPartInMostCrashesIsTheSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		tr.ReportCrash("e1", "s", []string{"a", "deadly"})
+		is.Equal(len(tr.Holds()), 0)
+		tr.ReportCrash("e2", "s", []string{"b", "deadly", "c"})
+		is.Equal(len(tr.Holds()), 1)
+		is.Equal(tr.Holds()[0].Part, "deadly")
+		is.True(!held(tr, "a") && !held(tr, "b") && !held(tr, "c"))
+	})
+}
+
+// Guards against blaming other parts for a crash whose cause was ended at this entry just before.
+func TestCrashOfAnEndedAttemptIsNotBlamedOnOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, shared := newTracker()
+		a, _ := tr.Begin("s", []string{"deadly"}, "e2", func(error) {})
+		tr.ReportCrash("e1", "s", []string{"deadly"})
+		a.End() // its context was cancelled
+		time.Sleep(endedAttemptMemory / 2)
+		*shared = nil
+		tr.Receive(wire.QuarantineReport{Service: "s", Crash: "e2", Parts: []string{"sound"}})
+		is.True(!held(tr, "sound"))
+		is.True(held(tr, "deadly"))
+		is.Equal((*shared)[0], wire.QuarantineReport{Service: "s", Crash: "e2", Parts: []string{"deadly"}})
+		b, _ := tr.Begin("s", []string{"left"}, "e3", func(error) {})
+		b.End()
+		time.Sleep(endedAttemptMemory + time.Millisecond)
+		tr.Receive(wire.QuarantineReport{Service: "s", Crash: "e3", Parts: []string{"later"}})
+		is.True(held(tr, "later") && !held(tr, "left"))
+	})
+}
+
+// Guards against counting requests that an endpoint rejected among those that may have crashed it.
+func TestRejectedAttemptIsInNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		a, _ := tr.Begin("s", []string{"rejected"}, "e1", func(error) {})
+		a.Rejected()
+		tr.Receive(wire.QuarantineReport{Service: "s", Crash: "e1", Parts: []string{"deadly"}})
+		is.True(!held(tr, "rejected"))
+		is.Equal(len(tr.Holds()), 1)
+	})
+}
+
 // Guards against an old record that holds a part which is known to be sound.
 func TestRestoreHoldsUnknownPartsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
