--- a/forward/send.go
+++ b/forward/send.go
@@ -63,7 +63,7 @@
 	// failed: the endpoint responded with an error that doesn't say that the
 	// request wasn't run. How much of it ran is unknown.
 	failed
-	// held: the request wasn't sent, since a part of its prompt is held.
+	// held: the request wasn't sent, since package quarantine holds a part of its prompt.
 	held
 )
 
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -43,8 +43,9 @@
 	holdSettleTime = 500 * time.Millisecond
 )
 
-// holdSharer shares what this entry learns about prompt parts: with the other entries
-// directly, and through the store with those that start later.
+// holdSharer shares what this entry learns about prompt parts that may crash endpoints
+// (package quarantine): with the other entries directly, and through the store with
+// those that start later.
 type holdSharer struct {
 	tracker *quarantine.Tracker
 	store   *platform.Store
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -36,7 +36,7 @@
 	// are forgotten.
 	maxParts = 4096
 	// endedAttemptMemory is the time for which an attempt that ended without an answer
-	// may still have crashed its endpoint.
+	// may still crash its endpoint: endpoints notice the closed connection late.
 	endedAttemptMemory = 500 * time.Millisecond
 	// trialRetryAfter is the time after which a request may return that was refused
 	// because another one tries its part; by then its answer has begun or not.
@@ -77,8 +77,9 @@
 	share  func(wire.QuarantineReport)
 	jitter float64
 
-	mu      sync.Mutex
-	parts   map[partID]*part
+	mu    sync.Mutex
+	parts map[partID]*part
+	// crashes holds the crashes by name.
 	crashes map[string]*crash
 	// ended lists the attempts of the last endedAttemptMemory that ended without an
 	// answer or a rejection, oldest first.
@@ -109,9 +110,8 @@
 
 // Begin registers an attempt at an endpoint of a service with the given shared parts
 // of its prompt. crashName is the name that a crash of the endpoint has in reports.
-// cancel is called with ErrHeld if a part is held before the answer
-// begins. If a part is held already, Begin returns nil and the time after which the
-// request may return.
+// cancel is called with ErrHeld if a part is held before the answer begins. If a part is
+// held already, Begin returns nil and the time after which the request may return.
 func (t *Tracker) Begin(service string, parts []string, crashName string, cancel func(error)) (*Attempt, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
