--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -337,6 +337,18 @@
 	return f
 }
 
+// countChosen returns the number of endpoints that 100 requests in sequence get.
+func countChosen(t *testing.T, f *Fleet) int {
+	t.Helper()
+	chosen := make(map[string]bool)
+	for range 100 {
+		p, _ := acquire(t, f, Request{})
+		chosen[p.Endpoint.ID] = true
+		p.EndSucceeded()
+	}
+	return len(chosen)
+}
+
 // Guards against choosing a frozen endpoint until its last load report expires.
 func TestEndpointWhoseReportsStopIsAvoided(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -370,13 +382,7 @@
 		f := newReportingFleet("a", "b", "c")
 		time.Sleep(2 * reportSilence)
 		f.RecordLoad("c", Load{Slots: 4})
-		chosen := make(map[string]bool)
-		for range 100 {
-			p, _ := acquire(t, f, Request{})
-			chosen[p.Endpoint.ID] = true
-			p.EndSucceeded()
-		}
-		is.Equal(len(chosen), 3)
+		is.Equal(countChosen(t, f), 3)
 	})
 }
 
@@ -401,12 +407,6 @@
 		for _, p := range picks {
 			p.EndSucceeded()
 		}
-		chosen := make(map[string]bool)
-		for range 100 {
-			p, _ := acquire(t, f, Request{})
-			chosen[p.Endpoint.ID] = true
-			p.EndSucceeded()
-		}
-		is.Equal(len(chosen), 3)
+		is.Equal(countChosen(t, f), 3)
 	})
 }
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -31,10 +31,6 @@
 	maxReportBytes = 64 << 10
 	// maxSharers bounds the calls to other entries at the same time.
 	maxSharers = 32
-	// maxHoldLease is the longest lease that the store grants.
-	maxHoldLease = 10 * time.Minute
-	// minHoldLease is the shortest one.
-	minHoldLease = time.Second
 	// holdCheckInterval is the mean interval at which an entry checks that its holds are
 	// in the store. The first of the entries writes a new hold.
 	holdCheckInterval = time.Second
@@ -218,9 +214,10 @@
 	return h.stored[holdKey(hold.Service, hold.Part)] >= hold.Crashes
 }
 
-// write writes a hold to the store for as long as it lasts.
+// write writes a hold to the store for as long as it lasts. The store grants leases of
+// up to ten minutes, the longest hold.
 func (h *holdSharer) write(ctx context.Context, hold quarantine.Hold) error {
-	lease, err := h.store.Grant(ctx, min(max(hold.Remaining, minHoldLease), maxHoldLease))
+	lease, err := h.store.Grant(ctx, hold.Remaining)
 	if err != nil {
 		return err
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -28,10 +28,10 @@
 	// maxJitter is the factor by which a hold may be longer at one entry than at
 	// another, so that entries don't all try a part at the same time.
 	maxJitter = 2
-	// MaxHold is the longest hold.
-	MaxHold = maxJitter * repeatedHold
+	// maxHold is the longest hold.
+	maxHold = maxJitter * repeatedHold
 	// memory is the time for which a proof of soundness and a crash count.
-	memory = 2 * MaxHold
+	memory = 2 * maxHold
 	// maxParts bounds the parts in memory. If there are more, those proven longest ago
 	// are forgotten.
 	maxParts = 4096
