forward, fleet: log the rate limit that an endpoint names

The log couldn't tell the hypotheses on LIMIT apart: it has the endpoint of each request, but no limit. An endpoint's change of its limit is now a line, requests to a limited endpoint carry the limit that the entry knew when it chose the endpoint, and a gauge counts the limited endpoints. Choosing is unchanged.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -97,6 +97,8 @@
 	// second.
 	sentAt     []time.Time
 	nextSendAt time.Time
+	// rateLimit is the limit that the endpoint named last.
+	rateLimit RateLimit
 	// stalled is closed and replaced when the endpoint's group stalls.
 	stalled chan struct{}
 }
@@ -369,7 +371,7 @@
 	if best == nil {
 		return nil, availability
 	}
-	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), ReportAge: NoReport, Stalled: best.stalled}
+	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), ReportAge: NoReport, RateLimit: best.rateLimit, Stalled: best.stalled}
 	if !best.reportAt.IsZero() {
 		p.ReportAge = now.Sub(best.reportAt)
 	}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -13,6 +13,8 @@
 	// of its last load report, NoReport if there was none.
 	Load      int
 	ReportAge time.Duration
+	// RateLimit is the limit that the endpoint had named when it was chosen.
+	RateLimit RateLimit
 	// Stalled is closed when the endpoint's group stalls; a request that may be retried
 	// should then be sent to another endpoint.
 	Stalled <-chan struct{}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -40,6 +40,9 @@
 	NotRun string
 	// Load holds the endpoint's load at the time of its response.
 	Load string
+	// RateLimit holds the requests a second that the endpoint accepts from all
+	// entries together.
+	RateLimit string
 	// FailedRank names the failed rank on which the rejecting endpoint depends.
 	FailedRank string
 	// Priority holds the request's priority in the endpoint's queue. A value
@@ -62,6 +65,8 @@
 	Headers Headers
 	// ParseLoad decodes the value of the load header.
 	ParseLoad func(string) (fleet.Load, bool)
+	// ParseRateLimit decodes the value of the rate limit header.
+	ParseRateLimit func(string) (fleet.RateLimit, bool)
 	// SharedParts returns the IDs of the prompt parts in the value of the
 	// PromptParts header that other requests may have too.
 	SharedParts func(string) []string
@@ -185,7 +190,9 @@
 	lastEndpoint string
 	lastLoad     int
 	lastLoadAge  time.Duration
-	cause        error
+	// lastRateLimit is the rate limit of the endpoint acquired last.
+	lastRateLimit fleet.RateLimit
+	cause         error
 }
 
 // filter is one stage of the chain. A non-nil refusal ends the request.
--- a/forward/send.go
+++ b/forward/send.go
@@ -140,7 +140,7 @@
 	pick, availability := x.handler.cfg.Fleet.Acquire(ctx, request)
 	x.waited += time.Since(began)
 	if pick != nil {
-		x.lastEndpoint, x.lastLoad, x.lastLoadAge = pick.Endpoint.ID, pick.Load, pick.ReportAge
+		x.lastEndpoint, x.lastLoad, x.lastLoadAge, x.lastRateLimit = pick.Endpoint.ID, pick.Load, pick.ReportAge, pick.RateLimit
 	}
 	return pick, availability
 }
@@ -240,6 +240,7 @@
 	if load, ok := x.handler.cfg.ParseLoad(resp.Header.Get(names.Load)); ok {
 		pick.RecordLoad(load)
 	}
+	x.recordRateLimit(pick, resp)
 	if resp.Header.Get(names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		guard.Rejected()
 		x.drainRejection(resp)
@@ -262,6 +263,27 @@
 	return x.deliver(ctx, pick, guard, resp)
 }
 
+// recordRateLimit records the rate limit that a response names. Only a response that is
+// certain to be the endpoint's own shows that it names none.
+func (x *exchange) recordRateLimit(pick *fleet.Pick, resp *upstream.Response) {
+	names := &x.handler.cfg.Headers
+	if resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(names.RequestID) != x.requestID {
+		return
+	}
+	value := resp.Header.Get(names.RateLimit)
+	limit, ok := x.handler.cfg.ParseRateLimit(value)
+	if !ok {
+		x.handler.cfg.Log.Info("Malformed rate limit ignored.", "endpoint", pick.Endpoint.ID, "value", value)
+		return
+	}
+	if !limit.Named && resp.Header.Get(names.Signature) == "" {
+		return
+	}
+	if pick.RecordRateLimit(limit) {
+		x.handler.cfg.Log.Info("Endpoint changed its rate limit.", "endpoint", pick.Endpoint.ID, "per_second", limit.String(), "source", "response", "request", x.requestID)
+	}
+}
+
 // refuseHeld returns the refusal of a request with a part that is held.
 func (x *exchange) refuseHeld() *api.Refusal {
 	x.cause = errors.Join(x.cause, quarantine.ErrHeld)
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -56,6 +56,9 @@
 	if x.route != nil {
 		args = append(args, "route", x.route.Name, "service", x.service, "config", x.config.Version)
 	}
+	if x.lastRateLimit.Named {
+		args = append(args, "rate_limit", x.lastRateLimit.PerSecond)
+	}
 	if x.organisation != nil {
 		args = append(args, "organisation", x.organisation.Name)
 	}
--- a/forward/testentry_test.go
+++ b/forward/testentry_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -24,7 +25,7 @@
 
 var testHeaders = Headers{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", Target: "Target-Instance", Organisation: "Tenant",
-	Signature: "Response-Signature", NotRun: "Not-Executed", Load: "Server-Load", FailedRank: "At-Server",
+	Signature: "Response-Signature", NotRun: "Not-Executed", Load: "Server-Load", RateLimit: "Server-Limit", FailedRank: "At-Server",
 	Priority: "Request-Priority", TokenUsage: "Token-Usage", PromptParts: "Prompt-Prefix", LastEventID: "Last-Event-Id",
 	Model: "Model", ExpectVersion: "Expected-Version",
 }
@@ -79,7 +80,8 @@
 	log := &logBuffer{}
 	s := &testEntry{log: log, handler: New(Config{
 		Headers: testHeaders, ParseLoad: func(string) (fleet.Load, bool) { return fleet.Load{}, false },
-		SharedParts: func(v string) []string { return strings.Split(v, ",") }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
+		ParseRateLimit: parseTestRateLimit,
+		SharedParts:    func(v string) []string { return strings.Split(v, ",") }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
 		Fleet: f, Client: upstream.NewClient(time.Second), Log: logs.New(log), Stats: NewStats(metrics.NewSet()),
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 	})}
@@ -200,3 +202,8 @@
 	}
 	return n
 }
+
+func parseTestRateLimit(v string) (fleet.RateLimit, bool) {
+	perSecond, err := strconv.ParseFloat(v, 64)
+	return fleet.RateLimit{PerSecond: perSecond, Named: v != ""}, v == "" || err == nil
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -114,7 +114,7 @@
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
 	e.holds = e.newHoldSharer()
 	e.handler = forward.New(forward.Config{
-		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts,
+		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, ParseRateLimit: platform.ParseRateLimit, SharedParts: platform.SharedParts,
 		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client,
 		Log: logs.Limit(log.WithName("forward"), requestLinesPerSecond, requestLineBurst), Stats: forward.NewStats(e.metrics),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
@@ -126,6 +126,7 @@
 	e.metrics.NewGauge("wasabinotch_requests_active", func() float64 { return float64(e.handler.Active()) })
 	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.fleet.Entries()) })
 	e.metrics.NewGauge("wasabinotch_endpoints", func() float64 { return float64(len(e.fleet.Records())) })
+	e.metrics.NewGauge("wasabinotch_endpoints_rate_limited", func() float64 { return float64(e.fleet.RateLimited()) })
 	e.metrics.NewGauge("wasabinotch_config_version", func() float64 {
 		if c := e.handler.Config(); c != nil {
 			return float64(c.Version)
