fleet, forward: failing tests for rate limits that endpoints name

Callers notice nothing; endpoints get more requests than they asked for (LIMIT). Bounds are those of the users' platform: 1.5 times the limit and 5 requests in 4 s.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -476,3 +476,18 @@
 	}
 	is.True(len(s.endpoints[0].received()) > 1)
 }
+
+// Guards against an entry that doesn't read the rate limit that an endpoint names in its responses.
+func TestRateLimitNamedInResponsesIsKept(t *testing.T) {
+	is := is.New(t)
+	limited := func(c net.Conn, r *http.Request, n int) {
+		respondRaw("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nServer-Limit: 0.5\r\nContent-Length: 0\r\n\r\n")(c, r, n)
+	}
+	s := newTestEntry(t, idempotentRoute, limited, respondOK("elsewhere"))
+	for range 40 {
+		resp, _, err := s.send(t, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	is.True(len(s.endpoints[0].received()) <= 8) // 1.5 times the limit and 5 requests in 4 s
+}
