fleet: entries share the rate limit that an endpoint names

A named limit is now read from each response that is certainly the endpoint's own and divided by turns: turn k at an endpoint opens at a fixed time and belongs to one of the entries, in the sequence of their keys. The entries use 90% of the limit together, without any exchange, and a turn that isn't used within 1.5 s is lost, so that idle entries can't send saved turns in one burst. Clocks that differ only move the turns. Requests go to other endpoints meanwhile; if the turns of all usable endpoints within a request's wait are taken, it is refused at once with its own cause in the log.

--- a/explain/describe.go
+++ b/explain/describe.go
@@ -28,6 +28,9 @@
 		if strings.Contains(l.stringField("cause"), "shutting down") {
 			return head + "refused; the entry was shutting down"
 		}
+		if strings.Contains(l.stringField("cause"), "rate limits") {
+			return head + "refused; all endpoints were at the rate limits that they named"
+		}
 		if attempts > 0 {
 			return head + fmt.Sprintf("refused; %.0f endpoints rejected it without running it", attempts)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -97,8 +97,11 @@
 	// second.
 	sentAt     []time.Time
 	nextSendAt time.Time
-	// rateLimit is the limit that the endpoint named last.
-	rateLimit RateLimit
+	// rateLimit is the limit that the endpoint named last, lastTurn the turn that was
+	// used last (see Fleet.nextTurn).
+	rateLimit  RateLimit
+	lastTurn   time.Time
+	turnOffset int64
 	// stalled is closed and replaced when the endpoint's group stalls.
 	stalled chan struct{}
 }
@@ -130,10 +133,12 @@
 	latestAtAddress map[string]*Endpoint
 	zonesOut        map[string]bool
 	limits          map[string]Limits
-	// entries is the number of entries that share the endpoints.
-	entries  int
-	queues   map[string]*queue
-	onRemove func(addr string)
+	// entries is the number of entries that share the endpoints, entryIndex the place of
+	// this one among them.
+	entries    int
+	entryIndex int
+	queues     map[string]*queue
+	onRemove   func(addr string)
 }
 
 // initialEntries is the number of entries that is assumed until they are counted;
@@ -144,7 +149,7 @@
 // of each endpoint that is removed.
 func New(zone string, onRemove func(addr string)) *Fleet {
 	return &Fleet{
-		zone: zone, onRemove: onRemove, entries: initialEntries,
+		zone: zone, onRemove: onRemove, entries: initialEntries, entryIndex: rand.N(initialEntries),
 		byID: make(map[string]*Endpoint), byService: make(map[string][]*Endpoint), latestAtAddress: make(map[string]*Endpoint),
 		zonesOut: make(map[string]bool), limits: make(map[string]Limits), queues: make(map[string]*queue),
 	}
@@ -162,7 +167,7 @@
 	}
 	changed := ep == nil
 	if ep == nil {
-		ep = &Endpoint{stalled: make(chan struct{})}
+		ep = &Endpoint{stalled: make(chan struct{}), turnOffset: turnOffset(r.ID)}
 		f.byID[r.ID] = ep
 		f.byService[r.Service] = append(f.byService[r.Service], ep)
 	}
@@ -241,11 +246,13 @@
 	f.limits[service] = l
 }
 
-// SetEntries sets the number of entries that share the endpoints, at least 1.
-func (f *Fleet) SetEntries(n int) {
+// SetEntries sets the number of entries that share the endpoints, at least 1, and the
+// place of this one among them, from 0.
+func (f *Fleet) SetEntries(n, index int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries = max(1, n)
+	f.entryIndex = index % f.entries
 }
 
 // Entries returns the number of entries that share the endpoints.
@@ -321,6 +328,9 @@
 	AllBusy
 	// Unavailable means that no endpoint can take the request, now or soon.
 	Unavailable
+	// RateLimited means that the rate limits that the usable endpoints name leave no room
+	// for the request within its MaxWait.
+	RateLimited
 )
 
 // choose returns the endpoint with the lowest cost among a random sample of a service's
@@ -338,14 +348,11 @@
 			break
 		}
 		ep := all[i]
-		if ep.Draining || f.zonesOut[ep.Zone] || f.latestAtAddress[ep.Address] != ep || slices.Contains(exclude, ep) {
-			continue
-		}
-		if ep.hasFreshReport(now) && ep.report.Stalled {
+		if !f.usable(ep, exclude, now) {
 			continue
 		}
 		load := ep.load(now)
-		if load >= ep.usableSlots(limits, now) || !f.belowConnectionLimit(ep, limits) || !f.withinRateLimit(ep, limits, now) {
+		if load >= ep.usableSlots(limits, now) || !f.belowConnectionLimit(ep, limits) || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
 			availability = AllBusy
 			continue
 		}
@@ -444,6 +451,9 @@
 // recordSend counts a request that is sent to an endpoint.
 func (f *Fleet) recordSend(ep *Endpoint, l Limits, now time.Time) {
 	ep.inFlight++
+	if ep.rateLimit.Named {
+		ep.lastTurn = f.nextTurn(ep, now)
+	}
 	if l.ColdPerSecond <= 0 {
 		return
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -75,7 +75,7 @@
 			fleets := make([]*Fleet, entries)
 			for i := range fleets {
 				fleets[i] = New("z1", nil)
-				fleets[i].SetEntries(entries)
+				fleets[i].SetEntries(entries, i)
 				fleets[i].SetLimits(service, Limits{ColdPerSecond: 26, ColdBurst: burst})
 				fleets[i].Update(record("a", "10.0.0.1:1", 1))
 			}
@@ -163,9 +163,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const entries, endpoints, perEntry = 49, 64, 3
 		got := make(map[string]int)
-		for range entries {
+		for entry := range entries {
 			f := New("z1", nil)
-			f.SetEntries(entries)
+			f.SetEntries(entries, entry)
 			for i := range endpoints {
 				id := fmt.Sprint("e", i)
 				r := record(id, fmt.Sprintf("10.0.0.%d:1", i), 1)
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -35,7 +35,9 @@
 const maxQueueLength = 64
 
 // Acquire chooses an endpoint for a request. If all are busy, it waits for one for at
-// most MaxWait, or until ctx ends; it returns AllBusy if there was none.
+// most MaxWait, or until ctx ends; it returns AllBusy if there was none. If the rate
+// limits that the endpoints name leave no room for the request until then, it returns
+// RateLimited at once.
 func (f *Fleet) Acquire(ctx context.Context, request *Request) (*Pick, Availability) {
 	f.mu.Lock()
 	q := f.queues[request.Service]
@@ -49,12 +51,17 @@
 			return p, availability
 		}
 	}
-	if request.MaxWait <= 0 || len(q.waiters) >= maxQueueLength {
+	now := time.Now()
+	at := sort.Search(len(q.waiters), func(i int) bool { return q.waiters[i].request.Priority > request.Priority })
+	availability := AllBusy
+	if f.turnsBy(request, now, now.Add(max(0, request.MaxWait))) <= at {
+		availability = RateLimited
+	}
+	if availability == RateLimited || request.MaxWait <= 0 || len(q.waiters) >= maxQueueLength {
 		f.mu.Unlock()
-		return nil, AllBusy
+		return nil, availability
 	}
 	w := &waiter{request: request, assigned: make(chan *Pick, 1)}
-	at := sort.Search(len(q.waiters), func(i int) bool { return q.waiters[i].request.Priority > request.Priority })
 	q.waiters = slices.Insert(q.waiters, at, w)
 	f.mu.Unlock()
 
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -1,6 +1,24 @@
 package fleet
 
-import "strconv"
+import (
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// rateLimitUse is the fraction of a named limit that the entries use together, which
+	// leaves room for entries that don't know the limit or the number of entries yet.
+	rateLimitUse = 0.9
+	// turnLifetime is how long an entry may use a turn. An entry that saved its turns
+	// could send them all in one burst, and all entries at the same time.
+	turnLifetime = 1500 * time.Millisecond
+	// minTurnsPerSecond is the rate of turns to an endpoint with a limit of 0, whose
+	// responses show when the limit ends.
+	minTurnsPerSecond = 0.25
+)
 
 // RateLimit is the number of requests a second that an endpoint accepts from all
 // entries together. The zero value means that the endpoint names no limit.
@@ -34,6 +52,70 @@
 	return p.fleet.setRateLimit(p.Endpoint, l)
 }
 
+// turnInterval returns the time between two turns of the entries at an endpoint with
+// limit l.
+func (l RateLimit) turnInterval() time.Duration {
+	perSecond := max(rateLimitUse*l.PerSecond, minTurnsPerSecond)
+	return max(1, time.Duration(float64(time.Second)/perSecond))
+}
+
+// nextTurn returns the time from which this entry may send the next request to an
+// endpoint that names a rate limit. Entries take turns at an endpoint: turn k opens k
+// turn intervals after the Unix epoch and belongs to one entry, so that requests are
+// spread over time without any exchange. Clocks that differ only move an entry's turns.
+func (f *Fleet) nextTurn(ep *Endpoint, now time.Time) time.Time {
+	interval := int64(ep.rateLimit.turnInterval())
+	from := now.Add(-turnLifetime)
+	// A clock that was set back must not delay the next turn.
+	if last := ep.lastTurn; last.After(from) && !last.After(now) {
+		from = last
+	}
+	turn := from.UnixNano()/interval + 1
+	entries := int64(f.entries)
+	// The endpoint's offset keeps an entry's turns at different endpoints apart.
+	own := (int64(f.entryIndex) + ep.turnOffset) % entries
+	turn += ((own-turn)%entries + entries) % entries
+	return time.Unix(0, turn*interval)
+}
+
+// turnOffset returns a number for an endpoint that is the same at all entries.
+func turnOffset(id string) int64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return int64(h.Sum32())
+}
+
+// withinNamedLimit reports whether this entry may send a request to the endpoint now as
+// far as the endpoint's named limit is concerned.
+func (f *Fleet) withinNamedLimit(ep *Endpoint, now time.Time) bool {
+	return !ep.rateLimit.Named || !f.nextTurn(ep, now).After(now)
+}
+
+// turnsBy returns the number of requests that this entry may send until the given time
+// to the endpoints that are usable for a request, if all of them name a rate limit; else
+// it returns math.MaxInt.
+func (f *Fleet) turnsBy(r *Request, now, until time.Time) int {
+	turns := 0
+	for _, ep := range f.byService[r.Service] {
+		if !f.usable(ep, r.Exclude, now) {
+			continue
+		}
+		if !ep.rateLimit.Named {
+			return math.MaxInt
+		}
+		if ahead := until.Sub(f.nextTurn(ep, now)); ahead >= 0 {
+			turns += 1 + int(ahead/(ep.rateLimit.turnInterval()*time.Duration(f.entries)))
+		}
+	}
+	return turns
+}
+
+// usable reports whether an endpoint may get requests when it has capacity.
+func (f *Fleet) usable(ep *Endpoint, exclude []*Endpoint, now time.Time) bool {
+	return !ep.Draining && !f.zonesOut[ep.Zone] && f.latestAtAddress[ep.Address] == ep && !slices.Contains(exclude, ep) &&
+		!(ep.hasFreshReport(now) && ep.report.Stalled)
+}
+
 func (f *Fleet) setRateLimit(ep *Endpoint, l RateLimit) bool {
 	changed := ep.rateLimit != l
 	ep.rateLimit = l
--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -35,7 +35,7 @@
 	fleets := make([]*Fleet, entries)
 	for i := range fleets {
 		fleets[i] = New("z1", nil)
-		fleets[i].SetEntries(entries)
+		fleets[i].SetEntries(entries, i)
 		fleets[i].Update(record("a", "10.0.0.1:1", 1))
 		fleets[i].RecordRateLimit("a", RateLimit{PerSecond: perSecond, Named: true})
 	}
@@ -119,9 +119,12 @@
 		refused := false
 		for range 20 {
 			began := time.Now()
-			p, _ := acquire(t, f, Request{MaxWait: wait})
+			p, availability := acquire(t, f, Request{MaxWait: wait})
 			if p == nil {
 				refused = true
+				if availability != RateLimited {
+					t.Fatalf("the reason is %v, not RateLimited", availability)
+				}
 				if waited := time.Since(began); waited > 0 {
 					t.Fatalf("refused after %v", waited)
 				}
--- a/forward/send.go
+++ b/forward/send.go
@@ -172,9 +172,17 @@
 		return api.NotRun(api.KindNoEndpoint, "no endpoint of the service can take the request", "try again after the given time")
 	}
 	x.setRetryAfter(x.retryAfterDelay())
+	if availability == fleet.RateLimited {
+		x.cause = errors.Join(x.cause, errRateLimited)
+		return api.NotRun(api.KindOverloaded, "all endpoints of the service are at their rate limits", "try again after the given time")
+	}
 	return api.NotRun(api.KindOverloaded, "all endpoints of the service are busy", "try again after the given time")
 }
 
+// errRateLimited is the logged cause if the rate limits that the endpoints name leave no
+// room for the request. Package explain recognises it by the words "rate limits".
+var errRateLimited = errors.New("all endpoints are at the rate limits that they named")
+
 // retryAfterDelay returns the Retry-After time of a refusal. It grows with the
 // number of requests that wait for an endpoint of the service, but is at most a
 // quarter of the time left to the deadline, so it can be below baseRetryAfter.
--- a/forward/testentry_test.go
+++ b/forward/testentry_test.go
@@ -76,7 +76,7 @@
 func newTestEntry(t *testing.T, route routing.Route, responders ...responder) *testEntry {
 	t.Helper()
 	f := fleet.New("z1", nil)
-	f.SetEntries(1)
+	f.SetEntries(1, 0)
 	log := &logBuffer{}
 	s := &testEntry{log: log, handler: New(Config{
 		Headers: testHeaders, ParseLoad: func(string) (fleet.Load, bool) { return fleet.Load{}, false },
--- a/node/entry.go
+++ b/node/entry.go
@@ -122,7 +122,7 @@
 	})
 	e.operator = &operatorFollower{handler: e.handler, fleet: e.fleet, bounds: s.Bounds, log: log.WithName("operator")}
 	e.endpoints = newEndpointFollower(e.fleet, e.health, log.WithName("endpoints"))
-	e.peers = newEntryFollower(e.fleet, e.health, log.WithName("entries"))
+	e.peers = newEntryFollower(e.fleet, platform.PrefixEntries+s.ID, e.health, log.WithName("entries"))
 	e.metrics.NewGauge("wasabinotch_requests_active", func() float64 { return float64(e.handler.Active()) })
 	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.fleet.Entries()) })
 	e.metrics.NewGauge("wasabinotch_endpoints", func() float64 { return float64(len(e.fleet.Records())) })
--- a/node/follow.go
+++ b/node/follow.go
@@ -232,7 +232,9 @@
 
 // entryFollower keeps the records of the running entries.
 type entryFollower struct {
-	fleet    *fleet.Fleet
+	fleet *fleet.Fleet
+	// self is the store key of this entry.
+	self     string
 	removals *deferredRemovals
 	log      logr.Logger
 
@@ -241,8 +243,8 @@
 	known map[string]entryRecord
 }
 
-func newEntryFollower(f *fleet.Fleet, health *storeHealth, log logr.Logger) *entryFollower {
-	e := &entryFollower{fleet: f, log: log, known: make(map[string]entryRecord)}
+func newEntryFollower(f *fleet.Fleet, self string, health *storeHealth, log logr.Logger) *entryFollower {
+	e := &entryFollower{fleet: f, self: self, log: log, known: make(map[string]entryRecord)}
 	e.removals = newDeferredRemovals(health, e.remove)
 	return e
 }
@@ -254,7 +256,7 @@
 		delete(e.known, key)
 		e.log.Info("Entry removed.", "entry", key)
 	}
-	e.fleet.SetEntries(len(e.known))
+	e.updateFleet()
 }
 
 // Reset implements prefixFollower.
@@ -280,7 +282,15 @@
 		e.known[ev.Key] = r
 		e.log.Info("Entry added or changed.", "entry", ev.Key, "callers", r.Callers)
 	}
-	e.fleet.SetEntries(len(e.known))
+	e.updateFleet()
+}
+
+// updateFleet tells the fleet the number of entries and the place of this one among
+// them. The caller holds mu.
+func (e *entryFollower) updateFleet() {
+	keys := slices.Sorted(maps.Keys(e.known))
+	index, _ := slices.BinarySearch(keys, e.self)
+	e.fleet.SetEntries(len(keys), index)
 }
 
 // all returns a copy of the records by store key.
