node: agents and entries share the rate limits that endpoints name

An engine's report to the agent on its VM names the limit too; the agent passes it on in its load reports, at once when it changes. Where no agent reports, the entry that has a response with the limit tells the others by datagram, once a second at most, and an endpoint's end of its limit once.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -102,6 +102,9 @@
 	rateLimit  RateLimit
 	lastTurn   time.Time
 	turnOffset int64
+	// rateLimitToldAt is when this entry or another one last told all entries the limit,
+	// or the agent did.
+	rateLimitToldAt time.Time
 	// stalled is closed and replaced when the endpoint's group stalls.
 	stalled chan struct{}
 }
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -18,6 +18,9 @@
 	// minTurnsPerSecond is the rate of turns to an endpoint with a limit of 0, whose
 	// responses show when the limit ends.
 	minTurnsPerSecond = 0.25
+	// tellInterval is the interval at which entries tell each other an unchanged limit,
+	// for entries that have started since or that missed a datagram.
+	tellInterval = time.Second
 )
 
 // RateLimit is the number of requests a second that an endpoint accepts from all
@@ -35,21 +38,32 @@
 	return strconv.FormatFloat(l.PerSecond, 'f', -1, 64)
 }
 
-// RecordRateLimit records the limit that an endpoint names, and reports whether it has
-// changed.
+// RecordRateLimit records the limit that an endpoint named to its agent or to another
+// entry, and reports whether it has changed.
 func (f *Fleet) RecordRateLimit(id string, l RateLimit) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ep := f.byID[id]
-	return ep != nil && f.setRateLimit(ep, l)
+	if ep == nil {
+		return false
+	}
+	ep.rateLimitToldAt = time.Now()
+	return ep.setRateLimit(l)
 }
 
-// RecordRateLimit records the limit that a response of the endpoint names, and reports
-// whether it has changed.
-func (p *Pick) RecordRateLimit(l RateLimit) bool {
+// RecordRateLimit records the limit that a response of the endpoint names. changed
+// reports whether it has changed. tell reports whether the other entries should be told:
+// no agent reports the limit, and no entry did so recently.
+func (p *Pick) RecordRateLimit(l RateLimit) (changed, tell bool) {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	return p.fleet.setRateLimit(p.Endpoint, l)
+	ep, now := p.Endpoint, time.Now()
+	changed = ep.setRateLimit(l)
+	tell = (changed || l.Named && now.Sub(ep.rateLimitToldAt) >= tellInterval) && now.Sub(ep.agentReportAt) > reportValidity
+	if tell {
+		ep.rateLimitToldAt = now
+	}
+	return changed, tell
 }
 
 // turnInterval returns the time between two turns of the entries at an endpoint with
@@ -116,7 +130,7 @@
 		!(ep.hasFreshReport(now) && ep.report.Stalled)
 }
 
-func (f *Fleet) setRateLimit(ep *Endpoint, l RateLimit) bool {
+func (ep *Endpoint) setRateLimit(l RateLimit) bool {
 	changed := ep.rateLimit != l
 	ep.rateLimit = l
 	return changed
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -67,6 +67,9 @@
 	ParseLoad func(string) (fleet.Load, bool)
 	// ParseRateLimit decodes the value of the rate limit header.
 	ParseRateLimit func(string) (fleet.RateLimit, bool)
+	// TellRateLimit is called with the rate limit of an endpoint that the other entries
+	// should be told. It must not block.
+	TellRateLimit func(endpoint string, l fleet.RateLimit)
 	// SharedParts returns the IDs of the prompt parts in the value of the
 	// PromptParts header that other requests may have too.
 	SharedParts func(string) []string
--- a/forward/send.go
+++ b/forward/send.go
@@ -287,7 +287,11 @@
 	if !limit.Named && resp.Header.Get(names.Signature) == "" {
 		return
 	}
-	if pick.RecordRateLimit(limit) {
+	changed, tell := pick.RecordRateLimit(limit)
+	if tell {
+		x.handler.cfg.TellRateLimit(pick.Endpoint.ID, limit)
+	}
+	if changed {
 		x.handler.cfg.Log.Info("Endpoint changed its rate limit.", "endpoint", pick.Endpoint.ID, "per_second", limit.String(), "source", "response", "request", x.requestID)
 	}
 }
--- a/forward/testentry_test.go
+++ b/forward/testentry_test.go
@@ -80,8 +80,8 @@
 	log := &logBuffer{}
 	s := &testEntry{log: log, handler: New(Config{
 		Headers: testHeaders, ParseLoad: func(string) (fleet.Load, bool) { return fleet.Load{}, false },
-		ParseRateLimit: parseTestRateLimit,
-		SharedParts:    func(v string) []string { return strings.Split(v, ",") }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
+		ParseRateLimit: parseTestRateLimit, TellRateLimit: func(string, fleet.RateLimit) {},
+		SharedParts: func(v string) []string { return strings.Split(v, ",") }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
 		Fleet: f, Client: upstream.NewClient(time.Second), Log: logs.New(log), Stats: NewStats(metrics.NewSet()),
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 	})}
--- a/node/agent.go
+++ b/node/agent.go
@@ -139,6 +139,7 @@
 	var last wire.LoadReport
 	var monitor stepMonitor
 	var lastPublished time.Time
+	rateLimit := ""
 	lost := false
 	for {
 		select {
@@ -160,11 +161,15 @@
 		}
 		a.mu.Lock()
 		stalled := monitor.observe(report, time.Now())
+		if limit := a.rank.RateLimit(); limit.Named || rateLimit != "" {
+			rateLimit = encodeRateLimit(limit)
+		}
 		next := wire.LoadReport{Endpoint: a.endpointID, Running: report.Running, Waiting: report.Waiting,
-			Stalled: report.Group != "" && (!report.Open || stalled), StepTimeMS: monitor.stepTimeMS(), ColdRemainingMS: report.ColdFor.Milliseconds()}
+			Stalled: report.Group != "" && (!report.Open || stalled), StepTimeMS: monitor.stepTimeMS(), ColdRemainingMS: report.ColdFor.Milliseconds(),
+			RateLimit: rateLimit}
 		a.mu.Unlock()
 		since, interval := time.Since(lastPublished), a.publishInterval()
-		if urgent := next.Stalled != last.Stalled; urgent || since >= interval && next != last || since >= unchangedLoadInterval {
+		if urgent := next.Stalled != last.Stalled || next.RateLimit != last.RateLimit; urgent || since >= interval && next != last || since >= unchangedLoadInterval {
 			a.publish(conn, next)
 			last, lastPublished = next, time.Now()
 		}
--- a/node/entry.go
+++ b/node/entry.go
@@ -99,6 +99,7 @@
 	endpoints  *endpointFollower
 	peers      *entryFollower
 	holds      *holdSharer
+	limits     *limitSharer
 	// ready is true while the entry accepts callers and is not draining.
 	ready atomic.Bool
 	// servers are the internal HTTP servers; they run until the end of a drain.
@@ -112,9 +113,10 @@
 	e.store = platform.NewStore(s.StoreAddr, e.client)
 	e.feed = newMonitoredFeed(e.store, e.metrics, log.WithName("store"))
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
-	e.holds = e.newHoldSharer()
+	e.holds = newHoldSharer(e.store, e.client, e.otherEntries, e.log.WithName("quarantine"))
+	e.limits = newLimitSharer(e.fleet, e.otherEntries, e.metrics, log.WithName("endpoints"))
 	e.handler = forward.New(forward.Config{
-		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, ParseRateLimit: platform.ParseRateLimit, SharedParts: platform.SharedParts,
+		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.limits.tell, SharedParts: platform.SharedParts,
 		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client,
 		Log: logs.Limit(log.WithName("forward"), requestLinesPerSecond, requestLineBurst), Stats: forward.NewStats(e.metrics),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
@@ -186,6 +188,17 @@
 
 func (e *Entry) peerAddr() string { return net.JoinHostPort(e.cfg.IP, strconv.Itoa(e.cfg.PeerPort)) }
 
+// otherEntries returns the addresses at which the other entries serve each other.
+func (e *Entry) otherEntries() []string {
+	var addrs []string
+	for key, record := range e.peers.all() {
+		if key != platform.PrefixEntries+e.cfg.ID {
+			addrs = append(addrs, record.Peer)
+		}
+	}
+	return addrs
+}
+
 // awaitConfig waits until the entry has a configuration, ctx ends or
 // initialConfigTimeout has passed.
 func (e *Entry) awaitConfig(ctx context.Context) {
--- a/node/loads.go
+++ b/node/loads.go
@@ -36,6 +36,7 @@
 	}
 	defer conn.Close()
 	go e.receiveLoads(conn)
+	go e.limits.run(ctx, conn)
 	ticker := time.NewTicker(subscribeInterval / 8)
 	defer ticker.Stop()
 	subscribed := make(map[string]time.Time)
@@ -80,7 +81,8 @@
 	}
 }
 
-// receiveLoads records load reports in the fleet until conn is closed.
+// receiveLoads records load reports, and the rate limits that other entries report, in
+// the fleet until conn is closed.
 func (e *Entry) receiveLoads(conn net.PacketConn) {
 	buf := make([]byte, maxDatagramBytes)
 	for {
@@ -94,6 +96,13 @@
 			e.limitedLog.Info("Malformed load report ignored.", "cause", err.Error())
 			continue
 		}
+		if r.Endpoint == "" {
+			e.limits.receive(buf[:n])
+			continue
+		}
+		if r.RateLimit != "" {
+			e.limits.record(r.Endpoint, r.RateLimit, "agent")
+		}
 		e.fleet.RecordLoad(r.Endpoint, fleet.Load{
 			Running: r.Running, Waiting: r.Waiting, Stalled: r.Stalled,
 			StepTime: time.Duration(r.StepTimeMS) * time.Millisecond, ColdFor: time.Duration(r.ColdRemainingMS) * time.Millisecond,
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -276,17 +276,3 @@
 	h.mu.Unlock()
 	h.tracker.Restore(service, part, record.Crashes)
 }
-
-// newHoldSharer returns the entry's holdSharer.
-func (e *Entry) newHoldSharer() *holdSharer {
-	peers := func() []string {
-		var addrs []string
-		for key, record := range e.peers.all() {
-			if key != platform.PrefixEntries+e.cfg.ID {
-				addrs = append(addrs, record.Peer)
-			}
-		}
-		return addrs
-	}
-	return newHoldSharer(e.store, e.client, peers, e.log.WithName("quarantine"))
-}
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -16,6 +16,21 @@
 	// ColdRemainingMS is the time, in milliseconds, until the endpoint is warm; 0 if
 	// it is warm. A cold endpoint sustains only a fraction of its normal load.
 	ColdRemainingMS int64 `json:"c,omitempty"`
+	// RateLimit is the number of requests a second that the endpoint accepts from all
+	// entries together, RateLimitNone after a limit has ended, and empty if it hasn't
+	// named one since the agent started.
+	RateLimit string `json:"l,omitempty"`
+}
+
+// RateLimitNone is the value of RateLimit fields if the endpoint names no limit any more.
+const RateLimitNone = "none"
+
+// RateLimitReport is a datagram in which an entry tells the other entries the rate limit
+// that an endpoint without an agent named in a response. None of its JSON keys is one of
+// LoadReport, which is received at the same port.
+type RateLimitReport struct {
+	Endpoint  string `json:"endpoint"`   // ID of the endpoint
+	RateLimit string `json:"rate_limit"` // as in LoadReport
 }
 
 // LoadSubscription is a datagram with which an entry subscribes to the load
