node: log listings, the store's era, and changes that are ignored as older

The log couldn't tell the hypotheses on CONFIG after a restore apart. Each listing of the store now says its era, its revision and the one known before; changes and states of other entries that are ignored as older are lines with both revisions. No decision changes.

--- a/node/follow.go
+++ b/node/follow.go
@@ -22,6 +22,8 @@
 // keys takes a third of the calls of three watches.
 type storeFollower struct {
 	watchMonitor
+	// era returns the store's era.
+	era      func() uint64
 	byPrefix map[string]prefixFollower
 }
 
@@ -34,7 +36,7 @@
 }
 
 func (e *Entry) newStoreFollower() *storeFollower {
-	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: e.feed, log: e.log.WithName("store")}, byPrefix: map[string]prefixFollower{
+	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: e.feed, log: e.log.WithName("store")}, era: e.store.Era, byPrefix: map[string]prefixFollower{
 		platform.PrefixOperator: e.operator, platform.PrefixEndpoints: e.endpoints, platform.PrefixEntries: e.peers,
 		platform.PrefixQuarantine: e.holds,
 	}}
@@ -42,6 +44,7 @@
 
 // Reset implements store.ChangeHandler.
 func (f *storeFollower) Reset(kvs []store.KeyValue, revision uint64) {
+	f.log.Info("Keys listed.", "era", f.era(), "revision", revision, "known_revision", f.feed.knownRevision(), "keys", len(kvs))
 	for prefix, p := range f.byPrefix {
 		var matching []store.KeyValue
 		for _, kv := range kvs {
@@ -107,6 +110,7 @@
 func (o *operatorFollower) Apply(e store.Event) {
 	next := o.snapshot()
 	if e.Revision < next.Revision {
+		o.log.Info("Change ignored; a newer state is known.", "key", e.Key, "revision", e.Revision, "known_revision", next.Revision)
 		return
 	}
 	next.Revision = e.Revision
@@ -133,6 +137,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if next.Revision < o.state.Revision {
+		o.log.Info("Operator state ignored; a newer one is known.", "revision", next.Revision, "known_revision", o.state.Revision, "source", source)
 		return
 	}
 	for _, zone := range o.state.ZonesOut {
--- a/node/watchmonitor.go
+++ b/node/watchmonitor.go
@@ -67,6 +67,13 @@
 	return m.newest
 }
 
+// knownRevision returns the revision up to which all changes are known.
+func (m *monitoredFeed) knownRevision() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // responded records a response that is complete up to a revision.
 func (m *monitoredFeed) responded(revision, newest uint64) {
 	m.mu.Lock()
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -216,14 +216,20 @@
 // Call makes one call and returns the status and the complete body of its
 // response, which may have at most limit bytes.
 func (c *Client) Call(ctx context.Context, addr string, req *Request, limit int64) (status int, body []byte, err error) {
+	status, _, body, err = c.CallHeader(ctx, addr, req, limit)
+	return status, body, err
+}
+
+// CallHeader is Call with the header of the response, which is nil if there was none.
+func (c *Client) CallHeader(ctx context.Context, addr string, req *Request, limit int64) (status int, header http.Header, body []byte, err error) {
 	resp, err := c.Do(ctx, addr, req)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, nil, err
 	}
 	defer resp.Close()
 	body, err = resp.ReadAll(limit)
 	if err != nil {
-		return resp.Status, nil, &Error{Addr: addr, Sent: true, Err: err}
+		return resp.Status, resp.Header, nil, &Error{Addr: addr, Sent: true, Err: err}
 	}
-	return resp.Status, body, nil
+	return resp.Status, resp.Header, body, nil
 }
