--- /dev/null
+++ b/node/restore_test.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/lab/platformsim"
+	"github.com/wasabinotch/wasabinotch/platform"
+)
+
+// putMany writes keys that no entry follows, so that the store's revision rises.
+func putMany(put func(key string, value []byte), n int) {
+	for i := range n {
+		put("other/"+strconv.Itoa(i), nil)
+	}
+}
+
+// servingEntry starts an entry and waits until it serves orders with API key k1.
+func servingEntry(t *testing.T, id string, sim *platformsim.Store) *testEntry {
+	t.Helper()
+	e := startEntry(t, id, sim.Addr())
+	eventually(t, "the entry serves and is registered", func() bool { return e.sendOrder(t, "k1") == http.StatusOK && len(e.resolve(t)) > 0 })
+	time.Sleep(2 * settleTime)
+	return e
+}
+
+// Guards against an entry that ignores changes after a restore because the store's revisions have gone back.
+func TestConfigAfterStoreRestoreIsInForce(t *testing.T) {
+	sim, _ := storeWithEndpoint(t)
+	a, b := servingEntry(t, "a", sim), servingEntry(t, "b", sim)
+	inForce := func(key string) {
+		t.Helper()
+		within(t, applyBound, "the configuration is in force at both entries", func() bool {
+			return a.sendOrder(t, key) == http.StatusOK && b.sendOrder(t, key) == http.StatusOK
+		})
+	}
+	for restore := range 2 { // two in a row
+		lost, next := 2+2*restore, 3+2*restore
+		c := sim.Copy()
+		putMany(sim.Put, 50)
+		sim.Put("op/config", configWith(lost, "lost"))
+		inForce("lost")
+		sim.Restore(c, func(put func(string, []byte)) { put("op/config", configWith(lost, "lost")) })
+		inForce("lost")
+		sim.Put("op/config", configWith(next, "next"))
+		inForce("next")
+	}
+}
+
+// Guards against a watch that goes on in a restored store's new revisions and misses the ones before.
+func TestRestorePastTheWatchedRevisionMissesNoChange(t *testing.T) {
+	sim, _ := storeWithEndpoint(t)
+	c := sim.Copy()
+	a := servingEntry(t, "a", sim)
+	putMany(sim.Put, 20)
+	time.Sleep(2 * settleTime)
+	sim.Restore(c, func(put func(string, []byte)) {
+		put("op/config", configWith(2, "k2"))
+		putMany(put, 60)
+	})
+	within(t, applyBound, "the configuration is in force", func() bool { return a.sendOrder(t, "k2") == http.StatusOK })
+}
+
+// Guards against requests to a zone whose evacuation the store lost, and to an endpoint that drains, until both are written again.
+func TestRestoreBringsNothingBackIntoService(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(sim *platformsim.Store, endpoint net.Addr)
+	}{
+		{"evacuated_zone", func(sim *platformsim.Store, _ net.Addr) { sim.Put("op/evacuate/z1", []byte("{}")) }},
+		{"draining_endpoint", func(sim *platformsim.Store, endpoint net.Addr) {
+			sim.Put("servers/i-1", endpointRecord(endpoint, "draining"))
+		}},
+		{"endpoint_that_left", func(sim *platformsim.Store, _ net.Addr) { sim.Remove("servers/i-1") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim, endpoint := storeWithEndpoint(t)
+			a := servingEntry(t, "a", sim)
+			copied := sim.Copy()
+			c.change(sim, endpoint)
+			eventually(t, "the endpoint gets no requests", func() bool { return a.sendOrder(t, "k1") == http.StatusServiceUnavailable })
+			sim.Restore(copied, nil)
+			for end := time.Now().Add(rewriteTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				if status := a.sendOrder(t, "k1"); status != http.StatusServiceUnavailable {
+					t.Fatalf("status %d before the operator and the endpoints had written again", status)
+				}
+			}
+		})
+	}
+}
+
+// rewriteTime is the time within which, after a restore, the users' operator and
+// endpoints write again what was lost.
+const rewriteTime = 1800 * time.Millisecond
+
+// Guards against a zone that stays out of service, or an endpoint that stays unused, because a restore undid the change for good.
+func TestRestoredStateCountsAfterAWhile(t *testing.T) {
+	sim, _ := storeWithEndpoint(t)
+	a := servingEntry(t, "a", sim)
+	c := sim.Copy()
+	sim.Put("op/evacuate/z1", []byte("{}"))
+	eventually(t, "the zone gets no requests", func() bool { return a.sendOrder(t, "k1") == http.StatusServiceUnavailable })
+	sim.Restore(c, nil)
+	eventually(t, "the zone gets requests again", func() bool { return a.sendOrder(t, "k1") == http.StatusOK })
+}
+
+// Guards against an entry whose record is lost although its lease, or another one with the same ID, can be renewed.
+func TestEntryRegistersAgainAfterStoreRestore(t *testing.T) {
+	sim, _ := storeWithEndpoint(t)
+	a, b := servingEntry(t, "a", sim), servingEntry(t, "b", sim)
+	both := func() bool { return len(a.resolve(t)) == 2 && len(b.resolve(t)) == 2 }
+	eventually(t, "both entries know each other", both)
+	c := sim.Copy()
+	c.Drop(platform.PrefixEntries + "b") // its lease stays
+	sim.Restore(c, nil)
+	within(t, 2*time.Second, "the record is written again", func() bool { return sim.Has(platform.PrefixEntries + "b") })
+	eventually(t, "both entries know each other again", both)
+}
+
+// Guards against a directory that names an entry which stopped, because a restore brought its record back.
+func TestRestoreBringsNoStoppedEntryBack(t *testing.T) {
+	sim, _ := storeWithEndpoint(t)
+	a, b := servingEntry(t, "a", sim), servingEntry(t, "b", sim)
+	eventually(t, "both entries know each other", func() bool { return len(a.resolve(t)) == 2 && len(b.resolve(t)) == 2 })
+	c := sim.Copy()
+	b.stop()
+	eventually(t, "the directory doesn't list the stopped entry", func() bool { return len(a.resolve(t)) == 1 })
+	sim.Restore(c, nil)
+	for end := time.Now().Add(2 * entryLeaseTTL); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if addresses := a.resolve(t); slices.Contains(addresses, b.settings.CallersAddr) {
+			t.Fatalf("the directory lists %v", addresses)
+		}
+	}
+}
+
+// Guards against entries that take their watches for stale because other entries remember revisions that were lost.
+func TestRestoreEndsNoWatchAgainAndAgain(t *testing.T) {
+	sim, _ := storeWithEndpoint(t)
+	servingEntry(t, "a", sim)
+	c := sim.Copy()
+	putMany(sim.Put, 50)
+	time.Sleep(2 * settleTime)
+	sim.Restore(c, nil)
+	servingEntry(t, "b", sim)
+	time.Sleep(4 * time.Second)
+	before := sim.Listings()
+	time.Sleep(3 * time.Second)
+	if n := sim.Listings() - before; n > 0 {
+		t.Errorf("%d listings in 3 s in which nothing changed", n)
+	}
+}
