store, node: order the store's history by era and revision

Cause: revisions were taken to rise for ever. The store names its era in each response; positions in its history are now pairs of era and revision wherever they are compared, kept or exchanged: the operator's state, also between entries, the newest change that entries compare, and the watch. A restore counts as an outage, so that records which are missing afterwards get the time to be written again. Configurations are ordered by their version alone, so that the older one in the copy is neither put in force nor passed on, nor sets limits; entries ask each other by version too.

--- a/node/entry.go
+++ b/node/entry.go
@@ -50,9 +50,11 @@
 	// pathOperator is the HTTP path at which entries serve the operator's state
 	// to each other.
 	pathOperator = "/operator"
-	// headerNewestChange is the header of responses at pathOperator with the
-	// revision of the newest change that the entry has seen.
-	headerNewestChange = "Newest-Change"
+	// headerNewestChange and headerNewestChangeEra are the headers of responses at
+	// pathOperator with the revision and the era of the newest change that the entry
+	// has seen.
+	headerNewestChange    = "Newest-Change"
+	headerNewestChangeEra = "Newest-Change-Era"
 	// peerPollInterval is the interval at which an entry polls another entry for
 	// the operator's state, unstablePollInterval the interval while the store fails
 	// and for unstableWindow afterwards. With staleWatchTimeout, a silent watch
@@ -306,18 +308,30 @@
 	_, _ = w.Write(platform.EncodeDirectory(addresses, min(directoryTTLSeconds, e.cfg.Bounds.DirectoryTTLS))) // if this fails, the caller tries another entry
 }
 
-// serveOperator serves the operator's state to other entries if it is newer than
-// the revision in the query parameter "after", and in any case the revision of the
-// newest change seen.
+// serveOperator serves the operator's state to other entries if it is newer than the
+// position in the query parameters "era" and "after", or has a newer configuration than
+// "version", and in any case the position of the newest change seen.
 func (e *Entry) serveOperator(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(headerNewestChange, strconv.FormatUint(e.feed.newestChange(), 10))
-	state := e.operator.snapshot()
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	newest := e.feed.newestChange()
+	w.Header().Set(headerNewestChange, strconv.FormatUint(newest.Revision, 10))
+	w.Header().Set(headerNewestChangeEra, strconv.FormatUint(newest.Era, 10))
+	state, version := e.operator.snapshot(), e.operator.configVersion()
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after is not a revision; send a whole number", http.StatusBadRequest)
 		return
 	}
-	if state.Revision <= after {
+	// Entries of earlier versions send only "after"; they know no eras.
+	known := store.Position{Era: state.Era, Revision: after}
+	if era, err := strconv.ParseUint(query.Get("era"), 10, 64); err == nil {
+		known.Era = era
+	}
+	knownVersion := version
+	if v, err := strconv.ParseUint(query.Get("version"), 10, 64); err == nil {
+		knownVersion = v
+	}
+	if !known.Before(position(state)) && version <= knownVersion {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
@@ -353,7 +367,8 @@
 func (e *Entry) pollPeer(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
 	defer cancel()
-	target := pathOperator + "?after=" + strconv.FormatUint(e.operator.snapshot().Revision, 10)
+	known := position(e.operator.snapshot())
+	target := fmt.Sprintf("%s?after=%d&era=%d&version=%d", pathOperator, known.Revision, known.Era, e.operator.configVersion())
 	// A kept connection could be silent like that of the watch.
 	header := http.Header{"Connection": {"close"}}
 	resp, err := e.client.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: header})
@@ -374,9 +389,11 @@
 	} else if resp.Status != http.StatusNoContent {
 		return fmt.Errorf("peer responded with status %d; it may run another version", resp.Status)
 	}
-	// Entries of earlier versions don't send the header.
-	if newest, err := strconv.ParseUint(resp.Header.Get(headerNewestChange), 10, 64); err == nil {
-		e.feed.recordPeer(newest)
+	// Entries of earlier versions don't send the headers.
+	revision, err := strconv.ParseUint(resp.Header.Get(headerNewestChange), 10, 64)
+	era, eraErr := strconv.ParseUint(resp.Header.Get(headerNewestChangeEra), 10, 64)
+	if err == nil && eraErr == nil {
+		e.feed.recordPeer(store.Position{Era: era, Revision: revision})
 	}
 	return nil
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -22,29 +22,27 @@
 // keys takes a third of the calls of three watches.
 type storeFollower struct {
 	watchMonitor
-	// era returns the store's era.
-	era      func() uint64
 	byPrefix map[string]prefixFollower
 }
 
 // prefixFollower handles the keys below one prefix.
 type prefixFollower interface {
-	// Reset replaces all that is known with the listed keys as of a revision.
-	Reset(entries []store.KeyValue, revision uint64)
+	// Reset replaces all that is known with the listed keys as of a position.
+	Reset(entries []store.KeyValue, at store.Position)
 	// Apply handles one change.
 	Apply(e store.Event)
 }
 
 func (e *Entry) newStoreFollower() *storeFollower {
-	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: e.feed, log: e.log.WithName("store")}, era: e.store.Era, byPrefix: map[string]prefixFollower{
+	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: e.feed, log: e.log.WithName("store")}, byPrefix: map[string]prefixFollower{
 		platform.PrefixOperator: e.operator, platform.PrefixEndpoints: e.endpoints, platform.PrefixEntries: e.peers,
 		platform.PrefixQuarantine: e.holds,
 	}}
 }
 
 // Reset implements store.ChangeHandler.
-func (f *storeFollower) Reset(kvs []store.KeyValue, revision uint64) {
-	f.log.Info("Keys listed.", "era", f.era(), "revision", revision, "known_revision", f.feed.knownRevision(), "keys", len(kvs))
+func (f *storeFollower) Reset(kvs []store.KeyValue, at store.Position) {
+	f.log.Info("Keys listed.", "era", at.Era, "revision", at.Revision, "keys", len(kvs))
 	for prefix, p := range f.byPrefix {
 		var matching []store.KeyValue
 		for _, kv := range kvs {
@@ -52,7 +50,7 @@
 				matching = append(matching, kv)
 			}
 		}
-		p.Reset(matching, revision)
+		p.Reset(matching, at)
 	}
 }
 
@@ -67,11 +65,11 @@
 
 // applyListing applies each key of a listing to a follower and reports the known
 // keys that the listing lacks as deleted.
-func applyListing(f prefixFollower, kvs []store.KeyValue, known []string, removals *deferredRemovals) {
+func applyListing(f prefixFollower, kvs []store.KeyValue, at store.Position, known []string, removals *deferredRemovals) {
 	listed := make(map[string]bool, len(kvs))
 	for _, kv := range kvs {
 		listed[kv.Key] = true
-		f.Apply(store.Event{KeyValue: kv})
+		f.Apply(store.Event{KeyValue: kv, Era: at.Era})
 	}
 	for _, key := range known {
 		if !listed[key] {
@@ -93,8 +91,8 @@
 }
 
 // Reset implements prefixFollower.
-func (o *operatorFollower) Reset(kvs []store.KeyValue, revision uint64) {
-	next := wire.OperatorState{Revision: revision}
+func (o *operatorFollower) Reset(kvs []store.KeyValue, at store.Position) {
+	next := wire.OperatorState{Era: at.Era, Revision: at.Revision}
 	for _, kv := range kvs {
 		if zone, ok := platform.ZoneOutOfService(kv.Key); ok {
 			next.ZonesOut = append(next.ZonesOut, zone)
@@ -109,11 +107,11 @@
 // included is ignored.
 func (o *operatorFollower) Apply(e store.Event) {
 	next := o.snapshot()
-	if e.Revision < next.Revision {
-		o.log.Info("Change ignored; a newer state is known.", "key", e.Key, "revision", e.Revision, "known_revision", next.Revision)
+	if known := position(next); e.Position().Before(known) {
+		o.log.Info("Change ignored; a newer state is known.", "key", e.Key, "era", e.Era, "revision", e.Revision, "known_era", known.Era, "known_revision", known.Revision)
 		return
 	}
-	next.Revision = e.Revision
+	next.Era, next.Revision = e.Era, e.Revision
 	if zone, ok := platform.ZoneOutOfService(e.Key); ok {
 		next.ZonesOut = slices.DeleteFunc(slices.Clone(next.ZonesOut), func(z string) bool { return z == zone })
 		if !e.Deleted {
@@ -125,48 +123,65 @@
 	o.adopt(next, "watch")
 }
 
+// position returns the position of the newest write in a state.
+func position(s wire.OperatorState) store.Position {
+	return store.Position{Era: s.Era, Revision: s.Revision}
+}
+
 func (o *operatorFollower) snapshot() wire.OperatorState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.state
 }
 
-// adopt applies a state unless a newer one is in force. A state without a
-// configuration keeps the one in force. The log names the source.
+// configVersion returns the version of the configuration in force, 0 without one.
+func (o *operatorFollower) configVersion() uint64 {
+	if c := o.handler.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// adopt applies a state. Its zones are ignored if a newer state is known, its
+// configuration if that in force has the same or a higher version: after a restore, the
+// store holds an older one until the operator writes again. The log names the source.
 func (o *operatorFollower) adopt(next wire.OperatorState, source string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if next.Revision < o.state.Revision {
-		o.log.Info("Operator state ignored; a newer one is known.", "revision", next.Revision, "known_revision", o.state.Revision, "source", source)
+	if next.Config != nil && string(next.Config) != string(o.state.Config) && o.configure(next, source) {
+		o.state.Config = next.Config
+	}
+	if known := position(o.state); position(next).Before(known) {
+		o.log.Info("Operator state ignored; a newer one is known.", "era", next.Era, "revision", next.Revision, "known_era", known.Era, "known_revision", known.Revision, "source", source)
 		return
 	}
 	for _, zone := range o.state.ZonesOut {
 		if !slices.Contains(next.ZonesOut, zone) {
 			o.fleet.SetZoneOutOfService(zone, false)
-			o.log.Info("Zone returned to service.", "zone", zone, "revision", next.Revision, "source", source)
+			o.log.Info("Zone returned to service.", "zone", zone, "era", next.Era, "revision", next.Revision, "source", source)
 		}
 	}
 	for _, zone := range next.ZonesOut {
 		if !slices.Contains(o.state.ZonesOut, zone) {
 			o.fleet.SetZoneOutOfService(zone, true)
-			o.log.Info("Zone taken out of service.", "zone", zone, "revision", next.Revision, "source", source)
+			o.log.Info("Zone taken out of service.", "zone", zone, "era", next.Era, "revision", next.Revision, "source", source)
 		}
 	}
-	if next.Config != nil && string(next.Config) != string(o.state.Config) {
-		o.configure(next.Config, next.Revision, source)
-	}
-	if next.Config == nil {
-		next.Config = o.state.Config
-	}
+	next.Config = o.state.Config
 	o.state = next
 }
 
-// configure applies a configuration. One that can't be decoded is ignored.
-func (o *operatorFollower) configure(b []byte, revision uint64, source string) {
-	c, err := platform.DecodeConfig(b)
+// configure applies the configuration of a state and reports whether it is in force now.
+// One that can't be decoded or isn't newer than that in force is ignored.
+func (o *operatorFollower) configure(next wire.OperatorState, source string) bool {
+	c, err := platform.DecodeConfig(next.Config)
 	if err != nil {
-		o.log.Error(err, "Configuration ignored.", "revision", revision)
-		return
+		o.log.Error(err, "Configuration ignored.", "era", next.Era, "revision", next.Revision)
+		return false
+	}
+	if known := o.configVersion(); c.Version <= known {
+		o.log.Info("Configuration ignored; it isn't newer.", "version", c.Version, "known_version", known, "era", next.Era, "revision", next.Revision, "source", source)
+		return false
 	}
 	gaps := c.TargetGaps()
 	c.EachService(func(s *routing.Service) {
@@ -176,9 +191,11 @@
 			MaxConnections: s.MaxConnections,
 		})
 	})
-	if o.handler.SetConfig(c) {
-		o.log.Info("Configuration in force.", "version", c.Version, "revision", revision, "source", source)
+	if !o.handler.SetConfig(c) {
+		return false
 	}
+	o.log.Info("Configuration in force.", "version", c.Version, "era", next.Era, "revision", next.Revision, "source", source)
+	return true
 }
 
 // endpointFollower updates the fleet from the endpoints' records.
@@ -201,12 +218,12 @@
 }
 
 // Reset implements prefixFollower.
-func (e *endpointFollower) Reset(kvs []store.KeyValue, revision uint64) {
+func (e *endpointFollower) Reset(kvs []store.KeyValue, at store.Position) {
 	var known []string
 	for _, r := range e.fleet.Records() {
 		known = append(known, platform.PrefixEndpoints+r.ID)
 	}
-	applyListing(e, kvs, known, e.removals)
+	applyListing(e, kvs, at, known, e.removals)
 }
 
 // Apply implements prefixFollower.
@@ -265,8 +282,8 @@
 }
 
 // Reset implements prefixFollower.
-func (e *entryFollower) Reset(kvs []store.KeyValue, revision uint64) {
-	applyListing(e, kvs, slices.Collect(maps.Keys(e.all())), e.removals)
+func (e *entryFollower) Reset(kvs []store.KeyValue, at store.Position) {
+	applyListing(e, kvs, at, slices.Collect(maps.Keys(e.all())), e.removals)
 }
 
 // Apply implements prefixFollower.
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -245,12 +245,12 @@
 }
 
 // Reset implements prefixFollower.
-func (h *holdSharer) Reset(kvs []store.KeyValue, _ uint64) {
+func (h *holdSharer) Reset(kvs []store.KeyValue, at store.Position) {
 	h.mu.Lock()
 	clear(h.stored)
 	h.mu.Unlock()
 	for _, kv := range kvs {
-		h.Apply(store.Event{KeyValue: kv})
+		h.Apply(store.Event{KeyValue: kv, Era: at.Era})
 	}
 }
 
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -8,8 +9,15 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/forward"
 	"github.com/wasabinotch/wasabinotch/lab/platformsim"
 	"github.com/wasabinotch/wasabinotch/platform"
+	"github.com/wasabinotch/wasabinotch/store"
+	"github.com/wasabinotch/wasabinotch/wire"
 )
 
 // putMany writes keys that no entry follows, so that the store's revision rises.
@@ -65,6 +73,31 @@
 	within(t, applyBound, "the configuration is in force", func() bool { return a.sendOrder(t, "k2") == http.StatusOK })
 }
 
+// Guards against an older configuration in a restored store that entries pass on or take limits from.
+func TestOlderConfigInRestoredStoreChangesNothing(t *testing.T) {
+	is := is.New(t)
+	f := fleet.New("z1", nil)
+	o := &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, log: logr.Discard()}
+	config := func(version int) []byte { return []byte(fmt.Sprintf(`{"version":%d}`, version)) }
+	o.Reset([]store.KeyValue{{Key: "op/config", Value: config(7), Revision: 90}}, store.Position{Era: 1, Revision: 90})
+	o.Reset([]store.KeyValue{{Key: "op/config", Value: config(5), Revision: 50}}, store.Position{Era: 2, Revision: 60})
+	is.Equal(string(o.snapshot().Config), string(config(7)))
+}
+
+// Guards against an entry that was cut off during a restore and takes the lower revisions of other entries for older ones.
+func TestStateOfANewEraReplacesHigherRevisions(t *testing.T) {
+	is := is.New(t)
+	f := fleet.New("z1", nil)
+	o := &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, log: logr.Discard()}
+	config := func(version int) []byte { return []byte(fmt.Sprintf(`{"version":%d}`, version)) }
+	o.adopt(wire.OperatorState{Era: 1, Revision: 90, Config: config(2)}, "listing")
+	o.adopt(wire.OperatorState{Era: 2, Revision: 60, Config: config(3), ZonesOut: []string{"z1"}}, "entry b")
+	is.Equal(o.handler.Config().Version, uint64(3))
+	is.Equal(o.snapshot().ZonesOut, []string{"z1"})
+	o.adopt(wire.OperatorState{Era: 1, Revision: 95, Config: config(2)}, "entry c") // of the former era
+	is.Equal(o.snapshot().ZonesOut, []string{"z1"})
+}
+
 // Guards against requests to a zone whose evacuation the store lost, and to an endpoint that drains, until both are written again.
 func TestRestoreBringsNothingBackIntoService(t *testing.T) {
 	for _, c := range []struct {
--- a/node/watch_test.go
+++ b/node/watch_test.go
@@ -98,14 +98,14 @@
 // slowFeed is a store whose listings take a time and whose watch returns nothing.
 type slowFeed struct{ listTime time.Duration }
 
-func (f slowFeed) List(context.Context, string) ([]store.KeyValue, uint64, error) {
+func (f slowFeed) List(context.Context, string) ([]store.KeyValue, store.Position, error) {
 	time.Sleep(f.listTime)
-	return nil, 10, nil
+	return nil, store.Position{Revision: 10}, nil
 }
 
-func (f slowFeed) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]store.Event, uint64, error) {
+func (f slowFeed) Changes(ctx context.Context, _ string, _ store.Position, wait time.Duration) ([]store.Event, store.Position, error) {
 	pause.For(ctx, wait)
-	return nil, 10, context.Cause(ctx)
+	return nil, store.Position{Revision: 10}, context.Cause(ctx)
 }
 
 // Guards against listing the keys of a slow store again and again because its changes arrive late.
@@ -124,11 +124,11 @@
 			defer peer.Wait()
 			peer.Go(func() {
 				for time.Since(began) <= c.ended {
-					m.recordPeer(11)
+					m.recordPeer(store.Position{Revision: 11})
 					time.Sleep(10 * time.Millisecond)
 				}
 			})
-			_, _, err = m.Changes(t.Context(), "", 10, time.Minute)
+			_, _, err = m.Changes(t.Context(), "", store.Position{Revision: 10}, time.Minute)
 			is.True(errors.Is(err, store.ErrWatchStale))
 			is.Equal(time.Since(began), c.ended)
 		})
--- a/node/watchmonitor.go
+++ b/node/watchmonitor.go
@@ -34,13 +34,13 @@
 	lastResponse time.Time
 	// listTime is the duration of the last listing.
 	listTime time.Duration
-	// revision is the one up to which all changes are known, newest that of the newest
+	// position is the one up to which all changes are known, newest that of the newest
 	// change. Revisions may increase without a change.
-	revision, newest uint64
-	// peerNewest is the revision of the newest change that another entry has seen.
-	peerNewest uint64
-	// behindSince is when revision was first seen to be less than peerNewest, zero if
-	// it isn't.
+	position, newest store.Position
+	// peerNewest is the position of the newest change that another entry has seen.
+	peerNewest store.Position
+	// behindSince is when position was first seen to be before peerNewest, zero if it
+	// isn't.
 	behindSince time.Time
 	// endCall ends the call for changes in progress; nil without one.
 	endCall context.CancelCauseFunc
@@ -60,67 +60,60 @@
 	return time.Since(m.lastResponse)
 }
 
-// newestChange returns the revision of the newest change seen.
-func (m *monitoredFeed) newestChange() uint64 {
+// newestChange returns the position of the newest change seen.
+func (m *monitoredFeed) newestChange() store.Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.newest
 }
 
-// knownRevision returns the revision up to which all changes are known.
-func (m *monitoredFeed) knownRevision() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.revision
-}
-
-// responded records a response that is complete up to a revision.
-func (m *monitoredFeed) responded(revision, newest uint64) {
+// responded records a response that is complete up to a position.
+func (m *monitoredFeed) responded(position, newest store.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastResponse = time.Now()
-	m.revision, m.newest = max(m.revision, revision), max(m.newest, newest)
+	m.position, m.newest = store.Later(m.position, position), store.Later(m.newest, newest)
 	m.behindSince = time.Time{}
 }
 
 // List implements store.ChangeFeed.
-func (m *monitoredFeed) List(ctx context.Context, prefix string) ([]store.KeyValue, uint64, error) {
+func (m *monitoredFeed) List(ctx context.Context, prefix string) ([]store.KeyValue, store.Position, error) {
 	began := time.Now()
-	kvs, revision, err := m.ChangeFeed.List(ctx, prefix)
+	kvs, at, err := m.ChangeFeed.List(ctx, prefix)
 	if err != nil {
-		return nil, 0, err
+		return nil, store.Position{}, err
 	}
 	m.mu.Lock()
 	m.listTime = time.Since(began)
 	m.mu.Unlock()
-	newest := uint64(0)
+	newest := store.Position{Era: at.Era}
 	for _, kv := range kvs {
-		newest = max(newest, kv.Revision)
+		newest.Revision = max(newest.Revision, kv.Revision)
 	}
-	m.responded(revision, newest)
-	return kvs, revision, nil
+	m.responded(at, newest)
+	return kvs, at, nil
 }
 
 // Changes implements store.ChangeFeed. It returns store.ErrWatchStale if the call was
 // ended.
-func (m *monitoredFeed) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+func (m *monitoredFeed) Changes(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Event, store.Position, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	m.setEndCall(cancel)
-	events, revision, err := m.ChangeFeed.Changes(ctx, prefix, after, wait)
+	events, at, err := m.ChangeFeed.Changes(ctx, prefix, after, wait)
 	m.setEndCall(nil)
 	if err != nil {
 		if cause := context.Cause(ctx); errors.Is(cause, store.ErrWatchStale) {
 			err = cause
 		}
-		return nil, 0, err
+		return nil, store.Position{}, err
 	}
-	newest := uint64(0)
+	newest := store.Position{}
 	for _, e := range events {
-		newest = max(newest, e.Revision)
+		newest = store.Later(newest, e.Position())
 	}
-	m.responded(revision, newest)
-	return events, revision, nil
+	m.responded(at, newest)
+	return events, at, nil
 }
 
 func (m *monitoredFeed) setEndCall(end context.CancelCauseFunc) {
@@ -131,12 +124,12 @@
 
 // recordPeer records the newest change that another entry has seen, and ends the call
 // for changes if it has returned nothing for too long since a newer one.
-func (m *monitoredFeed) recordPeer(newest uint64) {
+func (m *monitoredFeed) recordPeer(newest store.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peerNewest = max(m.peerNewest, newest)
+	m.peerNewest = store.Later(m.peerNewest, newest)
 	switch {
-	case m.revision >= m.peerNewest:
+	case !m.position.Before(m.peerNewest):
 		m.behindSince = time.Time{}
 	case m.behindSince.IsZero():
 		m.behindSince = time.Now()
@@ -162,7 +155,7 @@
 	m.endCall, m.behindSince = nil, time.Time{}
 	m.stale.Inc()
 	m.log.Info("Watch stale; keys are listed again.", "silent_ms", time.Since(m.lastResponse).Milliseconds(),
-		"revision", m.revision, "newest_elsewhere", m.peerNewest, "cause", reason)
+		"era", m.position.Era, "revision", m.position.Revision, "era_elsewhere", m.peerNewest.Era, "newest_elsewhere", m.peerNewest.Revision, "cause", reason)
 }
 
 // watchMonitor logs when the watch of the store is lost and regained, and records
--- a/store/follow.go
+++ b/store/follow.go
@@ -16,23 +16,51 @@
 // that it should have returned; list the keys again.
 var ErrWatchStale = errors.New("store: the watch is stale: it has missed changes; list the keys again")
 
+// ErrRestored means that the store was restored from an older copy; list the keys again.
+var ErrRestored = errors.New("store: restored: it was restored from an older copy; list the keys again")
+
 // ErrNoLease means that a lease has ended; grant a new one.
 var ErrNoLease = errors.New("store: no such lease: it has ended; grant a new one and write its keys again")
 
+// Position is a point in the history of a store. A store that is restored from a copy
+// begins a new era, in which it gives out revisions of the former one again.
+type Position struct {
+	Era, Revision uint64
+}
+
+// Before reports whether p is earlier than other.
+func (p Position) Before(other Position) bool {
+	return p.Era < other.Era || p.Era == other.Era && p.Revision < other.Revision
+}
+
+// Later returns the later one of two positions.
+func Later(p, other Position) Position {
+	if p.Before(other) {
+		return other
+	}
+	return p
+}
+
 // Event is one change of a key.
 type Event struct {
 	KeyValue
+	// Era is the era in which the key was changed, or listed.
+	Era     uint64
 	Deleted bool
 }
 
+// Position returns the position of the change.
+func (e Event) Position() Position { return Position{Era: e.Era, Revision: e.Revision} }
+
 // ChangeFeed is a store whose changes can be read one by one.
 type ChangeFeed interface {
-	// List returns the keys below prefix with their values, and a revision. Each
-	// value was read at that revision or later.
-	List(ctx context.Context, prefix string) (kvs []KeyValue, revision uint64, err error)
-	// Changes returns the changes below prefix after a revision, or none if there is
-	// no change within wait, and the revision to pass to the next call.
-	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []Event, revision uint64, err error)
+	// List returns the keys below prefix with their values, and a position. Each
+	// value was read at that position or later, in the same era.
+	List(ctx context.Context, prefix string) (kvs []KeyValue, at Position, err error)
+	// Changes returns the changes below prefix after a position, or none if there is
+	// no change within wait, and the position to pass to the next call. It returns
+	// ErrRestored if the store has begun another era.
+	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) (events []Event, at Position, err error)
 }
 
 // Leaser grants leases. The store deletes the keys of a lease when the lease ends.
@@ -47,11 +75,13 @@
 
 // ChangeHandler receives what Follow reads. Its methods are called one at a time.
 type ChangeHandler interface {
-	// Reset replaces all known keys and values by those as of a revision.
-	Reset(kvs []KeyValue, revision uint64)
+	// Reset replaces all known keys and values by those as of a position.
+	Reset(kvs []KeyValue, at Position)
+	// Apply handles a change; it is of the same era as the last Reset.
 	Apply(e Event)
 	// StoreLost is called at the first failed call of an outage, StoreRegained
-	// before the first Reset after the outage.
+	// before the first Reset after the outage. A restore counts as an outage even if
+	// no call failed.
 	StoreLost(err error)
 	StoreRegained(outage time.Duration)
 }
@@ -72,6 +102,7 @@
 // successive changes.
 func Follow(ctx context.Context, feed ChangeFeed, prefix string, settle time.Duration, handler ChangeHandler) {
 	var lostAt time.Time
+	var at Position
 	backoff := Backoff{Max: maxFollowDelay}
 	fail := func(err error) {
 		if lostAt.IsZero() && ctx.Err() == nil {
@@ -82,22 +113,27 @@
 	}
 	for ctx.Err() == nil {
 		lctx, cancel := context.WithTimeout(ctx, listTimeout)
-		kvs, revision, err := feed.List(lctx, prefix)
+		kvs, listedAt, err := feed.List(lctx, prefix)
 		cancel()
 		if err != nil {
 			fail(err)
 			continue
 		}
 		backoff.Reset()
+		if restored := at.Era != 0 && listedAt.Era != at.Era; restored && lostAt.IsZero() {
+			lostAt = time.Now()
+			handler.StoreLost(ErrRestored)
+		}
+		at = listedAt
 		if !lostAt.IsZero() {
 			handler.StoreRegained(time.Since(lostAt))
 			lostAt = time.Time{}
 		}
-		handler.Reset(kvs, revision)
+		handler.Reset(kvs, at)
 		for ctx.Err() == nil {
-			events, next, err := feed.Changes(ctx, prefix, revision, changesWait)
+			events, next, err := feed.Changes(ctx, prefix, at, changesWait)
 			if err != nil {
-				if !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrWatchStale) {
+				if !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrWatchStale) && !errors.Is(err, ErrRestored) {
 					fail(err)
 				}
 				break
@@ -105,7 +141,7 @@
 			for _, e := range events {
 				handler.Apply(e)
 			}
-			revision = max(revision, next)
+			at = Later(at, next)
 			if len(events) > 0 {
 				pause.For(ctx, settle)
 			}
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -46,7 +46,9 @@
 // configuration and the availability zones that are taken out of service. Entries that
 // cannot reach the store read it from other entries.
 type OperatorState struct {
-	// Revision is the store's revision of the newest write in the state.
+	// Era and Revision are the position in the store's history of the newest write in
+	// the state, as in package store.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Config is the configuration exactly as the operator wrote it.
 	Config []byte `json:"config"`
