node: hold back what a restored store contradicts

After the store came back from a copy, what the copy held counted at once: an endpoint that drained or had left got requests again, a zone whose evacuation was in the lost span was used again, one whose return was lost was taken out again, and the directory named an entry that had stopped, until its owner wrote again or its lease ended.

Cause: a listing was always taken to be newer than what is known. After a restore it may be older. In the first listings of a new era, changes that contradict what the entry knows are held back: for 1.9 s those of zones, and until records without an owner have expired those of endpoints that drain, have left or were started again, and of entries that have stopped. A change that the watch delivers takes effect at once, since it is newer than the copy; what is held back and not written again counts in the end. States of other entries are treated alike.

The interval of heartbeats is a setting now (bounds.heartbeat_ms), since it bounds how long the record of an endpoint that left stays.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -184,15 +184,16 @@
 	return changed
 }
 
-// Remove removes an endpoint and reports whether it was known.
-func (f *Fleet) Remove(id string) bool {
+// Remove removes an endpoint and returns its record. known is false if there was none.
+func (f *Fleet) Remove(id string) (r Record, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ep := f.byID[id]
-	if ep != nil {
-		f.remove(ep)
+	if ep == nil {
+		return Record{}, false
 	}
-	return ep != nil
+	f.remove(ep)
+	return ep.Record, true
 }
 
 func (f *Fleet) remove(ep *Endpoint) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -124,8 +124,8 @@
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
 		RetryWindow: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
 	})
-	e.operator = &operatorFollower{handler: e.handler, fleet: e.fleet, bounds: s.Bounds, log: log.WithName("operator")}
-	e.endpoints = newEndpointFollower(e.fleet, e.health, log.WithName("endpoints"))
+	e.operator = &operatorFollower{handler: e.handler, fleet: e.fleet, bounds: s.Bounds, outdated: outdatedKeys{window: reregisterGrace}, log: log.WithName("operator")}
+	e.endpoints = newEndpointFollower(e.fleet, s.Bounds.Heartbeat(), e.health, log.WithName("endpoints"))
 	e.peers = newEntryFollower(e.fleet, platform.PrefixEntries+s.ID, e.health, log.WithName("entries"))
 	e.metrics.NewGauge("wasabinotch_requests_active", func() float64 { return float64(e.handler.Active()) })
 	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.fleet.Entries()) })
@@ -385,7 +385,7 @@
 		if err := json.Unmarshal(body, &state); err != nil {
 			return err
 		}
-		e.operator.adopt(state, "entry "+addr)
+		e.operator.adoptState(state, "entry "+addr)
 	} else if resp.Status != http.StatusNoContent {
 		return fmt.Errorf("peer responded with status %d; it may run another version", resp.Status)
 	}
@@ -411,12 +411,24 @@
 		}
 		e.endpoints.removals.removePending()
 		e.peers.removals.removePending()
+		e.applyHeldBack()
 		if round%roundsPerSweep == 0 {
 			e.client.CloseExpired()
 		}
 	}
 }
 
+// applyHeldBack does what was held back after a restore of the store, unless the store
+// fails: then the next listing decides.
+func (e *Entry) applyHeldBack() {
+	if e.health.failedWithin(0) {
+		return
+	}
+	e.operator.outdated.applyDue()
+	e.endpoints.outdated.applyDue()
+	e.peers.outdated.applyDue()
+}
+
 // agentAddr returns the address of the agent beside the endpoint at the given
 // address.
 func agentAddr(endpoint string, peerPort int) (netip.AddrPort, error) {
--- a/node/follow.go
+++ b/node/follow.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -63,13 +64,13 @@
 	}
 }
 
-// applyListing applies each key of a listing to a follower and reports the known
-// keys that the listing lacks as deleted.
-func applyListing(f prefixFollower, kvs []store.KeyValue, at store.Position, known []string, removals *deferredRemovals) {
+// applyListing applies the keys of a listing, and reports the known keys that the listing
+// lacks as deleted.
+func applyListing(kvs []store.KeyValue, known []string, removals *deferredRemovals, apply func(store.KeyValue)) {
 	listed := make(map[string]bool, len(kvs))
 	for _, kv := range kvs {
 		listed[kv.Key] = true
-		f.Apply(store.Event{KeyValue: kv, Era: at.Era})
+		apply(kv)
 	}
 	for _, key := range known {
 		if !listed[key] {
@@ -85,6 +86,10 @@
 	fleet   *fleet.Fleet
 	bounds  settings.Bounds
 	log     logr.Logger
+	// outdated and returned, by zone, keep a restore of the store from changing the zones
+	// that are out of service before the operator has written again.
+	outdated outdatedKeys
+	returned removedKeys
 
 	mu    sync.Mutex
 	state wire.OperatorState
@@ -100,12 +105,61 @@
 			next.Config = kv.Value
 		}
 	}
-	o.adopt(next, "listing")
+	o.adoptState(next, "listing")
+}
+
+// adoptState adopts a state that was not delivered change by change: a listing, or that
+// of another entry.
+func (o *operatorFollower) adoptState(next wire.OperatorState, source string) {
+	if o.outdated.listed(position(next)) {
+		next.ZonesOut = o.holdBackZones(next.ZonesOut)
+	}
+	o.adopt(next, source)
+}
+
+// holdBackZones returns the zones out of service according to a state that may be
+// outdated, without the changes that contradict what is known. These are held back.
+func (o *operatorFollower) holdBackZones(zones []string) []string {
+	known := o.snapshot().ZonesOut
+	var out []string
+	for _, zone := range zones {
+		if !slices.Contains(known, zone) && o.returned.has(zone, 0) {
+			o.outdated.holdBack(zone, func() { o.setZone(zone, true) })
+			continue
+		}
+		out = append(out, zone)
+	}
+	for _, zone := range known {
+		if !slices.Contains(zones, zone) {
+			o.outdated.holdBack(zone, func() { o.setZone(zone, false) })
+			out = append(out, zone)
+		}
+	}
+	return out
+}
+
+// setZone takes a zone out of service or returns it, as the restored store says.
+func (o *operatorFollower) setZone(zone string, outOfService bool) {
+	next := o.snapshot()
+	next.ZonesOut = changeZone(next.ZonesOut, zone, outOfService)
+	o.adopt(next, "restored store")
+}
+
+// changeZone returns the zones with or without a zone.
+func changeZone(zones []string, zone string, outOfService bool) []string {
+	zones = slices.DeleteFunc(slices.Clone(zones), func(z string) bool { return z == zone })
+	if outOfService {
+		zones = append(zones, zone)
+	}
+	return zones
 }
 
 // Apply implements prefixFollower. A change that the state of another entry already
 // included is ignored.
 func (o *operatorFollower) Apply(e store.Event) {
+	if zone, ok := platform.ZoneOutOfService(e.Key); ok {
+		o.outdated.changed(zone)
+	}
 	next := o.snapshot()
 	if known := position(next); e.Position().Before(known) {
 		o.log.Info("Change ignored; a newer state is known.", "key", e.Key, "era", e.Era, "revision", e.Revision, "known_era", known.Era, "known_revision", known.Revision)
@@ -113,10 +167,7 @@
 	}
 	next.Era, next.Revision = e.Era, e.Revision
 	if zone, ok := platform.ZoneOutOfService(e.Key); ok {
-		next.ZonesOut = slices.DeleteFunc(slices.Clone(next.ZonesOut), func(z string) bool { return z == zone })
-		if !e.Deleted {
-			next.ZonesOut = append(next.ZonesOut, zone)
-		}
+		next.ZonesOut = changeZone(next.ZonesOut, zone, !e.Deleted)
 	} else if platform.IsConfig(e.Key) && !e.Deleted {
 		next.Config = e.Value
 	}
@@ -158,6 +209,7 @@
 	for _, zone := range o.state.ZonesOut {
 		if !slices.Contains(next.ZonesOut, zone) {
 			o.fleet.SetZoneOutOfService(zone, false)
+			o.returned.add(zone, 0)
 			o.log.Info("Zone returned to service.", "zone", zone, "era", next.Era, "revision", next.Revision, "source", source)
 		}
 	}
@@ -202,46 +254,78 @@
 type endpointFollower struct {
 	fleet    *fleet.Fleet
 	removals *deferredRemovals
+	// outdated and departed, by store key, keep a restore of the store from bringing back
+	// endpoints that drain or have left.
+	outdated outdatedKeys
+	departed removedKeys
 	log      logr.Logger
 }
 
-func newEndpointFollower(f *fleet.Fleet, health *storeHealth, log logr.Logger) *endpointFollower {
-	e := &endpointFollower{fleet: f, log: log}
+func newEndpointFollower(f *fleet.Fleet, heartbeat time.Duration, health *storeHealth, log logr.Logger) *endpointFollower {
+	e := &endpointFollower{fleet: f, outdated: outdatedKeys{window: heartbeatsToExpiry*heartbeat + restoreSlack}, log: log}
 	e.removals = newDeferredRemovals(health, e.remove)
 	return e
 }
 
 func (e *endpointFollower) remove(key string) {
-	if id := platform.EndpointID(key); e.fleet.Remove(id) {
-		e.log.Info("Endpoint is gone.", "endpoint", id)
+	if r, known := e.fleet.Remove(platform.EndpointID(key)); known {
+		e.departed.add(key, r.Incarnation)
+		e.log.Info("Endpoint is gone.", "endpoint", r.ID)
 	}
 }
 
 // Reset implements prefixFollower.
 func (e *endpointFollower) Reset(kvs []store.KeyValue, at store.Position) {
-	var known []string
+	records := make(map[string]fleet.Record)
 	for _, r := range e.fleet.Records() {
-		known = append(known, platform.PrefixEndpoints+r.ID)
+		records[platform.PrefixEndpoints+r.ID] = r
+	}
+	outdated := e.outdated.listed(at)
+	applyListing(kvs, slices.Collect(maps.Keys(records)), e.removals, func(kv store.KeyValue) {
+		if known, ok := records[kv.Key]; outdated && e.contradicts(kv, known, ok) {
+			e.log.Info("Record held back; it may be from before the store was restored.", "key", kv.Key, "era", at.Era, "revision", kv.Revision)
+			e.outdated.holdBack(kv.Key, func() { e.write(kv) })
+			return
+		}
+		e.write(kv)
+	})
+}
+
+// contradicts reports whether a listed record contradicts newer knowledge of its
+// endpoint: it drains, has left or was started again. known is its record if ok is set.
+func (e *endpointFollower) contradicts(kv store.KeyValue, known fleet.Record, ok bool) bool {
+	r, err := platform.DecodeEndpoint(kv.Key, kv.Value)
+	if err != nil {
+		return false
+	}
+	if !ok {
+		return e.departed.has(kv.Key, r.Incarnation)
 	}
-	applyListing(e, kvs, at, known, e.removals)
+	return r.Incarnation < known.Incarnation || r.Incarnation == known.Incarnation && known.Draining && !r.Draining
 }
 
 // Apply implements prefixFollower.
 func (e *endpointFollower) Apply(ev store.Event) {
+	e.outdated.changed(ev.Key)
 	if ev.Deleted {
 		e.removals.keyDeleted(ev.Key)
 		return
 	}
-	e.removals.keyWritten(ev.Key)
-	r, err := platform.DecodeEndpoint(ev.Key, ev.Value)
+	e.write(ev.KeyValue)
+}
+
+// write applies an endpoint's record.
+func (e *endpointFollower) write(kv store.KeyValue) {
+	e.removals.keyWritten(kv.Key)
+	r, err := platform.DecodeEndpoint(kv.Key, kv.Value)
 	if err != nil {
-		e.log.Info("Record ignored.", "key", ev.Key, "cause", err.Error())
-		e.remove(ev.Key)
+		e.log.Info("Record ignored.", "key", kv.Key, "cause", err.Error())
+		e.remove(kv.Key)
 		return
 	}
 	if e.fleet.Update(r) {
 		e.log.Info("Endpoint changed.", "endpoint", r.ID, "service", r.Service, "address", r.Address, "zone", r.Zone,
-			"draining", r.Draining, "cold_ms", r.ColdFor.Milliseconds(), "revision", ev.Revision)
+			"draining", r.Draining, "cold_ms", r.ColdFor.Milliseconds(), "revision", kv.Revision)
 	}
 }
 
@@ -258,6 +342,10 @@
 	// self is the store key of this entry.
 	self     string
 	removals *deferredRemovals
+	// outdated and departed, by store key, keep a restore of the store from bringing back
+	// entries that have stopped.
+	outdated outdatedKeys
+	departed removedKeys
 	log      logr.Logger
 
 	mu sync.Mutex
@@ -266,7 +354,7 @@
 }
 
 func newEntryFollower(f *fleet.Fleet, self string, health *storeHealth, log logr.Logger) *entryFollower {
-	e := &entryFollower{fleet: f, self: self, log: log, known: make(map[string]entryRecord)}
+	e := &entryFollower{fleet: f, self: self, outdated: outdatedKeys{window: entryLeaseTTL + restoreSlack}, log: log, known: make(map[string]entryRecord)}
 	e.removals = newDeferredRemovals(health, e.remove)
 	return e
 }
@@ -276,6 +364,7 @@
 	defer e.mu.Unlock()
 	if _, ok := e.known[key]; ok {
 		delete(e.known, key)
+		e.departed.add(key, 0)
 		e.log.Info("Entry removed.", "entry", key)
 	}
 	e.updateFleet()
@@ -283,26 +372,41 @@
 
 // Reset implements prefixFollower.
 func (e *entryFollower) Reset(kvs []store.KeyValue, at store.Position) {
-	applyListing(e, kvs, at, slices.Collect(maps.Keys(e.all())), e.removals)
+	known := e.all()
+	outdated := e.outdated.listed(at)
+	applyListing(kvs, slices.Collect(maps.Keys(known)), e.removals, func(kv store.KeyValue) {
+		if _, ok := known[kv.Key]; outdated && !ok && e.departed.has(kv.Key, 0) {
+			e.log.Info("Record held back; it may be from before the store was restored.", "key", kv.Key, "era", at.Era, "revision", kv.Revision)
+			e.outdated.holdBack(kv.Key, func() { e.write(kv) })
+			return
+		}
+		e.write(kv)
+	})
 }
 
 // Apply implements prefixFollower.
 func (e *entryFollower) Apply(ev store.Event) {
+	e.outdated.changed(ev.Key)
 	if ev.Deleted {
 		e.removals.keyDeleted(ev.Key)
 		return
 	}
-	e.removals.keyWritten(ev.Key)
+	e.write(ev.KeyValue)
+}
+
+// write applies an entry's record.
+func (e *entryFollower) write(kv store.KeyValue) {
+	e.removals.keyWritten(kv.Key)
 	var r entryRecord
-	if err := json.Unmarshal(ev.Value, &r); err != nil {
-		e.log.Error(err, "Entry record ignored.", "key", ev.Key)
+	if err := json.Unmarshal(kv.Value, &r); err != nil {
+		e.log.Error(err, "Entry record ignored.", "key", kv.Key)
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if old, ok := e.known[ev.Key]; !ok || old != r {
-		e.known[ev.Key] = r
-		e.log.Info("Entry added or changed.", "entry", ev.Key, "callers", r.Callers)
+	if old, ok := e.known[kv.Key]; !ok || old != r {
+		e.known[kv.Key] = r
+		e.log.Info("Entry added or changed.", "entry", kv.Key, "callers", r.Callers)
 	}
 	e.updateFleet()
 }
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -126,6 +126,24 @@
 	}
 }
 
+// Guards against a zone that is taken out of service again because the store lost the end of its evacuation.
+func TestRestoreTakesNoZoneOutAgain(t *testing.T) {
+	sim, _ := storeWithEndpoint(t)
+	a := servingEntry(t, "a", sim)
+	sim.Put("op/evacuate/z1", []byte("{}"))
+	eventually(t, "the zone gets no requests", func() bool { return a.sendOrder(t, "k1") == http.StatusServiceUnavailable })
+	c := sim.Copy()
+	sim.Remove("op/evacuate/z1")
+	eventually(t, "the zone gets requests again", func() bool { return a.sendOrder(t, "k1") == http.StatusOK })
+	sim.Restore(c, nil)
+	for end := time.Now().Add(rewriteTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if status := a.sendOrder(t, "k1"); status != http.StatusOK {
+			t.Fatalf("status %d before the operator had written again", status)
+		}
+	}
+	eventually(t, "the zone is out of service as the store says", func() bool { return a.sendOrder(t, "k1") == http.StatusServiceUnavailable })
+}
+
 // rewriteTime is the time within which, after a restore, the users' operator and
 // endpoints write again what was lost.
 const rewriteTime = 1800 * time.Millisecond
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 )
 
 // PlatformNode holds the settings common to entries and agents that run on the
@@ -57,6 +58,21 @@
 	// DirectoryTTLS is the longest time that callers may cache a directory
 	// response, in seconds.
 	DirectoryTTLS float64 `json:"directory_ttl_s"`
+	// HeartbeatMS is the interval in milliseconds at which endpoints write their
+	// records. Default 0: DefaultHeartbeat.
+	HeartbeatMS float64 `json:"heartbeat_ms"`
+}
+
+// DefaultHeartbeat is the interval at which endpoints write their records on the users'
+// platform, as its pages state.
+const DefaultHeartbeat = 1200 * time.Millisecond
+
+// Heartbeat returns the interval at which endpoints write their records.
+func (b *Bounds) Heartbeat() time.Duration {
+	if b.HeartbeatMS <= 0 {
+		return DefaultHeartbeat
+	}
+	return time.Duration(b.HeartbeatMS * float64(time.Millisecond))
 }
 
 // Validate checks the settings common to entries and agents. The error is an *Error.
