store, node: a lease of a former era is not renewed

An entry that the directory named was unknown to the other entries after the store had been restored: its lease was in the copy, or its ID had been given to another lease, so that renewals succeeded, while its record was lost for good. Callers lost an entry, and the others counted one too few where they share limits.

Cause: a lease was known by its ID alone, and a renewal that succeeds was taken as proof that the record exists. A lease carries the era in which it was granted now; a renewal that is answered in another era counts as the end of the lease, so that the entry writes its record again with a new one, within the interval of renewals. Holds of prompt parts were right already: listings tell which ones the store lacks, and these are written again.

--- a/node/register.go
+++ b/node/register.go
@@ -32,8 +32,8 @@
 	key            string
 	value          []byte
 	log            logr.Logger
-	// lease is the ID of the current lease, 0 for none.
-	lease uint64
+	// lease is the current lease, the zero value for none.
+	lease store.Lease
 }
 
 // run keeps the record registered until ctx ends, then revokes the lease.
@@ -61,13 +61,13 @@
 // renewOrRegister renews the lease. If there is none or it has expired, it
 // writes the record with a new one.
 func (r *registration) renewOrRegister(ctx context.Context) error {
-	if r.lease != 0 {
+	if r.lease != (store.Lease{}) {
 		err := r.leaser.Renew(ctx, r.lease)
 		if !errors.Is(err, store.ErrNoLease) {
 			return err
 		}
-		r.log.Info("Lease lost; registering again.", "lease", r.lease)
-		r.lease = 0
+		r.log.Info("Lease lost; registering again.", "lease", r.lease.ID, "era", r.lease.Era)
+		r.lease = store.Lease{}
 	}
 	lease, err := r.leaser.Grant(ctx, entryLeaseTTL)
 	if err != nil {
@@ -77,13 +77,13 @@
 		return err
 	}
 	r.lease = lease
-	r.log.Info("Registered.", "key", r.key, "lease", lease)
+	r.log.Info("Registered.", "key", r.key, "lease", lease.ID, "era", lease.Era)
 	return nil
 }
 
 // revokeLease revokes the lease, whereupon the store deletes the record.
 func (r *registration) revokeLease() {
-	if r.lease == 0 {
+	if r.lease == (store.Lease{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/store/follow.go
+++ b/store/follow.go
@@ -19,7 +19,8 @@
 // ErrRestored means that the store was restored from an older copy; list the keys again.
 var ErrRestored = errors.New("store: restored: it was restored from an older copy; list the keys again")
 
-// ErrNoLease means that a lease has ended; grant a new one.
+// ErrNoLease means that a lease has ended, or can't be relied on since the store was
+// restored; grant a new one.
 var ErrNoLease = errors.New("store: no such lease: it has ended; grant a new one and write its keys again")
 
 // Position is a point in the history of a store. A store that is restored from a copy
@@ -63,14 +64,20 @@
 	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) (events []Event, at Position, err error)
 }
 
+// Lease identifies a lease. A store that is restored from a copy may grant the ID again.
+type Lease struct {
+	ID, Era uint64
+}
+
 // Leaser grants leases. The store deletes the keys of a lease when the lease ends.
 type Leaser interface {
-	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
-	// Renew returns ErrNoLease if the lease has ended.
-	Renew(ctx context.Context, lease uint64) error
-	Revoke(ctx context.Context, lease uint64) error
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+	// Renew returns ErrNoLease if the lease has ended, or if the store has begun another
+	// era since it was granted: the lease may then be another's, and its keys lost.
+	Renew(ctx context.Context, lease Lease) error
+	Revoke(ctx context.Context, lease Lease) error
 	// Put writes a key that is deleted when the lease ends.
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	Put(ctx context.Context, key string, value []byte, lease Lease) error
 }
 
 // ChangeHandler receives what Follow reads. Its methods are called one at a time.
