--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -119,8 +119,8 @@
 	e.log.mu.Lock()
 	e.log.crashes = append(e.log.crashes, time.Now())
 	e.log.mu.Unlock()
+	e.server.Stop() // the listener closes no later than the connection, as in a crash
 	go func() {
-		e.server.Stop()
 		time.Sleep(restartTime)
 		e.sim.Remove(fmt.Sprintf("servers/%s-%d", e.name, e.starts))
 		if e.server.Start() == nil {
