fleet: failing test for a burst of many idle entries to a cold endpoint

With more entries than a cold endpoint bears requests a second, each idle entry may send one at once: 80 in a second where 44 are allowed, in each run.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -410,3 +410,24 @@
 		is.Equal(countChosen(t, f), 3)
 	})
 }
+
+// Guards against many idle entries that all send at once when load returns, to an endpoint that may be cold.
+func TestIdleEntriesSendNoBurstBeyondTheColdLimit(t *testing.T) {
+	for _, entries := range []int{80, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			const burst = 44
+			fleets := make([]*Fleet, entries)
+			for i := range fleets {
+				fleets[i] = New("z1", nil)
+				fleets[i].SetEntries(entries, i)
+				fleets[i].SetLimits(service, Limits{ColdPerSecond: 26, ColdBurst: burst})
+				fleets[i].Update(record("a", "10.0.0.1:1", 1))
+			}
+			sendAll(t, fleets, 2*time.Second)
+			time.Sleep(10 * time.Minute)
+			if most := mostWithin(sendAll(t, fleets, 5*time.Second), time.Second); most > burst {
+				t.Errorf("%d entries: %d requests within a second, the limit is %d", entries, most, burst)
+			}
+		})
+	}
+}
