fleet: entries take turns at cold endpoints, too

Such entries now take turns as they do for rate limits that endpoints name: half of the limit, and a turn is lost after 0.9 s. This replaces the randomised intervals. The send times of the last second are no longer recorded where turns apply; nothing removed them there.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,7 +5,6 @@
 package fleet
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -92,13 +91,13 @@
 	backoffUntil        time.Time
 	failureRate         float64
 	failureRateAt       time.Time
-	// sentAt lists the send times of the last second's requests. nextSendAt is when the
-	// next request may be sent if this entry's share of the rate limit is below one a
-	// second.
-	sentAt     []time.Time
-	nextSendAt time.Time
-	// rateLimit is the limit that the endpoint named last, lastTurn the turn that was
-	// used last (see Fleet.nextTurn).
+	// sentAt lists the send times of the last second's requests. lastColdTurn is the turn
+	// that was used last if this entry's share of the rate that a cold endpoint sustains
+	// is below one request a second (see Fleet.nextTurn).
+	sentAt       []time.Time
+	lastColdTurn time.Time
+	// rateLimit is the limit that the endpoint named last, lastTurn the turn at it that
+	// was used last.
 	rateLimit  RateLimit
 	lastTurn   time.Time
 	turnOffset int64
@@ -418,57 +417,35 @@
 		ep.sentAt = ep.sentAt[:0]
 		return true
 	}
-	share := f.entryRate(ep, l, now)
-	if share < 1 {
-		// There are more entries than allowed requests a second: each entry sends less than
-		// one request a second, the first one at a random time within an interval.
-		if ep.nextSendAt.IsZero() {
-			ep.nextSendAt = now.Add(timeToFirstSend(share))
-		}
-		return !now.Before(ep.nextSendAt)
+	allowed := ep.coldRate(l, now)
+	if int(allowed) < f.entries {
+		return !f.nextTurn(ep, coldTurns(allowed), ep.lastColdTurn, now).After(now)
 	}
 	ep.sentAt = slices.DeleteFunc(ep.sentAt, func(t time.Time) bool { return now.Sub(t) > time.Second })
-	return len(ep.sentAt) < int(share)
+	return len(ep.sentAt) < int(allowed)/f.entries
 }
 
-// entryRate returns the requests a second that this entry may send to an endpoint.
-func (f *Fleet) entryRate(ep *Endpoint, l Limits, now time.Time) float64 {
-	allowed := l.ColdBurst
+// coldRate returns the requests a second that all entries together may send to an
+// endpoint which may be cold.
+func (ep *Endpoint) coldRate(l Limits, now time.Time) float64 {
 	if now.Before(ep.coldUntil) {
-		allowed = min(allowed, l.ColdPerSecond)
+		return min(l.ColdBurst, l.ColdPerSecond)
 	}
-	return max(allowed/float64(f.entries), minEntryRate)
-}
-
-// sendInterval returns the time between two requests at a rate below one a second.
-func sendInterval(share float64) time.Duration { return time.Duration(float64(time.Second) / share) }
-
-// timeToFirstSend draws the time until the first request such that the rate of all
-// entries together is constant from the start: the rest of an interval that contains a
-// random moment. Intervals last 1 to 3 times sendInterval, and a longer one contains the
-// moment with a probability in proportion to its length.
-func timeToFirstSend(share float64) time.Duration {
-	interval := math.Sqrt(1+8*rand.Float64()) * float64(sendInterval(share))
-	return time.Duration(rand.Float64() * interval)
+	return l.ColdBurst
 }
 
 // recordSend counts a request that is sent to an endpoint.
 func (f *Fleet) recordSend(ep *Endpoint, l Limits, now time.Time) {
 	ep.inFlight++
 	if ep.rateLimit.Named {
-		ep.lastTurn = f.nextTurn(ep, now)
+		ep.lastTurn = f.nextTurn(ep, ep.rateLimit.turns(), ep.lastTurn, now)
 	}
 	if l.ColdPerSecond <= 0 {
 		return
 	}
-	ep.sentAt = append(ep.sentAt, now)
-	if share := f.entryRate(ep, l, now); share < 1 {
-		// The random part keeps the entries from sending at the same time. The average rate
-		// is half of the limit, so that random clustering doesn't exceed the limit within
-		// one second.
-		ep.nextSendAt = now.Add(sendInterval(share) + rand.N(2*sendInterval(share))) // the distribution that timeToFirstSend assumes
+	if allowed := ep.coldRate(l, now); int(allowed) < f.entries {
+		ep.lastColdTurn = f.nextTurn(ep, coldTurns(allowed), ep.lastColdTurn, now)
+		return
 	}
+	ep.sentAt = append(ep.sentAt, now)
 }
-
-// minEntryRate bounds the longest interval between two requests, in requests a second.
-const minEntryRate = 0.01
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -12,9 +12,12 @@
 	// rateLimitUse is the fraction of a named limit that the entries use together, which
 	// leaves room for entries that don't know the limit or the number of entries yet.
 	rateLimitUse = 0.9
-	// turnLifetime is how long an entry may use a turn. An entry that saved its turns
-	// could send them all in one burst, and all entries at the same time.
+	// turnLifetime is how long an entry may use a turn at an endpoint that names a limit.
 	turnLifetime = 1500 * time.Millisecond
+	// coldTurnUse and coldTurnLifetime keep the turns that open within a second, and those
+	// that are still open from before, below the number that a cold endpoint bears.
+	coldTurnUse      = 0.5
+	coldTurnLifetime = 900 * time.Millisecond
 	// minTurnsPerSecond is the rate of turns to an endpoint with a limit of 0, whose
 	// responses show when the limit ends.
 	minTurnsPerSecond = 0.25
@@ -66,22 +69,38 @@
 	return changed, tell
 }
 
-// turnInterval returns the time between two turns of the entries at an endpoint with
-// limit l.
-func (l RateLimit) turnInterval() time.Duration {
+// turns describes how entries take turns at an endpoint: one turn opens in each interval,
+// and its entry may use it within lifetime. An entry that saved its turns could use them
+// all in one burst, and all entries at the same time.
+type turns struct {
+	interval, lifetime time.Duration
+}
+
+// turns returns the turns at an endpoint that names the limit.
+func (l RateLimit) turns() turns {
 	perSecond := max(rateLimitUse*l.PerSecond, minTurnsPerSecond)
+	return turns{interval: intervalAt(perSecond), lifetime: turnLifetime}
+}
+
+// coldTurns returns the turns at an endpoint that bears the given number of requests
+// within one second.
+func coldTurns(perSecond float64) turns {
+	return turns{interval: intervalAt(max(coldTurnUse*perSecond, minTurnsPerSecond)), lifetime: coldTurnLifetime}
+}
+
+func intervalAt(perSecond float64) time.Duration {
 	return max(1, time.Duration(float64(time.Second)/perSecond))
 }
 
 // nextTurn returns the time from which this entry may send the next request to an
-// endpoint that names a rate limit. Entries take turns at an endpoint: turn k opens k
-// turn intervals after the Unix epoch and belongs to one entry, so that requests are
-// spread over time without any exchange. Clocks that differ only move an entry's turns.
-func (f *Fleet) nextTurn(ep *Endpoint, now time.Time) time.Time {
-	interval := int64(ep.rateLimit.turnInterval())
-	from := now.Add(-turnLifetime)
+// endpoint after the turn that it used last. Turn k opens k intervals after the Unix
+// epoch and belongs to one entry, so that requests are spread over time without any
+// exchange. Clocks that differ only move an entry's turns.
+func (f *Fleet) nextTurn(ep *Endpoint, t turns, last, now time.Time) time.Time {
+	interval := int64(t.interval)
+	from := now.Add(-t.lifetime)
 	// A clock that was set back must not delay the next turn.
-	if last := ep.lastTurn; last.After(from) && !last.After(now) {
+	if last.After(from) && !last.After(now) {
 		from = last
 	}
 	turn := from.UnixNano()/interval + 1
@@ -102,14 +121,14 @@
 // withinNamedLimit reports whether this entry may send a request to the endpoint now as
 // far as the endpoint's named limit is concerned.
 func (f *Fleet) withinNamedLimit(ep *Endpoint, now time.Time) bool {
-	return !ep.rateLimit.Named || !f.nextTurn(ep, now).After(now)
+	return !ep.rateLimit.Named || !f.nextTurn(ep, ep.rateLimit.turns(), ep.lastTurn, now).After(now)
 }
 
 // turnsBy returns the number of requests that this entry may send until the given time
 // to the endpoints that are usable for a request, if all of them name a rate limit; else
 // it returns math.MaxInt.
 func (f *Fleet) turnsBy(r *Request, now, until time.Time) int {
-	turns := 0
+	n := 0
 	for _, ep := range f.byService[r.Service] {
 		if !f.usable(ep, r.Exclude, now) {
 			continue
@@ -117,11 +136,12 @@
 		if !ep.rateLimit.Named {
 			return math.MaxInt
 		}
-		if ahead := until.Sub(f.nextTurn(ep, now)); ahead >= 0 {
-			turns += 1 + int(ahead/(ep.rateLimit.turnInterval()*time.Duration(f.entries)))
+		t := ep.rateLimit.turns()
+		if ahead := until.Sub(f.nextTurn(ep, t, ep.lastTurn, now)); ahead >= 0 {
+			n += 1 + int(ahead/(t.interval*time.Duration(f.entries)))
 		}
 	}
-	return turns
+	return n
 }
 
 // usable reports whether an endpoint may get requests when it has capacity.
