node: a second listing after a restore replaces what the first one held back

Found by reading: if the watch broke after the first listing of a restored store and the second listing showed that the operator had written an evacuation again, the return of the zone that the first one had held back still took effect, and callers would be sent to the zone. Listings now discard what earlier ones held back, and a state of another entry that is older than the one in force holds nothing back. TestSecondListingAfterRestoreReplacesTheFirst fails without the change.

What the followers of endpoints and of entries had twice is now in recordTracker.

--- a/node/agent.go
+++ b/node/agent.go
@@ -139,7 +139,7 @@
 	var last wire.LoadReport
 	var monitor stepMonitor
 	var lastPublished time.Time
-	rateLimit := ""
+	rateLimit := "" // as in wire.LoadReport
 	lost := false
 	for {
 		select {
--- a/node/entry.go
+++ b/node/entry.go
@@ -118,7 +118,8 @@
 	e.holds = newHoldSharer(e.store, e.client, e.otherEntries, e.log.WithName("quarantine"))
 	e.limits = newLimitSharer(e.fleet, e.otherEntries, e.metrics, log.WithName("endpoints"))
 	e.handler = forward.New(forward.Config{
-		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.limits.tell, SharedParts: platform.SharedParts,
+		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts,
+		ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.limits.tell,
 		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client,
 		Log: logs.Limit(log.WithName("forward"), requestLinesPerSecond, requestLineBurst), Stats: forward.NewStats(e.metrics),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
--- a/node/follow.go
+++ b/node/follow.go
@@ -64,21 +64,6 @@
 	}
 }
 
-// applyListing applies the keys of a listing, and reports the known keys that the listing
-// lacks as deleted.
-func applyListing(kvs []store.KeyValue, known []string, removals *deferredRemovals, apply func(store.KeyValue)) {
-	listed := make(map[string]bool, len(kvs))
-	for _, kv := range kvs {
-		listed[kv.Key] = true
-		apply(kv)
-	}
-	for _, key := range known {
-		if !listed[key] {
-			removals.keyDeleted(key)
-		}
-	}
-}
-
 // operatorFollower applies what the operator writes: the configuration and the
 // availability zones that are out of service.
 type operatorFollower struct {
@@ -111,7 +96,7 @@
 // adoptState adopts a state that was not delivered change by change: a listing, or that
 // of another entry.
 func (o *operatorFollower) adoptState(next wire.OperatorState, source string) {
-	if o.outdated.listed(position(next)) {
+	if !position(next).Before(position(o.snapshot())) && o.outdated.listed(position(next)) {
 		next.ZonesOut = o.holdBackZones(next.ZonesOut)
 	}
 	o.adopt(next, source)
@@ -252,18 +237,13 @@
 
 // endpointFollower updates the fleet from the endpoints' records.
 type endpointFollower struct {
-	fleet    *fleet.Fleet
-	removals *deferredRemovals
-	// outdated and departed, by store key, keep a restore of the store from bringing back
-	// endpoints that drain or have left.
-	outdated outdatedKeys
-	departed removedKeys
-	log      logr.Logger
+	recordTracker
+	fleet *fleet.Fleet
 }
 
 func newEndpointFollower(f *fleet.Fleet, heartbeat time.Duration, health *storeHealth, log logr.Logger) *endpointFollower {
-	e := &endpointFollower{fleet: f, outdated: outdatedKeys{window: heartbeatsToExpiry*heartbeat + restoreSlack}, log: log}
-	e.removals = newDeferredRemovals(health, e.remove)
+	e := &endpointFollower{fleet: f}
+	e.recordTracker = newRecordTracker(health, heartbeatsToExpiry*heartbeat, e.write, e.remove, log)
 	return e
 }
 
@@ -280,14 +260,9 @@
 	for _, r := range e.fleet.Records() {
 		records[platform.PrefixEndpoints+r.ID] = r
 	}
-	outdated := e.outdated.listed(at)
-	applyListing(kvs, slices.Collect(maps.Keys(records)), e.removals, func(kv store.KeyValue) {
-		if known, ok := records[kv.Key]; outdated && e.contradicts(kv, known, ok) {
-			e.log.Info("Record held back; it may be from before the store was restored.", "key", kv.Key, "era", at.Era, "revision", kv.Revision)
-			e.outdated.holdBack(kv.Key, func() { e.write(kv) })
-			return
-		}
-		e.write(kv)
+	e.applyListing(kvs, at, slices.Collect(maps.Keys(records)), func(kv store.KeyValue) bool {
+		known, ok := records[kv.Key]
+		return e.contradicts(kv, known, ok)
 	})
 }
 
@@ -304,19 +279,8 @@
 	return r.Incarnation < known.Incarnation || r.Incarnation == known.Incarnation && known.Draining && !r.Draining
 }
 
-// Apply implements prefixFollower.
-func (e *endpointFollower) Apply(ev store.Event) {
-	e.outdated.changed(ev.Key)
-	if ev.Deleted {
-		e.removals.keyDeleted(ev.Key)
-		return
-	}
-	e.write(ev.KeyValue)
-}
-
 // write applies an endpoint's record.
 func (e *endpointFollower) write(kv store.KeyValue) {
-	e.removals.keyWritten(kv.Key)
 	r, err := platform.DecodeEndpoint(kv.Key, kv.Value)
 	if err != nil {
 		e.log.Info("Record ignored.", "key", kv.Key, "cause", err.Error())
@@ -338,15 +302,10 @@
 
 // entryFollower keeps the records of the running entries.
 type entryFollower struct {
+	recordTracker
 	fleet *fleet.Fleet
 	// self is the store key of this entry.
-	self     string
-	removals *deferredRemovals
-	// outdated and departed, by store key, keep a restore of the store from bringing back
-	// entries that have stopped.
-	outdated outdatedKeys
-	departed removedKeys
-	log      logr.Logger
+	self string
 
 	mu sync.Mutex
 	// known holds the records by store key.
@@ -354,8 +313,8 @@
 }
 
 func newEntryFollower(f *fleet.Fleet, self string, health *storeHealth, log logr.Logger) *entryFollower {
-	e := &entryFollower{fleet: f, self: self, outdated: outdatedKeys{window: entryLeaseTTL + restoreSlack}, log: log, known: make(map[string]entryRecord)}
-	e.removals = newDeferredRemovals(health, e.remove)
+	e := &entryFollower{fleet: f, self: self, known: make(map[string]entryRecord)}
+	e.recordTracker = newRecordTracker(health, entryLeaseTTL, e.write, e.remove, log)
 	return e
 }
 
@@ -373,30 +332,14 @@
 // Reset implements prefixFollower.
 func (e *entryFollower) Reset(kvs []store.KeyValue, at store.Position) {
 	known := e.all()
-	outdated := e.outdated.listed(at)
-	applyListing(kvs, slices.Collect(maps.Keys(known)), e.removals, func(kv store.KeyValue) {
-		if _, ok := known[kv.Key]; outdated && !ok && e.departed.has(kv.Key, 0) {
-			e.log.Info("Record held back; it may be from before the store was restored.", "key", kv.Key, "era", at.Era, "revision", kv.Revision)
-			e.outdated.holdBack(kv.Key, func() { e.write(kv) })
-			return
-		}
-		e.write(kv)
+	e.applyListing(kvs, at, slices.Collect(maps.Keys(known)), func(kv store.KeyValue) bool {
+		_, ok := known[kv.Key]
+		return !ok && e.departed.has(kv.Key, 0)
 	})
 }
 
-// Apply implements prefixFollower.
-func (e *entryFollower) Apply(ev store.Event) {
-	e.outdated.changed(ev.Key)
-	if ev.Deleted {
-		e.removals.keyDeleted(ev.Key)
-		return
-	}
-	e.write(ev.KeyValue)
-}
-
 // write applies an entry's record.
 func (e *entryFollower) write(kv store.KeyValue) {
-	e.removals.keyWritten(kv.Key)
 	var r entryRecord
 	if err := json.Unmarshal(kv.Value, &r); err != nil {
 		e.log.Error(err, "Entry record ignored.", "key", kv.Key)
--- a/node/restore.go
+++ b/node/restore.go
@@ -38,10 +38,11 @@
 }
 
 // listed records a listing, or a state of another entry, as of a position, and reports
-// whether it may be outdated.
+// whether it may be outdated. What earlier ones held back is discarded.
 func (o *outdatedKeys) listed(at store.Position) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	clear(o.pending)
 	if at.Era > o.era {
 		if o.era != 0 {
 			o.until = time.Now().Add(o.window)
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -126,6 +127,23 @@
 	}
 }
 
+// Guards against a zone that returns to service although a second listing shows that its evacuation was written again.
+func TestSecondListingAfterRestoreReplacesTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleet.New("z1", nil)
+		o := &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, outdated: outdatedKeys{window: reregisterGrace}, log: logr.Discard()}
+		evacuated := []store.KeyValue{{Key: "op/evacuate/z1"}}
+		o.Reset(evacuated, store.Position{Era: 1, Revision: 90})
+		o.Reset(nil, store.Position{Era: 2, Revision: 60})
+		is.Equal(o.snapshot().ZonesOut, []string{"z1"}) // held back
+		o.Reset(evacuated, store.Position{Era: 2, Revision: 62})
+		time.Sleep(reregisterGrace)
+		o.outdated.applyDue()
+		is.Equal(o.snapshot().ZonesOut, []string{"z1"})
+	})
+}
+
 // Guards against a zone that is taken out of service again because the store lost the end of its evacuation.
 func TestRestoreTakesNoZoneOutAgain(t *testing.T) {
 	sim, _ := storeWithEndpoint(t)
