--- a/lab/platformsim/endpoint.go
+++ b/lab/platformsim/endpoint.go
@@ -62,6 +62,8 @@
 	draining    bool
 	crashed     bool
 	faults      Faults
+	// rateLimit is the rate limit that the endpoint names in its responses, empty for none.
+	rateLimit string
 	// group and rank are set if the endpoint is a rank of a group.
 	group *Group
 	rank  int
@@ -105,7 +107,7 @@
 	e.id = fmt.Sprintf("%s-%d", e.cfg.ID, e.startCount)
 	e.incarnation = time.Now().UnixMicro()
 	e.coldEnds = time.Now().Add(e.cfg.ColdTime)
-	e.crashed, e.draining = false, false
+	e.crashed, e.draining, e.rateLimit = false, false, ""
 	e.putRecord()
 }
 
@@ -137,6 +139,21 @@
 	e.faults = f
 }
 
+// SetRateLimit makes the endpoint name a rate limit, in requests a second, in its responses
+// until it restarts; it names none if the value is empty. It doesn't keep to it itself.
+func (e *Endpoint) SetRateLimit(value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rateLimit = value
+}
+
+// nameRateLimit sets the header that names the rate limit. The caller holds mu.
+func (e *Endpoint) nameRateLimit(w http.ResponseWriter) {
+	if e.rateLimit != "" {
+		w.Header().Set("Server-Limit", e.rateLimit)
+	}
+}
+
 // Drain writes the state "draining" to the endpoint's record. The endpoint keeps
 // serving requests.
 func (e *Endpoint) Drain() {
@@ -246,6 +263,7 @@
 	w.Header().Set("Request-Id", request)
 	w.Header().Set("Response-Signature", "signed by "+e.id)
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d", e.running, e.waiting, e.cfg.Slots))
+	e.nameRateLimit(w)
 }
 
 // handleRequest runs a request and sends a response that is not a stream.
--- a/lab/platformsim/platformsim.go
+++ b/lab/platformsim/platformsim.go
@@ -4,6 +4,7 @@
 package platformsim
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -201,6 +202,29 @@
 	s.notifyWatchers()
 }
 
+// RestoreRewritten is Restore after which the keys below the given prefixes are as they
+// were before: their owners write at once what the copy lacks.
+func (s *Store) RestoreRewritten(c *Copy, prefixes ...string) {
+	owned := func(key string) bool {
+		return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(key, p) })
+	}
+	s.mu.Lock()
+	before := maps.Clone(s.items)
+	s.mu.Unlock()
+	s.Restore(c, func(put func(key string, value []byte)) {
+		for key, i := range before {
+			if restored, ok := s.items[key]; owned(key) && (!ok || !bytes.Equal(restored.Value, i.Value)) {
+				put(key, i.Value)
+			}
+		}
+		for key := range maps.Clone(s.items) {
+			if _, ok := before[key]; owned(key) && !ok {
+				s.remove(key)
+			}
+		}
+	})
+}
+
 func (s *Store) put(i item) {
 	s.revision++
 	i.Revision = s.revision
--- a/proof/soak_checks_test.go
+++ b/proof/soak_checks_test.go
@@ -50,7 +50,7 @@
 		o.requestByID[a.id] = a
 	}
 	out := []*checkResult{o.responseDefects(), o.ordersRunOnce(), o.refusedOrdersNotRun(), o.oneMapPerStep(), o.zonesOut(), o.keysEnforced(),
-		o.drainingEndpoints(), o.coldEndpoints(), o.retries(), o.gracefulStops(), o.timeouts(), o.onlySentRequestsArrive()}
+		o.drainingEndpoints(), o.coldEndpoints(), o.rateLimitsKept(), o.retries(), o.gracefulStops(), o.timeouts(), o.onlySentRequestsArrive()}
 	recovery := &checkResult{guarantee: "callers are served after the faults", caseCount: 1}
 	if recovered < 0 {
 		recovery.addViolation("", "not within %v", soakRecoveryBound)
@@ -234,6 +234,38 @@
 	return r
 }
 
+const (
+	// soakLimitSettleTime is the time from an endpoint's naming a rate limit until it is
+	// enforced. From then on, at most soakLimitFactor times the limit plus
+	// soakLimitSlack requests may reach the endpoint within any soakLimitWindow.
+	soakLimitSettleTime = 3 * time.Second
+	soakLimitWindow     = 4 * time.Second
+	soakLimitFactor     = 1.5
+	soakLimitSlack      = 5
+)
+
+// rateLimitsKept checks that the entries that are stable send no more requests to an
+// endpoint than the rate limit that it names allows.
+func (o *observations) rateLimitsKept() *checkResult {
+	r := &checkResult{guarantee: "named rate limit not exceeded"}
+	for _, l := range o.rateLimits {
+		allowed := int(soakLimitFactor*l.perSecond*soakLimitWindow.Seconds() + soakLimitSlack)
+		var recent []time.Time
+		for _, a := range o.arrivals {
+			entry := o.entryByIP(a.SourceIP)
+			if a.EndpointID != l.endpoint || a.Target != a.EndpointID || a.At.Before(l.from.Add(soakLimitSettleTime)) || a.At.After(l.to) || !o.isStable(entry, a.At) {
+				continue
+			}
+			r.caseCount++
+			recent = append(slices.DeleteFunc(recent, func(t time.Time) bool { return a.At.Sub(t) > soakLimitWindow }), a.At)
+			if len(recent) > allowed {
+				r.addViolation(a.RequestID, "%s got %d requests in %v, its limit of %v a second allows %d", a.EndpointID, len(recent), soakLimitWindow, l.perSecond, allowed)
+			}
+		}
+	}
+	return r
+}
+
 // retries checks the retry budget of each service. Every arrival of a request after
 // its first counts as a retry. For each retry, the retries in the soakRetryWindow
 // that ends with it are bounded by soakRetryRatio for each request that callers sent,
--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -51,6 +51,8 @@
 	{"reload a process", 1, true, (*chaosRunner).reloadProcess},
 	{"store down", 2, false, (*chaosRunner).takeStoreDown},
 	{"store compacts its history", 1, false, (*chaosRunner).compactStore},
+	{"store restored from a copy", 2, false, (*chaosRunner).restoreStore},
+	{"endpoint names a rate limit", 3, true, (*chaosRunner).limitEndpoint},
 	{"store slow", 1, false, (*chaosRunner).slowStore},
 	{"link from a process to the store impaired", 2, false, (*chaosRunner).impairStoreLink},
 	{"link from an entry to an endpoint impaired", 4, false, (*chaosRunner).impairEndpointLink},
@@ -266,6 +268,50 @@
 	recordEnd()
 }
 
+// restoreStore takes the store down some time after a copy of it was taken, and restores
+// it from the copy. The operator and the endpoints write again at once what it lacks.
+func (c *chaosRunner) restoreStore() {
+	copied := c.store.Copy()
+	age, d := c.randomDuration(500*time.Millisecond, 4*time.Second), c.randomDuration(100*time.Millisecond, 1500*time.Millisecond)
+	c.schedule(age, func() {
+		release, ok := c.reserve("store")
+		if !ok {
+			return
+		}
+		c.logEvent("the store is down for %v and comes back from a copy that is %v old", d, age)
+		recordEnd := c.recordDisturbance(&c.faults, "")
+		c.storeIsDown = true
+		c.store.SetDown(true)
+		c.schedule(d, func() {
+			c.store.RestoreRewritten(copied, "op/", "servers/")
+			c.store.SetDown(false)
+			c.storeIsDown = false
+			recordEnd()
+			release()
+		})
+	})
+}
+
+// limitEndpoint makes an endpoint name a rate limit for some seconds, or until it
+// restarts.
+func (c *chaosRunner) limitEndpoint() {
+	e := c.plainEndpoints[c.rng.IntN(len(c.plainEndpoints))]
+	if c.rng.IntN(2) == 0 {
+		e = c.randomEndpoint()
+	}
+	release, ok := c.reserve(fmt.Sprintf("%p", e))
+	if !ok {
+		return
+	}
+	id, perSecond, d := e.ID(), 0.5+c.rng.Float64(), c.randomDuration(4*time.Second, 8*time.Second)
+	c.logEvent("endpoint %s names a limit of %v requests a second for %v", id, perSecond, d)
+	e.SetRateLimit(fmt.Sprint(perSecond))
+	c.mu.Lock()
+	c.rateLimits = append(c.rateLimits, rateLimit{endpoint: id, perSecond: perSecond, from: time.Now(), to: time.Now().Add(d)})
+	c.mu.Unlock()
+	c.schedule(d, func() { e.SetRateLimit(""); release() })
+}
+
 func (c *chaosRunner) slowStore() {
 	release, ok := c.reserve("store")
 	if !ok {
--- a/proof/soak_system_test.go
+++ b/proof/soak_system_test.go
@@ -91,6 +91,7 @@
 	timeline        []string
 	configVersion   int
 	configs         []configChange
+	rateLimits      []rateLimit
 	zoneOuts        []zoneOut
 	drainStarts     []drainStart
 	processFailures []string
@@ -103,6 +104,13 @@
 	from, to time.Time // to is zero until the disturbance ends
 }
 
+// rateLimit is a rate limit that an endpoint named.
+type rateLimit struct {
+	endpoint  string
+	perSecond float64
+	from, to  time.Time
+}
+
 // configChange is a configuration written to the store at a time.
 type configChange struct {
 	version int
