cmd/wasabinotch-node: a SIGHUP during the start doesn't end the process

Cause: the signal was caught only after the settings had been read; until then its default is to end the process. It is caught first now; what remains is the start of Go's runtime.

--- a/cmd/wasabinotch-node/main.go
+++ b/cmd/wasabinotch-node/main.go
@@ -58,6 +58,9 @@
 }
 
 func run(args []string) int {
+	// SIGHUP may arrive while the process starts, and must not end it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var o options
 	if _, err := flags.ParseArgs(&o, args); err != nil {
 		var flagsErr *flags.Error
@@ -74,10 +77,11 @@
 	var err error
 	switch o.Args.Mode {
 	case "entry":
-		err = runEntry(ctx, &o)
+		err = runEntry(ctx, &o, hangups)
 	case "agent":
-		err = runAgent(ctx, &o)
+		err = runAgent(ctx, &o, hangups)
 	case "explain":
+		signal.Reset(syscall.SIGHUP)
 		err = runExplain(o.Args.Rest)
 	default:
 		err = &settings.Error{Field: "(command line)", Reason: fmt.Sprintf("unknown mode %q", o.Args.Mode), Remedy: "use entry, agent or explain"}
@@ -93,12 +97,10 @@
 	return 0
 }
 
-// validateOnHangup reads the settings file again on SIGHUP and logs whether it is
+// validateOnHangup reads the settings file again on each hangup and logs whether it is
 // valid. A process keeps the settings that it started with; the platform restarts
 // it when new ones are to take effect.
-func validateOnHangup(path string, newSettings func() settings.Validator, log logr.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func validateOnHangup(hangups <-chan os.Signal, path string, newSettings func() settings.Validator, log logr.Logger) {
 	go func() {
 		for range hangups {
 			if err := settings.LoadFile(path, newSettings()); err != nil {
@@ -129,32 +131,32 @@
 
 // serve runs the daemon that newDaemon returns, with its log on standard output,
 // until ctx ends.
-func serve(ctx context.Context, role, path string, memoryMB int, newSettings func() settings.Validator, newDaemon func(logr.Logger) daemon) error {
+func serve(ctx context.Context, hangups <-chan os.Signal, role, path string, memoryMB int, newSettings func() settings.Validator, newDaemon func(logr.Logger) daemon) error {
 	setMemoryLimit(memoryMB)
 	out := logs.NewOutput(os.Stdout)
 	defer out.Close()
 	log := out.Logger().WithName(role)
-	validateOnHangup(path, newSettings, log)
+	validateOnHangup(hangups, path, newSettings, log)
 	d := newDaemon(log)
 	// Log lines are dropped when the reader of standard output is too slow.
 	d.Metrics().NewGauge("wasabinotch_log_lines_lost", func() float64 { return float64(out.Dropped()) })
 	return d.Run(ctx)
 }
 
-func runEntry(ctx context.Context, o *options) error {
+func runEntry(ctx context.Context, o *options, hangups <-chan os.Signal) error {
 	var s settings.PlatformEntry
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
 	newSettings := func() settings.Validator { return &settings.PlatformEntry{} }
-	return serve(ctx, o.Args.Mode, o.Settings, s.MemoryLimitMB, newSettings, func(log logr.Logger) daemon { return node.NewEntry(s, log) })
+	return serve(ctx, hangups, o.Args.Mode, o.Settings, s.MemoryLimitMB, newSettings, func(log logr.Logger) daemon { return node.NewEntry(s, log) })
 }
 
-func runAgent(ctx context.Context, o *options) error {
+func runAgent(ctx context.Context, o *options, hangups <-chan os.Signal) error {
 	var s settings.PlatformAgent
 	if err := settings.LoadFile(o.Settings, &s); err != nil || o.Check {
 		return err
 	}
 	newSettings := func() settings.Validator { return &settings.PlatformAgent{} }
-	return serve(ctx, o.Args.Mode, o.Settings, s.MemoryLimitMB, newSettings, func(log logr.Logger) daemon { return node.NewAgent(s, log) })
+	return serve(ctx, hangups, o.Args.Mode, o.Settings, s.MemoryLimitMB, newSettings, func(log logr.Logger) daemon { return node.NewAgent(s, log) })
 }
