node: changes of the operator's state are applied one at a time

Found by reading: what is held back after a restore is applied by another goroutine than changes from the watch and states of other entries. Each derived the new state from a copy of the old one, so that two at the same moment could lose one: a zone would stay out of service, or in service, until the next change. They exclude each other now. TestHeldBackChangeAndAnotherOneBothCount fails without the lock; race detector on the tests of restores and rate limits: clean.

--- a/node/entry.go
+++ b/node/entry.go
@@ -425,7 +425,7 @@
 	if e.health.failedWithin(0) {
 		return
 	}
-	e.operator.outdated.applyDue()
+	e.operator.applyHeldBack()
 	e.endpoints.outdated.applyDue()
 	e.peers.outdated.applyDue()
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -76,8 +76,11 @@
 	outdated outdatedKeys
 	returned removedKeys
 
-	mu    sync.Mutex
-	state wire.OperatorState
+	// changes is held while a change is derived from the state and applied. It is locked
+	// before the locks of outdated and mu.
+	changes sync.Mutex
+	mu      sync.Mutex
+	state   wire.OperatorState
 }
 
 // Reset implements prefixFollower.
@@ -96,6 +99,8 @@
 // adoptState adopts a state that was not delivered change by change: a listing, or that
 // of another entry.
 func (o *operatorFollower) adoptState(next wire.OperatorState, source string) {
+	o.changes.Lock()
+	defer o.changes.Unlock()
 	if !position(next).Before(position(o.snapshot())) && o.outdated.listed(position(next)) {
 		next.ZonesOut = o.holdBackZones(next.ZonesOut)
 	}
@@ -123,7 +128,15 @@
 	return out
 }
 
-// setZone takes a zone out of service or returns it, as the restored store says.
+// applyHeldBack does what was held back once the window after a restore has ended.
+func (o *operatorFollower) applyHeldBack() {
+	o.changes.Lock()
+	defer o.changes.Unlock()
+	o.outdated.applyDue()
+}
+
+// setZone takes a zone out of service or returns it, as the restored store says. The
+// caller holds changes.
 func (o *operatorFollower) setZone(zone string, outOfService bool) {
 	next := o.snapshot()
 	next.ZonesOut = changeZone(next.ZonesOut, zone, outOfService)
@@ -142,6 +155,8 @@
 // Apply implements prefixFollower. A change that the state of another entry already
 // included is ignored.
 func (o *operatorFollower) Apply(e store.Event) {
+	o.changes.Lock()
+	defer o.changes.Unlock()
 	if zone, ok := platform.ZoneOutOfService(e.Key); ok {
 		o.outdated.changed(zone)
 	}
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,11 +140,28 @@
 		is.Equal(o.snapshot().ZonesOut, []string{"z1"}) // held back
 		o.Reset(evacuated, store.Position{Era: 2, Revision: 62})
 		time.Sleep(reregisterGrace)
-		o.outdated.applyDue()
+		o.applyHeldBack()
 		is.Equal(o.snapshot().ZonesOut, []string{"z1"})
 	})
 }
 
+// Guards against a held-back change that is lost because another change is applied at the same moment.
+func TestHeldBackChangeAndAnotherOneBothCount(t *testing.T) {
+	is := is.New(t)
+	for range 300 {
+		f := fleet.New("z1", nil)
+		o := &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, outdated: outdatedKeys{window: time.Millisecond}, log: logr.Discard()}
+		o.Reset([]store.KeyValue{{Key: "op/evacuate/z1"}}, store.Position{Era: 1, Revision: 90})
+		o.Reset(nil, store.Position{Era: 2, Revision: 60})
+		time.Sleep(time.Millisecond)
+		var other sync.WaitGroup
+		other.Go(o.applyHeldBack)
+		o.Apply(store.Event{KeyValue: store.KeyValue{Key: "op/evacuate/z2", Revision: 61}, Era: 2})
+		other.Wait()
+		is.Equal(o.snapshot().ZonesOut, []string{"z2"})
+	}
+}
+
 // Guards against a zone that is taken out of service again because the store lost the end of its evacuation.
 func TestRestoreTakesNoZoneOutAgain(t *testing.T) {
 	sim, _ := storeWithEndpoint(t)
