expertmap: a rank that restarts right after a switch gets the new map first

The group used an older map than a step before (no step had mixed maps), seen in TestOneExpertMapPerStep/rank_restarts. Cause: a restarted rank holds no map, and its agent had it load the map in use at the last poll, up to 0.25 s ago. If the group had switched since, the ranks had only the older map in common and went back to it.

An agent knows which map its rank was to load: only once all ranks hold that map can the group switch to it. A rank that restarts after it was to load a newer map now gets that one first, and the older one next, in case another rank lacks the newer. In that case the group stalls for one load more; not measured, it needs a rank that restarts while a switch is prepared.

TestRankThatRestartsAfterASwitchGetsTheNewMap failed before.

--- a/expertmap/mapcache.go
+++ b/expertmap/mapcache.go
@@ -12,6 +12,8 @@
 	fence  Fence
 	maps   []PackedMap // ascending by number
 	active uint64
+	// requested is the highest map that the rank was to load.
+	requested uint64
 }
 
 // Accept adds a recorded map. It returns false if the fence rejects the map, e.g.
@@ -44,7 +46,9 @@
 // with the lowest number, not below the one in use, that the rank does not hold.
 // There is none while the rank is loading. A restarted rank thus gets the map in
 // use first, undelayed by the load of a newer map, because the group is stalled
-// until the rank holds it.
+// until the rank holds it. If the rank was to load a newer map before it restarted, the
+// group may have switched to that one since the last poll, and the rank gets it first:
+// with the older one, the group would go back.
 func (c *MapCache) NextToLoad(st RankState) (PackedMap, bool) {
 	for _, n := range st.Held {
 		c.fence.RaiseTo(n)
@@ -54,8 +58,16 @@
 	if st.Loading != 0 {
 		return PackedMap{}, false
 	}
+	if len(st.Held) == 0 {
+		for _, m := range c.maps {
+			if m.Number == c.requested {
+				return m, true
+			}
+		}
+	}
 	for _, m := range c.maps {
 		if !slices.Contains(st.Held, m.Number) {
+			c.requested = max(c.requested, m.Number)
 			return m, true
 		}
 	}
