upstream: the test of extra responses waits until the extra one is written

Cause, shown by a run: the server of the test writes the extra response 20 ms after the first one, and the client calls again after 60 ms; on a busy machine the server is later than that, and the extra response then answers the next request, which no client of a connection can tell (callers above it compare request IDs). With 80 ms in the server the test fails in the same way.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -77,6 +77,7 @@
 // response to the next request.
 func TestExtraResponseClosesTheConnection(t *testing.T) {
 	is := is.New(t)
+	written := make(chan struct{})
 	addr := serve(t, func(c net.Conn, n int) {
 		defer c.Close()
 		for {
@@ -86,6 +87,7 @@
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"+string(rune('0'+n)))
 			time.Sleep(20 * time.Millisecond)
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX")
+			written <- struct{}{}
 		}
 	})
 	c := NewClient(time.Second)
@@ -93,7 +95,8 @@
 		_, body, err := c.Call(t.Context(), addr, getRequest, 10)
 		is.NoErr(err)
 		is.Equal(string(body), want)
-		time.Sleep(60 * time.Millisecond)
+		<-written
+		time.Sleep(20 * time.Millisecond) // until it has arrived
 	}
 }
 
