--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -75,7 +75,7 @@
 	within(t, applyBound, "the configuration is in force", func() bool { return a.sendOrder(t, "k2") == http.StatusOK })
 }
 
-// Guards against an older configuration in a restored store that entries pass on or take limits from.
+// Guards against an older configuration in a restored store that entries keep and pass on.
 func TestOlderConfigInRestoredStoreChangesNothing(t *testing.T) {
 	is := is.New(t)
 	f := fleet.New("z1", nil)
