--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -100,6 +100,21 @@
 	is.Equal(o.snapshot().ZonesOut, []string{"z1"})
 }
 
+// Guards against an entry that starts after a restore and serves by the older configuration in the copy although another entry has the newer one.
+func TestEntryStartedAfterRestoreGetsTheNewerConfig(t *testing.T) {
+	sim, _ := storeWithEndpoint(t)
+	a := servingEntry(t, "a", sim)
+	c := sim.Copy()
+	sim.Put("op/config", configWith(2, "k2"))
+	eventually(t, "the newer configuration is in force", func() bool { return a.sendOrder(t, "k2") == http.StatusOK })
+	time.Sleep(2 * settleTime)
+	sim.Restore(c, nil)
+	time.Sleep(2 * settleTime) // both entries list the keys at about the same revision
+	b := startEntry(t, "b", sim.Addr())
+	eventually(t, "the second entry serves", func() bool { return b.sendOrder(t, "k1") != 0 })
+	within(t, applyBound, "the second entry has the newer configuration", func() bool { return b.sendOrder(t, "k2") == http.StatusOK })
+}
+
 // Guards against requests to a zone whose evacuation the store lost, and to an endpoint that drains, until both are written again.
 func TestRestoreBringsNothingBackIntoService(t *testing.T) {
 	for _, c := range []struct {
