forward: a refusal counts for the request whose ID it bears only

Cause: an attempt looked for the header "not run" before it compared the response's request ID. A refusal of an earlier request, written once more while the next request was sent on a kept connection, was taken for that request's: an order that may run was refused as not run, or sent to a second endpoint. Load and rate limit were read from such a response, too.

Change: the ID is compared first; any mismatch, or a missing ID, means that the endpoint may have run the request, and the connection is closed.

--- a/forward/send.go
+++ b/forward/send.go
@@ -245,6 +245,13 @@
 	}
 	defer resp.Close()
 	names := &x.handler.cfg.Headers
+	if resp.Header.Get(names.RequestID) != x.requestID {
+		// Whatever the response says, even that a request didn't run, it says of another
+		// request: responses on the connection no longer match the requests.
+		x.cause = errOtherResponse
+		pick.EndUnusable()
+		return lost
+	}
 	if load, ok := x.handler.cfg.ParseLoad(resp.Header.Get(names.Load)); ok {
 		pick.RecordLoad(load)
 	}
@@ -262,12 +269,6 @@
 		}
 		return rejected
 	}
-	if id := resp.Header.Get(names.RequestID); id != x.requestID {
-		// The response belongs to another request: requests and responses on the
-		// connection no longer match.
-		pick.EndUnusable()
-		return lost
-	}
 	return x.deliver(ctx, pick, guard, resp)
 }
 
@@ -275,7 +276,7 @@
 // certain to be the endpoint's own shows that it names none.
 func (x *exchange) recordRateLimit(pick *fleet.Pick, resp *upstream.Response) {
 	names := &x.handler.cfg.Headers
-	if resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(names.RequestID) != x.requestID {
+	if resp.Status == http.StatusMisdirectedRequest {
 		return
 	}
 	value := resp.Header.Get(names.RateLimit)
@@ -405,6 +406,10 @@
 // attempt.
 var errRetryBudgetSpent = errors.New("the budget for repeats is spent")
 
+// errOtherResponse is the logged cause if a response bears the ID of another request, or
+// none.
+var errOtherResponse = errors.New("the endpoint's response belongs to another request")
+
 // errGroupStalled cancels an attempt at an endpoint whose rank group stalled.
 var errGroupStalled = errors.New("the endpoint's rank group stands still; another endpoint is tried")
 
--- a/forward/testentry_test.go
+++ b/forward/testentry_test.go
@@ -193,7 +193,7 @@
 var idempotentRoute = routing.Route{Kind: routing.Idempotent, MaxAttempts: 3}
 var streamingRoute = routing.Route{Kind: routing.Streaming, Resumable: true, MaxAttempts: 3}
 
-const notRunResponse = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+const notRunResponse = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 func (s *testEntry) requestCount() int {
 	n := 0
--- a/lab/platformsim/endpoint.go
+++ b/lab/platformsim/endpoint.go
@@ -205,6 +205,7 @@
 	source, _, _ := net.SplitHostPort(r.RemoteAddr) // the server sets a valid one
 	e.mu.Lock()
 	run := Run{RequestID: r.Header.Get("Request-Id"), EndpointID: e.id, Zone: e.cfg.Zone, Organisation: r.Header.Get("Tenant"), SourceIP: source, At: time.Now()}
+	w.Header().Set("Request-Id", run.RequestID)
 	target := r.Header.Get("Target-Instance")
 	e.cfg.Ledger.recordArrival(Arrival{Run: run, Service: e.cfg.Service, Cold: e.coldRemaining() > 0, Draining: e.draining, Target: target})
 	switch {
