forward: only events that continue a stream reach its caller

Cause: a stream's body was cut at blank lines, whatever it held. An endpoint that failed and wrote the head of an error response into the body of its stream, in or after an event, had it relayed; so had the next endpoint of a stream that broke off if its success was no event stream, or began again with events that the caller had. An empty body of another type, or status 204, ended the stream as if it were complete.

Change: each event is checked before it is relayed: lower-case field names, one ID, greater than the last one, one kind of line end. Anything else breaks the attempt off, and the stream is continued elsewhere or ends with an aborted connection. A continuation must have the status and content type of the first response.

Ruled out: a refusal, an error with or without signature, a redirect and an unsigned success of the next endpoint were not relayed before either.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -324,11 +324,14 @@
 	is.Equal(h.Config().Version, uint64(5))
 }
 
-func FuzzSplitEvents(f *testing.F) {
+// Guards against bytes of a stream that are lost or relayed out of order.
+func FuzzTakeEvents(f *testing.F) {
 	f.Add([]byte(events(1, 2) + "id: 3\n"))
 	f.Add([]byte("id: 1\r\n\r\nx"))
+	f.Add([]byte("id: 1\n\nHTTP/1.1 503 Unavailable\r\nX: y\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		complete, rest := splitEvents(b)
+		x := &exchange{}
+		complete, rest, _ := x.takeEvents(b)
 		if string(complete)+string(rest) != string(b) {
 			t.Fatal("bytes are lost")
 		}
@@ -340,8 +343,8 @@
 	x := &exchange{}
 	b.ReportAllocs()
 	for b.Loop() {
-		complete, _ := splitEvents(event)
-		x.recordEventIDs(complete)
+		x.response.lastEventID = ""
+		x.takeEvents(event)
 	}
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -30,6 +29,8 @@
 	// mustAbort is set if a started response can't be completed.
 	mustAbort bool
 	status    int
+	// contentType is the type of a started response.
+	contentType string
 	// lastEventID is the ID of the last event written.
 	lastEventID string
 	// eventCount is the number of events written that have an ID.
@@ -165,7 +166,7 @@
 func (x *exchange) startResponse(status int) {
 	x.response.started = true
 	x.responseStarted.Store(true)
-	x.response.status = status
+	x.response.status, x.response.contentType = status, x.w.Header().Get("Content-Type")
 	x.w.WriteHeader(status)
 	x.handler.cfg.Stats.observeFirstByte(x)
 }
@@ -173,6 +174,11 @@
 // relayStream relays events as they arrive. It writes only complete events, so
 // that another endpoint can continue the stream after the last one.
 func (x *exchange) relayStream(ctx context.Context, pick *fleet.Pick, guard *quarantine.Attempt, resp *upstream.Response) verdict {
+	if x.response.started && !x.continues(resp) {
+		x.cause = errNotContinuation
+		pick.EndFailed()
+		return failed
+	}
 	var pending []byte
 	buf := make([]byte, streamReadBytes)
 	began := false
@@ -180,7 +186,7 @@
 	for {
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
-		events, rest := splitEvents(pending)
+		events, rest, foreign := x.takeEvents(pending)
 		if len(events) > 0 {
 			if !began {
 				began = true
@@ -190,7 +196,6 @@
 				x.copyHeaders(resp)
 				x.startResponse(resp.Status)
 			}
-			x.recordEventIDs(events)
 			_, writeErr := x.w.Write(events)
 			if writeErr == nil {
 				writeErr = controller.Flush()
@@ -203,7 +208,10 @@
 			}
 			pending = append(pending[:0], rest...)
 		}
-		if len(pending) > maxEventBytes {
+		switch {
+		case foreign:
+			err = errNotContinuation
+		case len(pending) > maxEventBytes:
 			err = io.ErrShortBuffer
 		}
 		switch {
@@ -234,24 +242,29 @@
 	}
 }
 
-// splitEvents returns the complete events at the start of b and the rest.
-func splitEvents(b []byte) (events, rest []byte) {
-	end := bytes.LastIndex(b, []byte("\n\n"))
-	if crlf := bytes.LastIndex(b, []byte("\r\n\r\n")); crlf >= 0 && crlf+2 > end {
-		end = crlf + 2
-	}
-	if end < 0 {
-		return nil, b
-	}
-	return b[:end+2], b[end+2:]
+// continues reports whether a response can continue the stream that the caller receives.
+func (x *exchange) continues(resp *upstream.Response) bool {
+	return resp.Status == x.response.status && resp.Header.Get("Content-Type") == x.response.contentType
 }
 
-// recordEventIDs counts the events that have an ID and keeps the last ID.
-func (x *exchange) recordEventIDs(events []byte) {
-	for line := range bytes.Lines(events) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			x.response.lastEventID = string(bytes.TrimSpace(id))
+// takeEvents returns the complete events at the start of b that may follow those that
+// the caller has, and the rest. It records their IDs. foreign is set if the rest begins
+// with bytes that aren't the next event.
+func (x *exchange) takeEvents(b []byte) (events, rest []byte, foreign bool) {
+	rest = b
+	for {
+		event, after := nextEvent(rest)
+		if event == nil {
+			return b[:len(b)-len(rest)], rest, false
+		}
+		id, ok := eventID(event)
+		if !ok || id != "" && !follows(id, x.response.lastEventID) {
+			return b[:len(b)-len(rest)], rest, true
+		}
+		if id != "" {
+			x.response.lastEventID = id
 			x.response.eventCount++
 		}
+		rest = after
 	}
 }
