rankgroup, platform: values of a faulty engine end no coordinator

Cause: a coordinator indexed by the expert numbers that a rank reports, and reserved memory for the group size that it reports. An expert number outside the model, or a size such as 2^62, ended the agent's process at each takeover.

TestUnknownExpertsAreNotRead ended with a panic before.

--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -296,6 +297,10 @@
 			return false
 		}
 		for s := range sets {
+			if slices.ContainsFunc(sets[s], func(expert int) bool { return expert < 0 || expert >= c.cfg.Experts }) {
+				c.limitedLog.Info("Rank holds unknown experts; its map isn't read.", "rank", r, "set", s)
+				return false
+			}
 			m.Sets[s][r] = sets[s]
 		}
 	}
