node, platform, fleet: an odd record in the store costs only itself

Looked for: every value that another writer can put into the store. Ruled out: deeply nested JSON (encoding/json stops at 10,000 levels) and numbers that don't fit their type were rejected before.

The simulated endpoints name their start in milliseconds, as the platform's do.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -130,8 +130,8 @@
 	mu        sync.Mutex
 	byID      map[string]*Endpoint
 	byService map[string][]*Endpoint
-	// latestAtAddress is the endpoint with the greatest incarnation at each address.
-	// Records of earlier ones stay in the store until they expire.
+	// latestAtAddress is the endpoint at each address according to outranks. Records of
+	// earlier ones stay in the store until they expire.
 	latestAtAddress map[string]*Endpoint
 	zonesOut        map[string]bool
 	limits          map[string]Limits
@@ -176,7 +176,7 @@
 	changed = changed || ep.Draining != r.Draining
 	ep.Record = r
 	ep.coldUntil = time.Now().Add(r.ColdFor)
-	if at := f.latestAtAddress[r.Address]; at == nil || at.Incarnation <= r.Incarnation {
+	if at := f.latestAtAddress[r.Address]; at == nil || !f.outranks(at, ep) {
 		f.latestAtAddress[r.Address] = ep
 	}
 	f.assignWaiting(r.Service)
@@ -207,19 +207,31 @@
 	}
 }
 
-// resetLatestAt determines the endpoint with the greatest incarnation at an address.
+// resetLatestAt determines anew which endpoint is at an address.
 func (f *Fleet) resetLatestAt(address string) {
 	delete(f.latestAtAddress, address)
 	for _, ep := range f.byID {
 		if ep.Address != address {
 			continue
 		}
-		if at := f.latestAtAddress[address]; at == nil || at.Incarnation < ep.Incarnation {
+		if at := f.latestAtAddress[address]; at == nil || f.outranks(ep, at) {
 			f.latestAtAddress[address] = ep
 		}
 	}
 }
 
+// outranks reports whether the record of an endpoint decides who is at an address rather
+// than that of another one: the one of a configured service does, and of two, the one
+// that was started later.
+func (f *Fleet) outranks(ep, other *Endpoint) bool {
+	_, configured := f.limits[ep.Service]
+	_, otherConfigured := f.limits[other.Service]
+	if configured != otherConfigured {
+		return configured
+	}
+	return ep.Incarnation > other.Incarnation
+}
+
 // Records returns the records of all endpoints.
 func (f *Fleet) Records() []Record {
 	f.mu.Lock()
@@ -242,11 +254,18 @@
 	}
 }
 
-// SetLimits replaces a service's limits.
+// SetLimits replaces the limits of a service, which is configured from then on.
 func (f *Fleet) SetLimits(service string, l Limits) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	_, configured := f.limits[service]
 	f.limits[service] = l
+	if configured {
+		return
+	}
+	for _, ep := range f.byService[service] {
+		f.resetLatestAt(ep.Address)
+	}
 }
 
 // SetEntries sets the number of entries that share the endpoints, at least 1, and the
--- a/lab/platformsim/endpoint.go
+++ b/lab/platformsim/endpoint.go
@@ -105,7 +105,7 @@
 	defer e.mu.Unlock()
 	e.startCount++
 	e.id = fmt.Sprintf("%s-%d", e.cfg.ID, e.startCount)
-	e.incarnation = time.Now().UnixMicro()
+	e.incarnation = max(e.incarnation+1, time.Now().UnixMilli())
 	e.coldEnds = time.Now().Add(e.cfg.ColdTime)
 	e.crashed, e.draining, e.rateLimit = false, false, ""
 	e.putRecord()
--- a/lab/platformsim/platformsim.go
+++ b/lab/platformsim/platformsim.go
@@ -17,9 +17,13 @@
 	"github.com/wasabinotch/wasabinotch/lab/simhttp"
 )
 
-// pageSize is the number of items in one page of a list. It is small so that
-// tests cover paging.
-const pageSize = 5
+const (
+	// pageSize is the number of items in one page of a list. It is small so that
+	// tests cover paging.
+	pageSize = 5
+	// pageBytes is the size in bytes of the values after which a page ends.
+	pageBytes = 1 << 20
+)
 
 // headerEra is the header of all responses with the store's era.
 const headerEra = "Store-Era"
@@ -323,7 +327,12 @@
 		More     bool   `json:"has_more"`
 		Revision uint64 `json:"at_revision"`
 	}{Items: []item{}, More: len(keys) > pageSize, Revision: s.revision}
+	size := 0
 	for _, key := range keys[:min(pageSize, len(keys))] {
+		if size += len(s.items[key].Value); size > pageBytes && len(page.Items) > 0 {
+			page.More = true
+			break
+		}
 		page.Items = append(page.Items, s.items[key])
 	}
 	reply(w, page)
--- a/node/follow.go
+++ b/node/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -298,10 +299,11 @@
 func (e *endpointFollower) write(kv store.KeyValue) {
 	r, err := platform.DecodeEndpoint(kv.Key, kv.Value)
 	if err != nil {
-		e.log.Info("Record ignored.", "key", kv.Key, "cause", err.Error())
+		e.ignored.add(kv.Key, err)
 		e.remove(kv.Key)
 		return
 	}
+	e.ignored.valid(kv.Key)
 	if e.fleet.Update(r) {
 		e.log.Info("Endpoint changed.", "endpoint", r.ID, "service", r.Service, "address", r.Address, "zone", r.Zone,
 			"draining", r.Draining, "cold_ms", r.ColdFor.Milliseconds(), "revision", kv.Revision)
@@ -315,6 +317,9 @@
 	Zone    string `json:"zone"`
 }
 
+// errNotEntryRecord means that a record of an entry names no address to use.
+var errNotEntryRecord = errors.New("an address is missing or invalid; ignored until it is written again")
+
 // entryFollower keeps the records of the running entries.
 type entryFollower struct {
 	recordTracker
@@ -356,10 +361,16 @@
 // write applies an entry's record.
 func (e *entryFollower) write(kv store.KeyValue) {
 	var r entryRecord
-	if err := json.Unmarshal(kv.Value, &r); err != nil {
-		e.log.Error(err, "Entry record ignored.", "key", kv.Key)
+	err := json.Unmarshal(kv.Value, &r)
+	if err == nil && !(platform.IsAddress(r.Callers) && platform.IsAddress(r.Peer)) {
+		err = errNotEntryRecord
+	}
+	if err != nil {
+		e.ignored.add(kv.Key, err)
+		e.remove(kv.Key)
 		return
 	}
+	e.ignored.valid(kv.Key)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if old, ok := e.known[kv.Key]; !ok || old != r {
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -52,6 +53,7 @@
 	// limitedLog is log with a rate limit, for faults that can occur very often.
 	limitedLog logr.Logger
 	pending    chan wire.QuarantineReport
+	ignored    *ignoredRecords
 
 	mu sync.Mutex
 	// stored holds the number of crashes in each record of a hold, by store key.
@@ -60,7 +62,7 @@
 
 func newHoldSharer(s *platform.Store, c *upstream.Client, peers func() []string, log logr.Logger) *holdSharer {
 	h := &holdSharer{store: s, client: c, peers: peers, log: log, limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst),
-		pending: make(chan wire.QuarantineReport, maxPendingReports), stored: make(map[string]int)}
+		pending: make(chan wire.QuarantineReport, maxPendingReports), ignored: &ignoredRecords{log: log}, stored: make(map[string]int)}
 	h.tracker = quarantine.New(h.enqueue)
 	return h
 }
@@ -254,6 +256,9 @@
 	}
 }
 
+// errNotHold means that a key or its value is not the record of a held part.
+var errNotHold = errors.New("not the record of a held prompt part; ignored until it is written again")
+
 // Apply implements prefixFollower. A key that is removed ends no hold: each entry ends
 // it by itself, or when it learns of an answer.
 func (h *holdSharer) Apply(e store.Event) {
@@ -267,10 +272,12 @@
 	service, serviceErr := url.PathUnescape(service)
 	part, partErr := url.PathUnescape(part)
 	var record heldRecord
-	if !ok || serviceErr != nil || partErr != nil || json.Unmarshal(e.Value, &record) != nil {
-		h.limitedLog.Info("Record ignored.", "key", e.Key)
+	err := errors.Join(serviceErr, partErr, json.Unmarshal(e.Value, &record))
+	if !ok || err != nil {
+		h.ignored.add(e.Key, errors.Join(errNotHold, err))
 		return
 	}
+	h.ignored.valid(e.Key)
 	h.mu.Lock()
 	h.stored[e.Key] = record.Crashes
 	h.mu.Unlock()
--- a/node/records.go
+++ b/node/records.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -17,13 +18,14 @@
 	outdated outdatedKeys
 	// departed remembers the records that were removed, by store key.
 	departed removedKeys
+	ignored  *ignoredRecords
 	log      logr.Logger
 }
 
 // newRecordTracker returns a tracker of records that the store removes within expiry
 // once their process has ended. write and remove apply a change.
 func newRecordTracker(health *storeHealth, expiry time.Duration, write func(kv store.KeyValue), remove func(key string), log logr.Logger) recordTracker {
-	return recordTracker{write: write, removals: newDeferredRemovals(health, remove), outdated: outdatedKeys{window: expiry + restoreSlack}, log: log}
+	return recordTracker{write: write, removals: newDeferredRemovals(health, remove), outdated: outdatedKeys{window: expiry + restoreSlack}, ignored: &ignoredRecords{log: log}, log: log}
 }
 
 // applyListing applies the keys of a listing, and reports the known keys that the listing
@@ -61,3 +63,36 @@
 	r.removals.keyWritten(kv.Key)
 	r.write(kv)
 }
+
+// ignoredRecords logs once for each key that its record is ignored, however often the
+// record is written or listed.
+type ignoredRecords struct {
+	log logr.Logger
+
+	mu   sync.Mutex
+	keys map[string]bool
+}
+
+// maxIgnoredRecords bounds the keys that are remembered; beyond it they are logged again.
+const maxIgnoredRecords = 1024
+
+// add logs that the record of a key is ignored.
+func (i *ignoredRecords) add(key string, cause error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.keys[key] {
+		return
+	}
+	if i.keys == nil || len(i.keys) >= maxIgnoredRecords {
+		i.keys = make(map[string]bool)
+	}
+	i.keys[key] = true
+	i.log.Info("Record ignored.", "key", key, "cause", cause.Error())
+}
+
+// valid records that the key has a valid record.
+func (i *ignoredRecords) valid(key string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.keys, key)
+}
