fleet, forward, node, platform: heed endpoints that leave or ask for a pause

Leaving: an entry stops choosing the endpoint at the first response that says so, and tells the other entries by datagram; agents add it to their load reports; entries also compare what they know at the poll of another entry twice a second, and a starting entry asks before it serves. The notice belongs to a run of the endpoint: it outlasts its record in the store and ends with a later run.

If all endpoints of a service ask for one, requests that can't wait for its end are refused at once, as not run, with the time that is left and a random part, so that callers don't return together. After it, one request shows whether the endpoint takes requests before others follow. Other entries aren't told: the endpoint names the time to each VM.

Stand-ins and the soak learn both; the soak checks both promises.

--- a/explain/describe.go
+++ b/explain/describe.go
@@ -31,6 +31,9 @@
 		if strings.Contains(l.stringField("cause"), "rate limits") {
 			return head + "refused; all endpoints were at the rate limits that they named"
 		}
+		if strings.Contains(l.stringField("cause"), "ask for a pause") {
+			return head + "refused; all endpoints had asked for a pause"
+		}
 		if attempts > 0 {
 			return head + fmt.Sprintf("refused; %.0f endpoints rejected it without running it", attempts)
 		}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -69,6 +69,7 @@
 		{map[string]any{"outcome": "endpoint_failed", "status": json.Number("200"), "events": json.Number("7"), "may_have_run": true}, "broke off after 7 events"},
 		{map[string]any{"outcome": "overloaded", "cause": "this entry is shutting down"}, "the entry was shutting down"},
 		{map[string]any{"outcome": "overloaded", "cause": "all endpoints are at the rate limits that they named"}, "at the rate limits that they named"},
+		{map[string]any{"outcome": "overloaded", "cause": "all endpoints ask for a pause", "attempts": json.Number("1")}, "had asked for a pause"},
 		{map[string]any{"outcome": "quarantined", "status": json.Number("503")}, "a part of the prompt is held"},
 		{map[string]any{"outcome": "timeout", "endpoint": "i-1", "load_age_ms": json.Number("-1")}, "had not reported its load"},
 		{map[string]any{"outcome": "answered", "status": json.Number("500")}, "the endpoint itself responded"},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -104,6 +104,8 @@
 	// rateLimitToldAt is when this entry or another one last told all entries the limit,
 	// or the agent did.
 	rateLimitToldAt time.Time
+	// notice is what the endpoint has said of itself, nil for nothing.
+	notice *notice
 	// stalled is closed and replaced when the endpoint's group stalls.
 	stalled chan struct{}
 }
@@ -140,7 +142,10 @@
 	entries    int
 	entryIndex int
 	queues     map[string]*queue
-	onRemove   func(addr string)
+	// notices holds what endpoints have said of themselves, by ID. They outlast records
+	// that expire or are outdated.
+	notices  map[string]*notice
+	onRemove func(addr string)
 }
 
 // initialEntries is the number of entries that is assumed until they are counted;
@@ -153,7 +158,7 @@
 	return &Fleet{
 		zone: zone, onRemove: onRemove, entries: initialEntries, entryIndex: rand.N(initialEntries),
 		byID: make(map[string]*Endpoint), byService: make(map[string][]*Endpoint), latestAtAddress: make(map[string]*Endpoint),
-		zonesOut: make(map[string]bool), limits: make(map[string]Limits), queues: make(map[string]*queue),
+		zonesOut: make(map[string]bool), limits: make(map[string]Limits), queues: make(map[string]*queue), notices: make(map[string]*notice),
 	}
 }
 
@@ -175,6 +180,7 @@
 	}
 	changed = changed || ep.Draining != r.Draining
 	ep.Record = r
+	f.attachNotice(ep)
 	ep.coldUntil = time.Now().Add(r.ColdFor)
 	if at := f.latestAtAddress[r.Address]; at == nil || !f.outranks(at, ep) {
 		f.latestAtAddress[r.Address] = ep
@@ -353,6 +359,9 @@
 	// RateLimited means that the rate limits that the usable endpoints name leave no room
 	// for the request within its MaxWait.
 	RateLimited
+	// Paused means that all endpoints that could take the request have asked for a pause
+	// that outlasts its MaxWait.
+	Paused
 )
 
 // choose returns the endpoint with the lowest cost among a random sample of a service's
@@ -374,7 +383,7 @@
 			continue
 		}
 		load := ep.load(now)
-		if load >= ep.usableSlots(limits, now) || !f.belowConnectionLimit(ep, limits) || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
+		if load >= ep.usableSlots(limits, now) || !f.belowConnectionLimit(ep, limits) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
 			availability = AllBusy
 			continue
 		}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -91,12 +91,12 @@
 	return p.Endpoint.stalled
 }
 
-// Leaving reports whether the endpoint drains or has left the store: it then ends
-// without a crash.
+// Leaving reports whether the endpoint drains, has said that it leaves or has left the
+// store: it then ends without a crash.
 func (p *Pick) Leaving() bool {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	return p.Endpoint.removed || p.Endpoint.Draining
+	return p.Endpoint.removed || p.Endpoint.Draining || p.Endpoint.notice != nil && p.Endpoint.notice.leaving
 }
 
 // ReportsHealthy reports whether the endpoint's last load report is recent and shows
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -35,9 +35,10 @@
 const maxQueueLength = 64
 
 // Acquire chooses an endpoint for a request. If all are busy, it waits for one for at
-// most MaxWait, or until ctx ends; it returns AllBusy if there was none. If the rate
-// limits that the endpoints name leave no room for the request until then, it returns
-// RateLimited at once.
+// most MaxWait, or until ctx ends; it returns AllBusy if there was none. If no endpoint
+// can take the request until then, because the rate limits that the endpoints name leave
+// no room, all asked for a longer pause or none is in service, it returns RateLimited,
+// Paused or Unavailable at once.
 func (f *Fleet) Acquire(ctx context.Context, request *Request) (*Pick, Availability) {
 	f.mu.Lock()
 	q := f.queues[request.Service]
@@ -46,12 +47,16 @@
 		f.queues[request.Service] = q
 	}
 	if !q.blocks(request) {
-		if p, availability := f.choose(request.Service, request.Exclude); p != nil || availability == Unavailable {
+		if p, availability := f.choose(request.Service, request.Exclude); p != nil {
 			f.mu.Unlock()
 			return p, availability
 		}
 	}
 	now := time.Now()
+	if availability := f.outlook(request, now); availability != AllBusy {
+		f.mu.Unlock()
+		return nil, availability
+	}
 	at := sort.Search(len(q.waiters), func(i int) bool { return q.waiters[i].request.Priority > request.Priority })
 	availability := AllBusy
 	if f.turnsBy(request, now, now.Add(max(0, request.MaxWait))) <= at {
@@ -85,6 +90,23 @@
 	}
 }
 
+// outlook says whether a request for which no endpoint is free may wait for one: AllBusy
+// if it may, else Unavailable or Paused.
+func (f *Fleet) outlook(r *Request, now time.Time) Availability {
+	if left, paused := f.pausedFor(r.Service, r.Exclude, now); paused {
+		if left > r.MaxWait {
+			return Paused
+		}
+		return AllBusy
+	}
+	for _, ep := range f.byService[r.Service] {
+		if f.usable(ep, r.Exclude, now) {
+			return AllBusy
+		}
+	}
+	return Unavailable
+}
+
 // queueRetryInterval is the interval at which waiting requests are retried, as
 // endpoints may become usable merely through the passage of time.
 const queueRetryInterval = 40 * time.Millisecond
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -130,7 +130,7 @@
 func (f *Fleet) turnsBy(r *Request, now, until time.Time) int {
 	n := 0
 	for _, ep := range f.byService[r.Service] {
-		if !f.usable(ep, r.Exclude, now) {
+		if !f.inService(ep, r.Exclude, now) || ep.notice.paused(until) {
 			continue
 		}
 		if !ep.rateLimit.Named {
@@ -146,7 +146,13 @@
 
 // usable reports whether an endpoint may get requests when it has capacity.
 func (f *Fleet) usable(ep *Endpoint, exclude []*Endpoint, now time.Time) bool {
-	return !ep.Draining && !f.zonesOut[ep.Zone] && f.latestAtAddress[ep.Address] == ep && !slices.Contains(exclude, ep) &&
+	return f.inService(ep, exclude, now) && !ep.notice.paused(now)
+}
+
+// inService reports whether an endpoint may get requests when it has capacity and has not
+// asked for a pause.
+func (f *Fleet) inService(ep *Endpoint, exclude []*Endpoint, now time.Time) bool {
+	return !ep.Draining && (ep.notice == nil || !ep.notice.leaving) && !f.zonesOut[ep.Zone] && f.latestAtAddress[ep.Address] == ep && !slices.Contains(exclude, ep) &&
 		!(ep.hasFreshReport(now) && ep.report.Stalled)
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,6 +43,8 @@
 	// RateLimit holds the requests a second that the endpoint accepts from all
 	// entries together.
 	RateLimit string
+	// Leaving is present in the responses of an endpoint that is about to end.
+	Leaving string
 	// FailedRank names the failed rank on which the rejecting endpoint depends.
 	FailedRank string
 	// Priority holds the request's priority in the endpoint's queue. A value
@@ -70,6 +72,15 @@
 	// TellRateLimit is called with the rate limit of an endpoint that the other entries
 	// should be told. It must not block.
 	TellRateLimit func(endpoint string, l fleet.RateLimit)
+	// ParseLeaving decodes the value of the leaving header.
+	ParseLeaving func(string) bool
+	// TellLeaving is called with an endpoint that leaves, for the other entries to be
+	// told. It must not block.
+	TellLeaving func(fleet.Run)
+	// ParsePause decodes the Retry-After header of an endpoint's rejection: the time for
+	// which it asks this entry to send it nothing, 0 for none. It returns false for a
+	// value that names no time.
+	ParsePause func(string) (time.Duration, bool)
 	// SharedParts returns the IDs of the prompt parts in the value of the
 	// PromptParts header that other requests may have too.
 	SharedParts func(string) []string
--- a/forward/send.go
+++ b/forward/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -161,6 +162,9 @@
 // refuseUnplaced returns the refusal of a request for which no endpoint could be
 // acquired.
 func (x *exchange) refuseUnplaced(availability fleet.Availability, last verdict) *api.Refusal {
+	if availability == fleet.Paused && !x.mayHaveRun && !x.callerDisconnected() {
+		return x.refusePaused()
+	}
 	if x.attempts > 0 || x.mayHaveRun {
 		return x.giveUp(last)
 	}
@@ -179,6 +183,25 @@
 	return api.NotRun(api.KindOverloaded, "all endpoints of the service are busy", "try again after the given time")
 }
 
+// refusePaused returns the refusal of a request that has not run while all endpoints of
+// its service ask for a pause.
+func (x *exchange) refusePaused() *api.Refusal {
+	x.cause = errors.Join(x.cause, errPaused)
+	left, _ := x.handler.cfg.Fleet.PausedFor(x.service, x.tried)
+	x.setRetryAfter(spread(left))
+	return api.NotRun(api.KindOverloaded, "all endpoints of the service ask for a pause", "try again after the given time")
+}
+
+// spread returns a random time after a pause at which a refused caller may return, so
+// that callers don't return together when an endpoint takes requests again.
+func spread(pause time.Duration) time.Duration {
+	return pause + rand.N(max(baseRetryAfter, pause/2))
+}
+
+// errPaused is the logged cause if all endpoints have asked for a pause. Package explain
+// recognises it by the words "ask for a pause".
+var errPaused = errors.New("all endpoints ask for a pause")
+
 // errRateLimited is the logged cause if the rate limits that the endpoints name leave no
 // room for the request. Package explain recognises it by the words "rate limits".
 var errRateLimited = errors.New("all endpoints are at the rate limits that they named")
@@ -256,6 +279,7 @@
 		pick.RecordLoad(load)
 	}
 	x.recordRateLimit(pick, resp)
+	x.recordNotice(pick, resp)
 	if resp.Header.Get(names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		guard.Rejected()
 		x.drainRejection(resp)
@@ -297,6 +321,32 @@
 	}
 }
 
+// recordNotice records that the endpoint leaves, or that it asks for a pause, if a
+// response says so.
+func (x *exchange) recordNotice(pick *fleet.Pick, resp *upstream.Response) {
+	cfg := &x.handler.cfg
+	if resp.Status == http.StatusMisdirectedRequest {
+		return // another endpoint at the address responded
+	}
+	if cfg.ParseLeaving(resp.Header.Get(cfg.Headers.Leaving)) && pick.RecordLeaving() {
+		cfg.TellLeaving(pick.Run())
+		cfg.Log.Info("Endpoint leaves.", "endpoint", pick.Endpoint.ID, "source", "response", "request", x.requestID)
+	}
+	if resp.Status != http.StatusServiceUnavailable {
+		pick.RecordTaken()
+		return
+	}
+	value := resp.Header.Get("Retry-After")
+	d, ok := cfg.ParsePause(value)
+	switch {
+	case !ok:
+		cfg.Log.Info("Malformed Retry-After ignored.", "endpoint", pick.Endpoint.ID, "value", value)
+	case d > 0:
+		pick.RecordPause(d)
+		cfg.Log.Info("Endpoint asks for a pause.", "endpoint", pick.Endpoint.ID, "pause_ms", d.Milliseconds(), "request", x.requestID)
+	}
+}
+
 // refuseHeld returns the refusal of a request with a part that is held.
 func (x *exchange) refuseHeld() *api.Refusal {
 	x.cause = errors.Join(x.cause, quarantine.ErrHeld)
--- a/forward/testentry_test.go
+++ b/forward/testentry_test.go
@@ -25,7 +25,7 @@
 
 var testHeaders = Headers{
 	RequestID: "Request-Id", Deadline: "Deadline-Ms", Target: "Target-Instance", Organisation: "Tenant",
-	Signature: "Response-Signature", NotRun: "Not-Executed", Load: "Server-Load", RateLimit: "Server-Limit", FailedRank: "At-Server",
+	Signature: "Response-Signature", NotRun: "Not-Executed", Load: "Server-Load", RateLimit: "Server-Limit", Leaving: "Server-Leaving", FailedRank: "At-Server",
 	Priority: "Request-Priority", TokenUsage: "Token-Usage", PromptParts: "Prompt-Prefix", LastEventID: "Last-Event-Id",
 	Model: "Model", ExpectVersion: "Expected-Version",
 }
@@ -81,6 +81,7 @@
 	s := &testEntry{log: log, handler: New(Config{
 		Headers: testHeaders, ParseLoad: func(string) (fleet.Load, bool) { return fleet.Load{}, false },
 		ParseRateLimit: parseTestRateLimit, TellRateLimit: func(string, fleet.RateLimit) {},
+		ParseLeaving: func(v string) bool { return v == "1" }, TellLeaving: func(fleet.Run) {}, ParsePause: parseTestPause,
 		SharedParts: func(v string) []string { return strings.Split(v, ",") }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
 		Fleet: f, Client: upstream.NewClient(time.Second), Log: logs.New(log), Stats: NewStats(metrics.NewSet()),
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
@@ -207,3 +208,8 @@
 	perSecond, err := strconv.ParseFloat(v, 64)
 	return fleet.RateLimit{PerSecond: perSecond, Named: v != ""}, v == "" || err == nil
 }
+
+func parseTestPause(v string) (time.Duration, bool) {
+	d, err := time.ParseDuration(v + "s")
+	return d, v == "" || err == nil
+}
--- a/lab/platformsim/endpoint.go
+++ b/lab/platformsim/endpoint.go
@@ -64,6 +64,11 @@
 	faults      Faults
 	// rateLimit is the rate limit that the endpoint names in its responses, empty for none.
 	rateLimit string
+	// leaving is set if the endpoint says in its responses that it leaves.
+	leaving bool
+	// shedUntil is the end of the time in which the endpoint rejects requests, and asks
+	// for a pause until then.
+	shedUntil time.Time
 	// group and rank are set if the endpoint is a rank of a group.
 	group *Group
 	rank  int
@@ -107,7 +112,7 @@
 	e.id = fmt.Sprintf("%s-%d", e.cfg.ID, e.startCount)
 	e.incarnation = max(e.incarnation+1, time.Now().UnixMilli())
 	e.coldEnds = time.Now().Add(e.cfg.ColdTime)
-	e.crashed, e.draining, e.rateLimit = false, false, ""
+	e.crashed, e.draining, e.rateLimit, e.leaving, e.shedUntil = false, false, "", false, time.Time{}
 	e.putRecord()
 }
 
@@ -147,11 +152,32 @@
 	e.rateLimit = value
 }
 
-// nameRateLimit sets the header that names the rate limit. The caller holds mu.
-func (e *Endpoint) nameRateLimit(w http.ResponseWriter) {
+// Leave makes the endpoint say in its responses that it leaves until it restarts. Its
+// record in the store doesn't change.
+func (e *Endpoint) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// Shed makes the endpoint reject all requests for some time and ask their senders for a
+// pause until its end.
+func (e *Endpoint) Shed(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.shedUntil = time.Now().Add(d)
+}
+
+// describe sets the headers in which the endpoint says something of itself. The caller
+// holds mu.
+func (e *Endpoint) describe(w http.ResponseWriter) {
 	if e.rateLimit != "" {
 		w.Header().Set("Server-Limit", e.rateLimit)
 	}
+	if e.leaving {
+		w.Header().Set("Server-Leaving", "1")
+		e.cfg.Ledger.recordLeaving(e.id)
+	}
 }
 
 // Drain writes the state "draining" to the endpoint's record. The endpoint keeps
@@ -208,11 +234,18 @@
 	w.Header().Set("Request-Id", run.RequestID)
 	target := r.Header.Get("Target-Instance")
 	e.cfg.Ledger.recordArrival(Arrival{Run: run, Service: e.cfg.Service, Cold: e.coldRemaining() > 0, Draining: e.draining, Target: target})
-	switch {
+	switch shed := time.Until(e.shedUntil); {
 	case target != "" && target != e.id:
 		e.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return false
+	case shed > 0:
+		e.describe(w)
+		e.cfg.Ledger.recordPause(Pause{EndpointID: e.id, SourceIP: source, From: time.Now(), To: e.shedUntil})
+		e.mu.Unlock()
+		w.Header().Set("Retry-After", strconv.FormatFloat(shed.Seconds(), 'f', 3, 64))
+		reject(w, "")
+		return false
 	case e.running+e.waiting >= (1+queueFactor)*e.cfg.Slots || e.rng.Float64() < e.faults.Reject:
 		e.mu.Unlock()
 		reject(w, "")
@@ -264,7 +297,7 @@
 	w.Header().Set("Request-Id", request)
 	w.Header().Set("Response-Signature", "signed by "+e.id)
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d", e.running, e.waiting, e.cfg.Slots))
-	e.nameRateLimit(w)
+	e.describe(w)
 }
 
 // handleRequest runs a request and sends a response that is not a stream.
--- a/lab/platformsim/group.go
+++ b/lab/platformsim/group.go
@@ -175,7 +175,7 @@
 	if rep.Armed != nil {
 		armed = map[string]uint64{"version": rep.Armed.Version, "step": rep.Armed.Step}
 	}
-	e.nameRateLimit(w)
+	e.describe(w)
 	reply(w, map[string]any{"born": e.incarnation, "active": e.running, "queued": e.waiting, "cold_remaining_ms": e.coldRemaining().Milliseconds(),
 		"group": map[string]any{"name": e.group.cfg.Name, "epoch": rep.Epoch, "rank": e.rank, "state": state}, "size": rep.Size,
 		"step": rep.Step, "expert_map": rep.MapVersion, "prepared": prepared, "armed": armed, "held": rep.HeldStep})
--- a/lab/platformsim/ledger.go
+++ b/lab/platformsim/ledger.go
@@ -1,6 +1,7 @@
 package platformsim
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -27,16 +28,27 @@
 	Target string
 }
 
+// Pause is the time for which an endpoint asked the sender of a request for no more.
+type Pause struct {
+	EndpointID, SourceIP string
+	From, To             time.Time
+}
+
 // Ledger records the requests that endpoints received and ran. It is safe for
 // concurrent use.
 type Ledger struct {
 	mu       sync.Mutex
 	arrivals []Arrival
 	runs     map[string][]Run
+	pauses   []Pause
+	// leftSince holds when an endpoint first said in a response that it leaves, by ID.
+	leftSince map[string]time.Time
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{runs: make(map[string][]Run)} }
+func NewLedger() *Ledger {
+	return &Ledger{runs: make(map[string][]Run), leftSince: make(map[string]time.Time)}
+}
 
 func (l *Ledger) recordArrival(a Arrival) {
 	l.mu.Lock()
@@ -63,3 +75,31 @@
 	defer l.mu.Unlock()
 	return append([]Arrival(nil), l.arrivals...)
 }
+
+func (l *Ledger) recordPause(p Pause) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pauses = append(l.pauses, p)
+}
+
+// Pauses returns the pauses that endpoints asked for.
+func (l *Ledger) Pauses() []Pause {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Pause(nil), l.pauses...)
+}
+
+func (l *Ledger) recordLeaving(endpoint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.leftSince[endpoint]; !ok {
+		l.leftSince[endpoint] = time.Now()
+	}
+}
+
+// LeftSince returns when endpoints first said in a response that they leave, by ID.
+func (l *Ledger) LeftSince() map[string]time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.leftSince)
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -167,9 +167,12 @@
 		next := wire.LoadReport{Endpoint: a.endpointID, Running: report.Running, Waiting: report.Waiting,
 			Stalled: report.Group != "" && (!report.Open || stalled), StepTimeMS: monitor.stepTimeMS(), ColdRemainingMS: report.ColdFor.Milliseconds(),
 			RateLimit: rateLimit}
+		if a.rank.Leaving() {
+			next.Leaving, next.Incarnation = true, report.Incarnation
+		}
 		a.mu.Unlock()
 		since, interval := time.Since(lastPublished), a.publishInterval()
-		if urgent := next.Stalled != last.Stalled || next.RateLimit != last.RateLimit; urgent || since >= interval && next != last || since >= unchangedLoadInterval {
+		if urgent := next.Stalled != last.Stalled || next.RateLimit != last.RateLimit || next.Leaving != last.Leaving; urgent || since >= interval && next != last || since >= unchangedLoadInterval {
 			a.publish(conn, next)
 			last, lastPublished = next, time.Now()
 		}
--- a/node/entry.go
+++ b/node/entry.go
@@ -45,6 +45,9 @@
 	// initialConfigTimeout is how long a starting entry waits for a configuration
 	// before it serves without one.
 	initialConfigTimeout = 5 * time.Second
+	// initialPollTimeout bounds the poll of other entries before a starting entry serves.
+	// Entries that lost power with it don't respond.
+	initialPollTimeout = 300 * time.Millisecond
 	// maxPeerResponseBytes bounds the response of another entry.
 	maxPeerResponseBytes = 4 << 20
 	// pathOperator is the HTTP path at which entries serve the operator's state
@@ -101,7 +104,7 @@
 	endpoints  *endpointFollower
 	peers      *entryFollower
 	holds      *holdSharer
-	limits     *limitSharer
+	notices    *noticeSharer
 	// ready is true while the entry accepts callers and is not draining.
 	ready atomic.Bool
 	// servers are the internal HTTP servers; they run until the end of a drain.
@@ -116,10 +119,11 @@
 	e.feed = newMonitoredFeed(e.store, e.metrics, log.WithName("store"))
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
 	e.holds = newHoldSharer(e.store, e.client, e.otherEntries, e.log.WithName("quarantine"))
-	e.limits = newLimitSharer(e.fleet, e.otherEntries, e.metrics, log.WithName("endpoints"))
+	e.notices = newNoticeSharer(e.fleet, e.otherEntries, e.metrics, log.WithName("endpoints"))
 	e.handler = forward.New(forward.Config{
 		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts,
-		ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.limits.tell,
+		ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.notices.tellRateLimit,
+		ParseLeaving: platform.ParseLeaving, TellLeaving: e.notices.tellLeaving, ParsePause: platform.ParsePause,
 		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client,
 		Log: logs.Limit(log.WithName("forward"), requestLinesPerSecond, requestLineBurst), Stats: forward.NewStats(e.metrics),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
@@ -132,6 +136,8 @@
 	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.fleet.Entries()) })
 	e.metrics.NewGauge("wasabinotch_endpoints", func() float64 { return float64(len(e.fleet.Records())) })
 	e.metrics.NewGauge("wasabinotch_endpoints_rate_limited", func() float64 { return float64(e.fleet.RateLimited()) })
+	e.metrics.NewGauge("wasabinotch_endpoints_leaving", func() float64 { n, _ := e.fleet.Noticed(); return float64(n) })
+	e.metrics.NewGauge("wasabinotch_endpoints_paused", func() float64 { _, n := e.fleet.Noticed(); return float64(n) })
 	e.metrics.NewGauge("wasabinotch_config_version", func() float64 {
 		if c := e.handler.Config(); c != nil {
 			return float64(c.Version)
@@ -165,6 +171,9 @@
 	go e.subscribeLoads(background)
 	go e.expireLoop(background)
 	e.awaitConfig(ctx)
+	first, cancel := context.WithTimeout(ctx, initialPollTimeout)
+	e.pollAnyPeer(first) // the store doesn't say which endpoints told other entries that they leave
+	cancel()
 	callers, err := e.serveCallers()
 	if err != nil {
 		return err
@@ -318,6 +327,7 @@
 	w.Header().Set(headerNewestChangeEra, strconv.FormatUint(newest.Era, 10))
 	state, version := e.operator.snapshot(), e.operator.configVersion()
 	query := r.URL.Query()
+	e.notices.answerLeaving(w, query.Get("leaving"))
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after is not a revision; send a whole number", http.StatusBadRequest)
@@ -342,9 +352,9 @@
 	}
 }
 
-// pollPeers reads the operator's state and the newest change from other entries until
-// ctx ends. Each time it tries them in random order until one responds. It also polls
-// while the store works, since a watch may be silent without a failed call.
+// pollPeers reads the operator's state, the newest change and the endpoints that leave
+// from other entries until ctx ends. It also polls while the store works, since a watch
+// may be silent without a failed call.
 func (e *Entry) pollPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := peerPollInterval
@@ -352,15 +362,20 @@
 			interval = unstablePollInterval
 		}
 		pause.For(ctx, interval)
-		all := e.peers.all()
-		delete(all, platform.PrefixEntries+e.cfg.ID)
-		for _, record := range all { // map order is random
-			if err := e.pollPeer(ctx, record.Peer); err != nil {
-				e.limitedLog.Info("Peer returned no operator state.", "peer", record.Peer, "cause", err.Error())
-				continue
-			}
-			break
+		e.pollAnyPeer(ctx)
+	}
+}
+
+// pollAnyPeer polls the other entries in random order until one responds or ctx ends.
+func (e *Entry) pollAnyPeer(ctx context.Context) {
+	all := e.peers.all()
+	delete(all, platform.PrefixEntries+e.cfg.ID)
+	for _, record := range all { // map order is random
+		err := e.pollPeer(ctx, record.Peer)
+		if err == nil || ctx.Err() != nil {
+			return
 		}
+		e.limitedLog.Info("Peer returned no operator state.", "peer", record.Peer, "cause", err.Error())
 	}
 }
 
@@ -369,7 +384,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
 	defer cancel()
 	known := position(e.operator.snapshot())
-	target := fmt.Sprintf("%s?after=%d&era=%d&version=%d", pathOperator, known.Revision, known.Era, e.operator.configVersion())
+	target := fmt.Sprintf("%s?after=%d&era=%d&version=%d&leaving=%s", pathOperator, known.Revision, known.Era, e.operator.configVersion(), e.notices.leavingChecksum())
 	// A kept connection could be silent like that of the watch.
 	header := http.Header{"Connection": {"close"}}
 	resp, err := e.client.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: header})
@@ -390,6 +405,7 @@
 	} else if resp.Status != http.StatusNoContent {
 		return fmt.Errorf("peer responded with status %d; it may run another version", resp.Status)
 	}
+	e.notices.mergeLeaving(resp.Header.Get(headerLeaving))
 	// Entries of earlier versions don't send the headers.
 	revision, err := strconv.ParseUint(resp.Header.Get(headerNewestChange), 10, 64)
 	era, eraErr := strconv.ParseUint(resp.Header.Get(headerNewestChangeEra), 10, 64)
--- a/node/loads.go
+++ b/node/loads.go
@@ -36,7 +36,7 @@
 	}
 	defer conn.Close()
 	go e.receiveLoads(conn)
-	go e.limits.run(ctx, conn)
+	go e.notices.run(ctx, conn)
 	ticker := time.NewTicker(subscribeInterval / 8)
 	defer ticker.Stop()
 	subscribed := make(map[string]time.Time)
@@ -81,8 +81,8 @@
 	}
 }
 
-// receiveLoads records load reports, and the rate limits that other entries report, in
-// the fleet until conn is closed.
+// receiveLoads records load reports, and what other entries report of endpoints, in the
+// fleet until conn is closed.
 func (e *Entry) receiveLoads(conn net.PacketConn) {
 	buf := make([]byte, maxDatagramBytes)
 	for {
@@ -97,11 +97,14 @@
 			continue
 		}
 		if r.Endpoint == "" {
-			e.limits.receive(buf[:n])
+			e.notices.receive(buf[:n])
 			continue
 		}
 		if r.RateLimit != "" {
-			e.limits.record(r.Endpoint, r.RateLimit, "agent")
+			e.notices.recordRateLimit(r.Endpoint, r.RateLimit, "agent")
+		}
+		if r.Leaving {
+			e.notices.recordLeaving(fleet.Run{ID: r.Endpoint, Incarnation: r.Incarnation}, "agent")
 		}
 		e.fleet.RecordLoad(r.Endpoint, fleet.Load{
 			Running: r.Running, Waiting: r.Waiting, Stalled: r.Stalled,
--- a/proof/soak_checks_test.go
+++ b/proof/soak_checks_test.go
@@ -50,7 +50,7 @@
 		o.requestByID[a.id] = a
 	}
 	out := []*checkResult{o.responseDefects(), o.ordersRunOnce(), o.refusedOrdersNotRun(), o.oneMapPerStep(), o.zonesOut(), o.keysEnforced(),
-		o.drainingEndpoints(), o.coldEndpoints(), o.rateLimitsKept(), o.retries(), o.gracefulStops(), o.timeouts(), o.onlySentRequestsArrive()}
+		o.drainingEndpoints(), o.leavingEndpoints(), o.pausesKept(), o.coldEndpoints(), o.rateLimitsKept(), o.retries(), o.gracefulStops(), o.timeouts(), o.onlySentRequestsArrive()}
 	recovery := &checkResult{guarantee: "callers are served after the faults", caseCount: 1}
 	if recovered < 0 {
 		recovery.addViolation("", "not within %v", soakRecoveryBound)
@@ -213,6 +213,52 @@
 	return r
 }
 
+// leavingEndpoints checks that no stable entry sends a request to an endpoint that first
+// said more than soakDrainBound earlier that it leaves, to whichever process. Each such
+// endpoint is a case.
+func (o *observations) leavingEndpoints() *checkResult {
+	left := o.ledger.LeftSince()
+	r := &checkResult{guarantee: "leaving endpoint gets no new work", caseCount: len(left)}
+	for _, a := range o.arrivals {
+		since, ok := left[a.EndpointID]
+		if ok && a.Target == a.EndpointID && a.At.After(since.Add(soakDrainBound)) && o.isStable(o.entryByIP(a.SourceIP), a.At) {
+			r.addViolation(a.RequestID, "%s got it %v after it said that it leaves", a.EndpointID, a.At.Sub(since))
+		}
+	}
+	return r
+}
+
+const (
+	// soakPauseSettleTime is the time from a rejection that asks for a pause until the
+	// pause is kept. From then on, at most soakPauseSlack requests may follow.
+	soakPauseSettleTime = 500 * time.Millisecond
+	soakPauseSlack      = 2
+)
+
+// pausesKept checks that no entry that is stable during a pause sends more than
+// soakPauseSlack requests to the endpoint that asked this entry for it. Each pause that
+// outlasts soakPauseSettleTime is a case.
+func (o *observations) pausesKept() *checkResult {
+	r := &checkResult{guarantee: "pause that an endpoint asks for is kept"}
+	for _, p := range o.ledger.Pauses() {
+		from := p.From.Add(soakPauseSettleTime)
+		if !from.Before(p.To) {
+			continue
+		}
+		r.caseCount++
+		n := 0
+		for _, a := range o.arrivals {
+			if a.EndpointID != p.EndpointID || a.SourceIP != p.SourceIP || a.Target != a.EndpointID || a.At.Before(from) || a.At.After(p.To) || !o.isStable(o.entryByIP(a.SourceIP), a.At) {
+				continue
+			}
+			if n++; n > soakPauseSlack {
+				r.addViolation(a.RequestID, "%s got it %v after it asked for a pause of %v", a.EndpointID, a.At.Sub(p.From), p.To.Sub(p.From))
+			}
+		}
+	}
+	return r
+}
+
 // coldEndpoints checks the bound of the settings on the requests to a cold endpoint
 // within one second: the rate that it sustains times the burst factor, plus the
 // burst slack. Only the endpoints of "model" start cold.
--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"syscall"
 	"time"
 
@@ -53,6 +54,8 @@
 	{"store compacts its history", 1, false, (*chaosRunner).compactStore},
 	{"store restored from a copy", 2, false, (*chaosRunner).restoreStore},
 	{"endpoint names a rate limit", 3, true, (*chaosRunner).limitEndpoint},
+	{"endpoint leaves", 2, true, (*chaosRunner).endpointLeaves},
+	{"endpoint asks for a pause", 3, true, (*chaosRunner).endpointSheds},
 	{"store slow", 1, false, (*chaosRunner).slowStore},
 	{"link from a process to the store impaired", 2, false, (*chaosRunner).impairStoreLink},
 	{"link from an entry to an endpoint impaired", 4, false, (*chaosRunner).impairEndpointLink},
@@ -506,10 +509,43 @@
 	})
 }
 
+// endpointLeaves makes an endpoint say in its responses, but not in the store, that it
+// leaves. Later it ends and starts again.
+func (c *chaosRunner) endpointLeaves() {
+	e := c.plainEndpoints[c.rng.IntN(len(c.plainEndpoints))]
+	release, ok := c.reserve(fmt.Sprintf("%p", e))
+	if !ok {
+		return
+	}
+	c.logEvent("endpoint %s says that it leaves", e.ID())
+	e.Leave()
+	c.schedule(soakDrainBound+c.randomDuration(500*time.Millisecond, 2*time.Second), func() {
+		release()
+		c.crashAndRestart(e, c.randomDuration(200*time.Millisecond, time.Second))
+	})
+}
+
+// endpointSheds makes an endpoint reject all requests and ask for a pause.
+func (c *chaosRunner) endpointSheds() {
+	e := c.plainEndpoints[c.rng.IntN(len(c.plainEndpoints))]
+	if c.rng.IntN(2) == 0 {
+		e = c.randomEndpoint()
+	}
+	release, ok := c.reserve(fmt.Sprintf("%p", e))
+	if !ok {
+		return
+	}
+	d := c.randomDuration(time.Second, 4*time.Second)
+	c.logEvent("endpoint %s rejects requests and asks for a pause of %v", e.ID(), d)
+	e.Shed(d)
+	c.schedule(d, release)
+}
+
 // writeInvalidRecord writes an invalid record, which processes must ignore, under the
 // key prefix of the endpoint records, and removes it a second later.
 func (c *chaosRunner) writeInvalidRecord() {
-	values := []string{"", "torn", `{"service":"desk"}`, `{"service":"desk","address":"127.0.0.1:1","zone":"z0","slots":-1,"state":"ready","cold_remaining_ms":0}`}
+	values := []string{"", "torn", strings.Repeat("[", 1<<20), `{"service":"desk","address":"127.0.0.1:70000","zone":"z0","slots":9,"state":"ready","cold_remaining_ms":0}`,
+		`{"service":"desk","address":"127.0.0.1:1","zone":"z0","slots":9,"state":"ready","cold_remaining_ms":1e300,"born":9000000000000000000}`, `{"service":"desk"}`, `{"service":"desk","address":"127.0.0.1:1","zone":"z0","slots":-1,"state":"ready","cold_remaining_ms":0}`}
 	c.logEvent("an invalid endpoint record is written")
 	key := fmt.Sprintf("servers/foreign-%d", c.rng.IntN(3))
 	c.store.Put(key, []byte(values[c.rng.IntN(len(values))]))
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -20,17 +20,24 @@
 	// entries together, RateLimitNone after a limit has ended, and empty if it hasn't
 	// named one since the agent started.
 	RateLimit string `json:"l,omitempty"`
+	// Leaving is set if the endpoint says that it leaves, Incarnation is then its run.
+	Leaving     bool  `json:"x,omitempty"`
+	Incarnation int64 `json:"i,omitempty"`
 }
 
 // RateLimitNone is the value of RateLimit fields if the endpoint names no limit any more.
 const RateLimitNone = "none"
 
-// RateLimitReport is a datagram in which an entry tells the other entries the rate limit
-// that an endpoint without an agent named in a response. None of its JSON keys is one of
-// LoadReport, which is received at the same port.
-type RateLimitReport struct {
-	Endpoint  string `json:"endpoint"`   // ID of the endpoint
-	RateLimit string `json:"rate_limit"` // as in LoadReport
+// EndpointNotice is a datagram in which an entry tells the other entries what an endpoint
+// said of itself in a response: the rate limit that one without an agent names, or that
+// it leaves. None of its JSON keys is one of LoadReport, which is received at the same
+// port.
+type EndpointNotice struct {
+	Endpoint  string `json:"endpoint"`             // ID of the endpoint
+	RateLimit string `json:"rate_limit,omitempty"` // as in LoadReport
+	// Leaving and Incarnation are as in LoadReport.
+	Leaving     bool  `json:"leaving,omitempty"`
+	Incarnation int64 `json:"incarnation,omitempty"`
 }
 
 // LoadSubscription is a datagram with which an entry subscribes to the load
