--- a/forward/refusal_test.go
+++ b/forward/refusal_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -29,3 +30,17 @@
 		})
 	}
 }
+
+// Guards against requests that are sent again and again to an address which another
+// endpoint has taken, until the store shows it.
+func TestMisdirectedRequestClosesTheAddress(t *testing.T) {
+	is := is.New(t)
+	misdirected := respondRaw("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nAt-Server: 10.0.0.1:80\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n")
+	s := newTestEntry(t, idempotentRoute, misdirected, respondOK("here"))
+	for began := time.Now(); time.Since(began) < 2*time.Second; time.Sleep(20 * time.Millisecond) {
+		resp, _, err := s.send(t, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	is.Equal(len(s.endpoints[0].received()), 1)
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -284,10 +284,10 @@
 		guard.Rejected()
 		x.drainRejection(resp)
 		switch {
+		case resp.Status == http.StatusMisdirectedRequest:
+			pick.EndMisdirected() // it names a failed rank, too: itself
 		case resp.Header.Get(names.FailedRank) != "":
 			pick.EndUnusable()
-		case resp.Status == http.StatusMisdirectedRequest:
-			pick.EndMisdirected()
 		default:
 			pick.EndRejected()
 		}
