rankgroup, fleet, node: a slow rank no longer halts its group

Cause: all ranks of a group execute each step together, so that one slow rank delays all streams. Engines report their pace; nothing read it. Plans gave a slow rank as much work as the others, entries kept sending it requests, and those that it had stayed there.

Change: the load of a rank counts times its pace in a plan, and a plan may drop a replica from a slow rank without a copy; a change of pace by a fifth leads to a new plan. Agents report the pace. Entries send a rank with a pace of 1.5 or more requests only if no other endpoint is in service, and move its requests elsewhere, within the retry budget, from a pace of 3 on.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,6 +34,9 @@
 	StepTime time.Duration
 	// ColdFor is the time for which the endpoint stays cold and sustains little load.
 	ColdFor time.Duration
+	// Pace is how many times longer the endpoint takes for the same work than it should, 0
+	// if unknown.
+	Pace float64
 }
 
 const (
@@ -69,6 +72,12 @@
 	// maxStepShare is the fraction of the target event gap that an engine step of a
 	// rank group may take; expert copies and prompts make some steps longer.
 	maxStepShare = 0.8
+	// slowPace is the pace from which a rank gets requests only if no other endpoint can
+	// take any: all ranks of its group wait for it in each step.
+	slowPace = 1.5
+	// movePace is the pace from which a rank's requests are moved to other endpoints: steps
+	// that take so much longer miss the target gap of all streams of the group.
+	movePace = 3.0
 	// minSlotShare is the least fraction of the slots that is used in a slow group.
 	minSlotShare = 0.4
 )
@@ -106,7 +115,8 @@
 	rateLimitToldAt time.Time
 	// notice is what the endpoint has said of itself, nil for nothing.
 	notice *notice
-	// stalled is closed and replaced when the endpoint's group stalls.
+	// stalled is closed and replaced when the endpoint's group stalls, or waits for this
+	// endpoint in each step.
 	stalled chan struct{}
 }
 
@@ -323,7 +333,7 @@
 
 func (f *Fleet) applyLoad(ep *Endpoint, l Load) {
 	now := time.Now()
-	if l.Stalled && !ep.report.Stalled {
+	if l.Stalled && !ep.report.Stalled || l.Pace >= movePace && ep.report.Pace < movePace {
 		close(ep.stalled)
 		ep.stalled = make(chan struct{})
 	}
@@ -337,6 +347,12 @@
 // hasFreshReport reports whether the endpoint's last report is still valid.
 func (ep *Endpoint) hasFreshReport(now time.Time) bool { return now.Sub(ep.reportAt) <= reportValidity }
 
+// isSlow reports whether the last report, if it is still valid, names a pace of slowPace or
+// more.
+func (ep *Endpoint) isSlow(now time.Time) bool {
+	return ep.hasFreshReport(now) && ep.report.Pace >= slowPace
+}
+
 // load estimates the number of requests at the endpoint.
 func (ep *Endpoint) load(now time.Time) int {
 	if !ep.hasFreshReport(now) {
@@ -391,7 +407,7 @@
 		if ep.Zone != f.zone {
 			cost += zoneCost
 		}
-		if now.Before(ep.backoffUntil) || f.isSilent(ep, now) {
+		if now.Before(ep.backoffUntil) || ep.isSlow(now) || f.isSilent(ep, now) {
 			if fallback == nil || cost < fallbackCost {
 				fallback, fallbackCost = ep, cost
 			}
@@ -403,7 +419,7 @@
 		}
 	}
 	if best == nil && availability == Unavailable {
-		// Only endpoints in backoff after a recent failure, or silent ones, are left.
+		// Only endpoints in backoff after a recent failure, slow or silent ones are left.
 		best = fallback
 	}
 	if best == nil {
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -15,7 +15,8 @@
 	ReportAge time.Duration
 	// RateLimit is the limit that the endpoint had named when it was chosen.
 	RateLimit RateLimit
-	// Stalled is closed when the endpoint's group stalls; a request that may be retried
+	// Stalled is closed when the endpoint's group stalls, or waits for a slow endpoint in
+	// each step; a request that may be retried
 	// should then be sent to another endpoint.
 	Stalled <-chan struct{}
 }
--- a/node/agent.go
+++ b/node/agent.go
@@ -166,13 +166,13 @@
 		}
 		next := wire.LoadReport{Endpoint: a.endpointID, Running: report.Running, Waiting: report.Waiting,
 			Stalled: report.Group != "" && (!report.Open || stalled), StepTimeMS: monitor.stepTimeMS(), ColdRemainingMS: report.ColdFor.Milliseconds(),
-			RateLimit: rateLimit}
+			RateLimit: rateLimit, PacePercent: pacePercent(report.Pace)}
 		if a.rank.Leaving() {
 			next.Leaving, next.Incarnation = true, report.Incarnation
 		}
 		a.mu.Unlock()
 		since, interval := time.Since(lastPublished), a.publishInterval()
-		if urgent := next.Stalled != last.Stalled || next.RateLimit != last.RateLimit || next.Leaving != last.Leaving; urgent || since >= interval && next != last || since >= unchangedLoadInterval {
+		if urgent := next.Stalled != last.Stalled || next.RateLimit != last.RateLimit || next.Leaving != last.Leaving || next.PacePercent != last.PacePercent; urgent || since >= interval && next != last || since >= unchangedLoadInterval {
 			a.publish(conn, next)
 			last, lastPublished = next, time.Now()
 		}
@@ -184,6 +184,16 @@
 	}
 }
 
+// pacePercent returns the form of an engine's pace in load reports.
+func pacePercent(pace float64) int64 {
+	const unit = 25 // so that successive reports seldom differ only in it
+	percent := int64(pace*100) / unit * unit
+	if percent <= 100 {
+		return 0
+	}
+	return percent
+}
+
 // stallTimeout is the time without a new step after which a rank group with
 // requests counts as stalled. The longest steps take a quarter of it.
 const stallTimeout = 500 * time.Millisecond
--- a/node/loads.go
+++ b/node/loads.go
@@ -109,6 +109,7 @@
 		e.fleet.RecordLoad(r.Endpoint, fleet.Load{
 			Running: r.Running, Waiting: r.Waiting, Stalled: r.Stalled,
 			StepTime: time.Duration(r.StepTimeMS) * time.Millisecond, ColdFor: time.Duration(r.ColdRemainingMS) * time.Millisecond,
+			Pace: float64(r.PacePercent) / 100,
 		})
 	}
 }
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -33,6 +33,8 @@
 	foreignReleaseSteps = 2
 	// idleTimeout is the time without a new step after which a group counts as idle.
 	idleTimeout = 500 * time.Millisecond
+	// minPaceChange is the factor by which a rank's pace must change for a new plan.
+	minPaceChange = 1.2
 	// foreignGraceRounds is the number of successive rounds in which another
 	// coordinator's hold or armed switch must be found before it is rolled back, as that
 	// coordinator may be about to release it.
@@ -78,7 +80,10 @@
 	// earlier step is held again, since a Release may still be carried out.
 	releasedStep uint64
 	lastWindowAt time.Time
-	// demandUpdated is set if a window was closed since the last plan.
+	// pace is how many times longer each rank takes than it should, as of the last reports.
+	pace []float64
+	// demandUpdated is set if a window was closed, or the pace of a rank has changed, since
+	// the last plan.
 	demandUpdated bool
 	lastStep      uint64
 	lastStepAt    time.Time
@@ -98,7 +103,7 @@
 // NewCoordinator returns a coordinator that has no state of the group yet.
 func NewCoordinator(cfg Config) *Coordinator {
 	return &Coordinator{cfg: cfg, demand: NewDemand(cfg.Dimensions), nonce: rand.Uint64N(1 << nonceBits),
-		prepareSentAt: make([]time.Time, len(cfg.Engines)), copied: make(chan uint64, 1),
+		prepareSentAt: make([]time.Time, len(cfg.Engines)), pace: slices.Repeat([]float64{1}, len(cfg.Engines)), copied: make(chan uint64, 1),
 		limitedLog: logs.Limit(cfg.Log, limitedLinesPerSecond, limitedLinesPerSecond)}
 }
 
@@ -232,9 +237,22 @@
 	if first.Step > c.lastStep {
 		c.lastStep, c.lastStepAt = first.Step, now
 	}
+	c.updatePace(reports)
 	return true
 }
 
+// updatePace takes the paces of the ranks from their reports.
+func (c *Coordinator) updatePace(reports []Report) {
+	for r, rep := range reports {
+		pace := rep.pace()
+		if old := c.pace[r]; pace > old*minPaceChange || old > pace*minPaceChange {
+			c.cfg.Log.Info("Rank changed its pace.", "rank", r, "pace", pace, "before", old)
+			c.pace[r] = pace
+			c.demandUpdated = c.demand.Current() != nil
+		}
+	}
+}
+
 // rollBackForeign looks for a hold or an armed switch and returns true if it found one.
 // If it belongs to another coordinator and was found in foreignGraceRounds rounds, it
 // begins to roll it back.
@@ -317,9 +335,9 @@
 	c.demandUpdated = false
 	now := time.Now()
 	plan := NewPlan(c.currentMap, c.demand.Current(), PlanConfig{
-		Dimensions: c.cfg.Dimensions, MaxCopiesPerRank: max(1, int(copyTimeBudget/max(c.cfg.CopyTime, time.Millisecond))), MinGain: minGain,
+		Dimensions: c.cfg.Dimensions, Pace: c.pace, MaxCopiesPerRank: max(1, int(copyTimeBudget/max(c.cfg.CopyTime, time.Millisecond))), MinGain: minGain,
 	})
-	if plan.CopiesPerRank == 0 {
+	if plan.SkewAfter >= plan.SkewBefore {
 		return
 	}
 	c.nextPlan, c.plannedAt, c.plannedVersion = &plan, now, c.nextVersion()
--- a/rankgroup/plan.go
+++ b/rankgroup/plan.go
@@ -24,7 +24,8 @@
 	// CopiesPerRank is the largest number of experts that one rank has to copy.
 	CopiesPerRank int
 	// SkewBefore and SkewAfter are the load of the most loaded rank over the mean,
-	// averaged over the sets, with the old map and with the new one.
+	// averaged over the sets, with the old map and with the new one. The load of a slow
+	// rank counts as many times as it is slower than others.
 	SkewBefore, SkewAfter float64
 }
 
@@ -36,6 +37,17 @@
 	// MinGain is the least decrease of a set's smoothed maximum, in units of the mean
 	// load, for which an expert is copied.
 	MinGain float64
+	// Pace says how many times longer each rank takes for the same work than it should; nil
+	// if none is slow.
+	Pace []float64
+}
+
+// pace returns the pace of a rank.
+func (c *PlanConfig) pace(rank int) float64 {
+	if rank >= len(c.Pace) {
+		return 1
+	}
+	return max(1, c.Pace[rank])
 }
 
 // setState is one expert set of the map while it is changed.
@@ -46,16 +58,18 @@
 	// whether the rank holds the expert.
 	replicas []int
 	holds    [][]bool
-	// share is the load of each expert, load that of each rank, in units of the mean
-	// load of a rank.
+	// share is the load of each expert in units of the mean load of a rank, pace that of
+	// each rank (see PlanConfig). load is the time that each rank takes, in units of the
+	// time for the mean load.
 	share []float64
+	pace  []float64
 	load  []float64
 	// newExperts counts the experts that the plan adds to each rank.
 	newExperts []int
 }
 
 // move adds an expert to a rank and evicts another one from it, or none if evicted
-// is -1.
+// is -1. A move that only evicts one has the expert -1.
 type move struct {
 	set                   int
 	rank, expert, evicted int
@@ -69,7 +83,7 @@
 	next := current.Clone()
 	states := make([]*setState, cfg.Sets)
 	for s := range states {
-		states[s] = newSetState(s, next.Sets[s], demand, cfg.Dimensions)
+		states[s] = newSetState(s, next.Sets[s], demand, &cfg)
 	}
 	plan := Plan{Map: next, SkewBefore: skew(states)}
 	copies := make([]int, cfg.Ranks)
@@ -88,7 +102,9 @@
 			break
 		}
 		states[bestMove.set].apply(bestMove)
-		copies[bestMove.rank]++
+		if bestMove.expert >= 0 {
+			copies[bestMove.rank]++
+		}
 		for s, st := range states {
 			stale := best[s] != nil && copies[best[s].rank] >= cfg.MaxCopiesPerRank
 			if s == bestMove.set || stale {
@@ -103,13 +119,14 @@
 	plan.SkewAfter = skew(states)
 	if plan.SkewAfter >= plan.SkewBefore {
 		// The smoothed maximum decreased but the maximum didn't, so the plan isn't worth
-		// its copies.
+		// its copies, if it has any.
 		return Plan{Map: current, SkewBefore: plan.SkewBefore, SkewAfter: plan.SkewBefore}
 	}
 	return plan
 }
 
-func newSetState(set int, ranks [][]int, demand []float64, d Dimensions) *setState {
+func newSetState(set int, ranks [][]int, demand []float64, cfg *PlanConfig) *setState {
+	d := cfg.Dimensions
 	st := &setState{set: set, ranks: ranks, replicas: make([]int, d.Experts), newExperts: make([]int, d.Ranks)}
 	st.holds = make([][]bool, d.Ranks)
 	for r, experts := range ranks {
@@ -123,6 +140,10 @@
 	for e := range st.share {
 		st.share[e] = demand[set*d.Experts+e] * float64(d.Ranks)
 	}
+	st.pace = make([]float64, d.Ranks)
+	for r := range st.pace {
+		st.pace[r] = cfg.pace(r)
+	}
 	st.load = make([]float64, d.Ranks)
 	st.computeLoads()
 	return st
@@ -134,7 +155,7 @@
 	clear(st.load)
 	for r, experts := range st.ranks {
 		for _, e := range experts {
-			st.load[r] += st.share[e] / float64(st.replicas[e])
+			st.load[r] += st.pace[r] * st.share[e] / float64(st.replicas[e])
 		}
 	}
 }
@@ -181,16 +202,36 @@
 			})
 		}
 	}
+	for r, pace := range st.pace {
+		if pace <= 1 {
+			continue // another replica of an expert costs a rank that isn't slow nothing
+		}
+		for _, v := range st.ranks[r] {
+			if st.replicas[v] < 2 {
+				continue
+			}
+			gain := before - smoothMax(sum+st.powerSumDelta(r, -1, v))
+			if gain >= cfg.MinGain && (best == nil || gain > best.gain) {
+				best = &move{st.set, r, -1, v, gain}
+			}
+		}
+	}
 	return best
 }
 
-// mostLoadedExperts returns the experts with the highest load per replica.
+// mostLoadedExperts returns the experts whose replicas take the longest time.
 func (st *setState) mostLoadedExperts() []int {
 	experts := make([]int, len(st.replicas))
 	for e := range experts {
 		experts[e] = e
 	}
-	replicaLoad := func(e int) float64 { return st.share[e] / float64(st.replicas[e]) }
+	slowest := make([]float64, len(experts))
+	for r, held := range st.ranks {
+		for _, e := range held {
+			slowest[e] = max(slowest[e], st.pace[r])
+		}
+	}
+	replicaLoad := func(e int) float64 { return slowest[e] * st.share[e] / float64(st.replicas[e]) }
 	sort.Slice(experts, func(i, j int) bool { return replicaLoad(experts[i]) > replicaLoad(experts[j]) })
 	return experts[:min(maxCandidateExperts, len(experts))]
 }
@@ -225,25 +266,28 @@
 // ranks' loads.
 func (st *setState) powerSumDelta(rank, expert, evicted int) float64 {
 	load, share := st.load, st.share
-	n := float64(st.replicas[expert])
-	replicaDrop, replicaRise := share[expert]/n-share[expert]/(n+1), 0.0
-	target := load[rank] + share[expert]/(n+1)
+	replicaDrop, replicaRise, change := 0.0, 0.0, 0.0
+	if expert >= 0 {
+		n := float64(st.replicas[expert])
+		replicaDrop = share[expert]/n - share[expert]/(n+1)
+		change = share[expert] / (n + 1)
+	}
 	if evicted >= 0 {
 		m := float64(st.replicas[evicted])
 		replicaRise = share[evicted]/(m-1) - share[evicted]/m
-		target -= share[evicted] / m
+		change -= share[evicted] / m
 	}
-	delta := eighthPower(target) - eighthPower(load[rank])
+	delta := eighthPower(load[rank]+st.pace[rank]*change) - eighthPower(load[rank])
 	for r := range load {
 		if r == rank {
 			continue
 		}
 		x := load[r]
-		if st.holds[r][expert] {
-			x -= replicaDrop
+		if expert >= 0 && st.holds[r][expert] {
+			x -= st.pace[r] * replicaDrop
 		}
 		if evicted >= 0 && st.holds[r][evicted] {
-			x += replicaRise
+			x += st.pace[r] * replicaRise
 		}
 		if x != load[r] {
 			delta += eighthPower(x) - eighthPower(load[r])
@@ -259,9 +303,11 @@
 		st.replicas[m.evicted]--
 		st.ranks[m.rank] = slices.DeleteFunc(st.ranks[m.rank], func(e int) bool { return e == m.evicted })
 	}
-	st.holds[m.rank][m.expert] = true
-	st.replicas[m.expert]++
-	st.ranks[m.rank] = append(st.ranks[m.rank], m.expert)
-	st.newExperts[m.rank]++
+	if m.expert >= 0 {
+		st.holds[m.rank][m.expert] = true
+		st.replicas[m.expert]++
+		st.ranks[m.rank] = append(st.ranks[m.rank], m.expert)
+		st.newExperts[m.rank]++
+	}
 	st.computeLoads()
 }
--- a/rankgroup/plan_test.go
+++ b/rankgroup/plan_test.go
@@ -179,3 +179,58 @@
 	is.True(m.Current()[3] > 0.8)
 	is.True(!m.CloseWindow()) // no new selections
 }
+
+// Guards against plans that leave work at a rank which takes many times longer than the
+// others, and at which all ranks then wait in each step, and against leaving it without
+// work once it is well again.
+func TestSlowRankIsRelieved(t *testing.T) {
+	for _, pace := range []float64{3, 12} {
+		t.Run(fmt.Sprint("pace=", pace), func(t *testing.T) {
+			is := is.New(t)
+			d := Dimensions{Ranks: 12, Sets: 4, Experts: 72, ExpertSlots: 8, SpareSlots: 3}
+			rng := rand.New(rand.NewPCG(1, 2))
+			demand := make([]float64, d.Sets*d.Experts)
+			for i := range demand {
+				demand[i] = rng.ExpFloat64()
+			}
+			demand = normalise(demand, d)
+			cfg := PlanConfig{Dimensions: d, MaxCopiesPerRank: 1, MinGain: 0.02}
+			m := InitialMap(d)
+			for range 20 {
+				m = NewPlan(m, demand, cfg).Map
+			}
+			cfg.Pace = make([]float64, d.Ranks)
+			cfg.Pace[5] = pace
+			slowed := NewPlan(m, demand, cfg)
+			is.True(slowed.SkewBefore > 0.8*pace)
+			for range 3 { // each takes about a quarter of a second
+				m = NewPlan(m, demand, cfg).Map
+			}
+			relieved := NewPlan(m, demand, cfg).SkewBefore
+			is.True(relieved < 1.5)
+			cfg.Pace = nil
+			for range 20 {
+				m = NewPlan(m, demand, cfg).Map
+			}
+			is.True(NewPlan(m, demand, cfg).SkewBefore < 1.25)
+		})
+	}
+}
+
+// Guards against plans that no engine accepts while ranks are slow.
+func TestPlansWithSlowRanksAreValid(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := Dimensions{Ranks: rapid.IntRange(2, 8).Draw(rt, "ranks"), Sets: 2, SpareSlots: rapid.IntRange(1, 4).Draw(rt, "spares")}
+		d.Experts = d.Ranks * rapid.IntRange(1, 4).Draw(rt, "experts per rank")
+		d.ExpertSlots = d.Experts/d.Ranks + rapid.IntRange(0, 3).Draw(rt, "free slots")
+		cfg := PlanConfig{Dimensions: d, MaxCopiesPerRank: rapid.IntRange(1, 6).Draw(rt, "copies"), MinGain: 0.01}
+		current := InitialMap(d)
+		for range 4 {
+			cfg.Pace = rapid.SliceOfN(rapid.Float64Range(0, 20), d.Ranks, d.Ranks).Draw(rt, "pace")
+			demand := rapid.SliceOfN(rapid.Float64Range(0, 1), d.Sets*d.Experts, d.Sets*d.Experts).Draw(rt, "demand")
+			plan := NewPlan(current, normalise(demand, d), cfg)
+			checkPlan(rt, current, plan.Map, cfg)
+			current = plan.Map
+		}
+	})
+}
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -41,6 +41,9 @@
 	Waiting int `json:"waiting"`
 	// ColdFor is the time for which the rank stays cold.
 	ColdFor time.Duration `json:"cold"`
+	// Pace is how many times longer the rank takes for the same work than it should; 0 if
+	// it doesn't say.
+	Pace float64 `json:"pace,omitempty"`
 	// Step is the last engine step that began.
 	Step uint64 `json:"step"`
 	// MapVersion is the version of the map in force.
@@ -54,6 +57,9 @@
 	HeldStep *uint64 `json:"held"`
 }
 
+// pace returns the rank's pace, 1 if it is not slow.
+func (r *Report) pace() float64 { return max(1, r.Pace) }
+
 // Armed describes a scheduled switch of a rank: at the beginning of step Step, to map
 // version Version.
 type Armed struct {
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -16,6 +16,9 @@
 	// ColdRemainingMS is the time, in milliseconds, until the endpoint is warm; 0 if
 	// it is warm. A cold endpoint sustains only a fraction of its normal load.
 	ColdRemainingMS int64 `json:"c,omitempty"`
+	// PacePercent is how long the endpoint takes for the same work, as a percentage of the
+	// time that it should take, rounded down to a multiple of 25; 0 below 125.
+	PacePercent int64 `json:"s,omitempty"`
 	// RateLimit is the number of requests a second that the endpoint accepts from all
 	// entries together, RateLimitNone after a limit has ended, and empty if it hasn't
 	// named one since the agent started.
