--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -180,9 +180,9 @@
 	return d, ok
 }
 
-// Noticed returns the number of endpoints with a record that have said they leave, and of
+// NoticeCounts returns the number of endpoints with a record that have said they leave, and of
 // those that have asked for a pause which lasts.
-func (f *Fleet) Noticed() (leaving, paused int) {
+func (f *Fleet) NoticeCounts() (leaving, paused int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -56,7 +56,7 @@
 			s := newTestEntry(t, orderRoute, respondRaw(answer))
 			_, _, err := s.send(t, nil)
 			is.NoErr(err)
-			leaving, paused := s.handler.cfg.Fleet.Noticed()
+			leaving, paused := s.handler.cfg.Fleet.NoticeCounts()
 			is.Equal([]int{leaving, paused}, []int{0, 0})
 		})
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -139,8 +139,8 @@
 	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.fleet.Entries()) })
 	e.metrics.NewGauge("wasabinotch_endpoints", func() float64 { return float64(len(e.fleet.Records())) })
 	e.metrics.NewGauge("wasabinotch_endpoints_rate_limited", func() float64 { return float64(e.fleet.RateLimited()) })
-	e.metrics.NewGauge("wasabinotch_endpoints_leaving", func() float64 { n, _ := e.fleet.Noticed(); return float64(n) })
-	e.metrics.NewGauge("wasabinotch_endpoints_paused", func() float64 { _, n := e.fleet.Noticed(); return float64(n) })
+	e.metrics.NewGauge("wasabinotch_endpoints_leaving", func() float64 { n, _ := e.fleet.NoticeCounts(); return float64(n) })
+	e.metrics.NewGauge("wasabinotch_endpoints_paused", func() float64 { _, n := e.fleet.NoticeCounts(); return float64(n) })
 	e.metrics.NewGauge("wasabinotch_config_version", func() float64 {
 		if c := e.handler.Config(); c != nil {
 			return float64(c.Version)
