node: entries read changes of the store after 150 ms again

Entries take turns at cold endpoints by their place among all entries; while a third of them lose their leases, each numbers itself anew when it reads the changes. Since that was after up to 0.8 s, 255 ms with 51 entries, so that they numbered themselves differently for longer.

--- a/node/entry.go
+++ b/node/entry.go
@@ -65,14 +65,11 @@
 	peerPollInterval     = 500 * time.Millisecond
 	unstablePollInterval = 250 * time.Millisecond
 	unstableWindow       = 3 * time.Second
-	// settleTime is how long a change in the store may wait so that one call reads
-	// further changes too, since every call is billed, in a small fleet. It is
-	// settleTimePerEntry for each entry in a larger one, in which each change is read
-	// more often, and at most maxSettleTime, a part of the two seconds within which
-	// configurations and leaving endpoints must take effect.
-	settleTime         = 150 * time.Millisecond
-	settleTimePerEntry = 5 * time.Millisecond
-	maxSettleTime      = 800 * time.Millisecond
+	// settleTime is how long a change in the store may wait so that one call
+	// reads further changes too, since every call is billed. It is a small part
+	// of the two seconds within which configurations and leaving endpoints must
+	// take effect.
+	settleTime = 150 * time.Millisecond
 	// directoryTTLSeconds is the lifetime of a directory response unless the
 	// settings bound it lower. It is short so that callers soon stop using the
 	// address of a stopped entry.
@@ -168,7 +165,7 @@
 	if err := e.serveInternal(); err != nil {
 		return err
 	}
-	go store.Follow(background, e.feed, "", func() time.Duration { return settleTimeFor(e.fleet.Entries()) }, e.newStoreFollower())
+	go store.Follow(background, e.feed, "", settleTime, e.newStoreFollower())
 	go e.pollPeers(background)
 	go e.holds.run(background)
 	go e.subscribeLoads(background)
@@ -196,11 +193,6 @@
 	return nil
 }
 
-// settleTimeFor returns the settle time in a fleet with the given number of entries.
-func settleTimeFor(entries int) time.Duration {
-	return min(max(settleTime, time.Duration(entries)*settleTimePerEntry), maxSettleTime)
-}
-
 func (e *Entry) registration() *registration {
 	value, _ := json.Marshal(entryRecord{Callers: e.cfg.CallersAddr, Peer: e.peerAddr(), Zone: e.cfg.Zone}) // strings always encode
 	return &registration{leaser: e.store, health: e.health, connectionLost: e.feed.connectionLost, key: platform.PrefixEntries + e.cfg.ID, value: value, log: e.log.WithName("register")}
--- a/node/watchmonitor.go
+++ b/node/watchmonitor.go
@@ -15,9 +15,8 @@
 const (
 	// staleWatchTimeout is how long the watch may return nothing although another entry
 	// has seen a newer change, beside listTimes times the duration of the last listing.
-	// Changes that arrive in time differ by the duration of two calls between entries; a
-	// slow store must not be listed again for that. The time in which no call is made,
-	// because further changes are awaited, doesn't count.
+	// Changes that arrive in time differ by settleTime and the duration of two calls
+	// between entries; a slow store must not be listed again for that.
 	staleWatchTimeout = 400 * time.Millisecond
 	listTimes         = 2
 )
@@ -120,7 +119,7 @@
 func (m *monitoredFeed) setEndCall(end context.CancelCauseFunc) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.endCall, m.behindSince = end, time.Time{}
+	m.endCall = end
 }
 
 // recordPeer records the newest change that another entry has seen, and ends the call
--- a/store/follow.go
+++ b/store/follow.go
@@ -105,9 +105,9 @@
 )
 
 // Follow keeps handler up to date with the keys below prefix until ctx ends. After a
-// change it waits for the duration that settle returns, so that one call returns several
+// change it waits for the duration settle, so that one call returns several
 // successive changes.
-func Follow(ctx context.Context, feed ChangeFeed, prefix string, settle func() time.Duration, handler ChangeHandler) {
+func Follow(ctx context.Context, feed ChangeFeed, prefix string, settle time.Duration, handler ChangeHandler) {
 	var lostAt time.Time
 	var at Position
 	backoff := Backoff{Max: maxFollowDelay}
@@ -150,7 +150,7 @@
 			}
 			at = Later(at, next)
 			if len(events) > 0 {
-				pause.For(ctx, settle())
+				pause.For(ctx, settle)
 			}
 		}
 	}
