--- a/node/oddrecords_test.go
+++ b/node/oddrecords_test.go
@@ -15,7 +15,7 @@
 	"github.com/wasabinotch/wasabinotch/store"
 )
 
-// oddRecord returns keys that no process of the system writes. They contain the address
+// oddRecords returns keys and values that no process of the system writes. They contain the address
 // of a running endpoint where that may do harm.
 func oddRecords(address string) map[string][]byte {
 	record := func(service, address, slots, cold, born string) []byte {
