--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -24,8 +24,8 @@
 	// would reflect only the few requests that happen to run.
 	minWindowTime = 150 * time.Millisecond
 	// windowBytesPerRound bounds the bytes of the windows that are read in one round, and
-	// windowOverhead is what a window has besides one byte for each expert. At 6 Mbit/s,
-	// the link of an agent's VM on the users' largest site, they take a tenth of a second.
+	// windowOverhead is what a window has besides one byte for each expert: the links of
+	// endpoint VMs are narrow, and all replies of a round share the coordinator's.
 	windowBytesPerRound = 64 << 10
 	windowOverhead      = 300
 	// copyTimeBudget bounds the time that one plan's copies take on one rank. Right
