--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"drain": drainCase,
 	"watch": watchCase,
 	"held":  heldCase,
+	"odd":   oddCase,
 }
 
 func main() {
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -54,6 +54,8 @@
 	ip     func(host int) string
 	port   int
 	nodes  []*process
+	// storeAddr is the address at which new processes reach the store.
+	storeAddr string
 }
 
 // process is a process of the project.
@@ -87,6 +89,7 @@
 		network, port := 20+rand.IntN(200), 21000+rand.IntN(1000)*portCount
 		d := &deployment{dir: dir, record: r, port: port, ip: func(host int) string { return fmt.Sprintf("127.%d.0.%d", network, host) }}
 		if d.store, err = startStore(d.addr(1, portStore)); err == nil {
+			d.storeAddr = d.store.addr
 			return d, nil
 		}
 	}
@@ -115,7 +118,7 @@
 	}
 	fields := map[string]any{
 		"node_name": name, "zone": zone, "ip": d.ip(host), "listen.front": p.front, "listen.ready": p.ready, "listen.directory": p.directory,
-		"internal_ports.0": d.port + portInternal, "app": app, "service": service, "platform.address": d.store.addr,
+		"internal_ports.0": d.port + portInternal, "app": app, "service": service, "platform.address": d.storeAddr,
 		"limits.memory_mb": 206, "bounds.grace_period_s": 8, "bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 196,
 		"bounds.budget_window_s": 10, "bounds.cold_overage": 1.5, "bounds.cold_slack": 5, "bounds.ttl_max_s": 5, "heartbeat_ms": heartbeat.Milliseconds(),
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -28,8 +29,8 @@
 
 // store is the platform's store as PROTOCOL.md describes it.
 type store struct {
-	addr   string
-	server *http.Server
+	addr    string
+	handler http.Handler
 
 	mu       sync.Mutex
 	revision uint64
@@ -41,6 +42,10 @@
 	cut chan struct{}
 }
 
+// bandwidthKey is the key of a connection's bandwidth in bytes a second in the context of
+// its requests.
+type bandwidthKey struct{}
+
 func startStore(addr string) (*store, error) {
 	s := &store{addr: addr, revision: 1, items: make(map[string]item), leases: make(map[uint64]*lease),
 		changed: make(chan struct{}), cut: make(chan struct{})}
@@ -52,12 +57,10 @@
 	mux.HandleFunc("POST /kv-lease", s.grant)
 	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
+	s.handler = mux
+	if err := s.listen(addr, 0); err != nil {
 		return nil, err
 	}
-	s.server = &http.Server{Handler: mux}
-	go func() { _ = s.server.Serve(ln) }()
 	go func() {
 		for range time.Tick(50 * time.Millisecond) {
 			s.expire()
@@ -66,6 +69,19 @@
 	return s, nil
 }
 
+// listen serves the store at an address. Each connection by itself has the bandwidth of
+// its machine's link, in bytes a second; 0 for no limit.
+func (s *store) listen(addr string, bandwidth int) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	ctx := context.WithValue(context.Background(), bandwidthKey{}, bandwidth)
+	server := &http.Server{Handler: s.handler, BaseContext: func(net.Listener) context.Context { return ctx }}
+	go func() { _ = server.Serve(ln) }()
+	return nil
+}
+
 // CutWatches closes the connections of all watches that wait at the moment. New calls
 // are served at once.
 func (s *store) CutWatches() {
@@ -86,6 +102,15 @@
 	s.put(item{Key: key, Value: b})
 }
 
+// PutBytes writes keys in one transaction, as another writer does.
+func (s *store) PutBytes(values map[string][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, value := range values {
+		s.put(item{Key: key, Value: value})
+	}
+}
+
 // Remove deletes a key.
 func (s *store) Remove(key string) {
 	s.mu.Lock()
@@ -151,6 +176,33 @@
 	_ = json.NewEncoder(w).Encode(v) // fails only if the client has left
 }
 
+// sendChunk is the number of bytes that are sent at once over a link of limited bandwidth.
+const sendChunk = 16 << 10
+
+// answerAt is answer at the bandwidth of the link.
+func answerAt(w http.ResponseWriter, r *http.Request, v any) {
+	bandwidth, _ := r.Context().Value(bandwidthKey{}).(int)
+	if bandwidth == 0 {
+		answer(w, http.StatusOK, v)
+		return
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	began := time.Now()
+	for sent := 0; sent < len(b); {
+		n, err := w.Write(b[sent:min(len(b), sent+sendChunk)])
+		if err != nil {
+			return // the client has left
+		}
+		sent += n
+		time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / float64(bandwidth) * float64(time.Second)))))
+	}
+}
+
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -162,10 +214,18 @@
 	answer(w, http.StatusOK, i)
 }
 
-// pageItems is the number of items in a page of a listing.
-const pageItems = 500
+// pageItems and pageBytes bound a page of a listing.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
+	answerAt(w, r, s.page(r))
+}
+
+// page returns a page of a listing.
+func (s *store) page(r *http.Request) any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
@@ -176,8 +236,12 @@
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	more := len(found) > pageItems
-	answer(w, http.StatusOK, map[string]any{"items": found[:min(len(found), pageItems)], "has_more": more, "at_revision": s.revision})
+	n, size := 0, 0
+	for n < min(len(found), pageItems) && (n == 0 || size+len(found[n].Value) <= pageBytes) {
+		size += len(found[n].Value)
+		n++
+	}
+	return map[string]any{"items": found[:n], "has_more": n < len(found), "at_revision": s.revision}
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
@@ -199,7 +263,7 @@
 		}
 		s.mu.Unlock()
 		if len(events) > 0 {
-			answer(w, http.StatusOK, map[string]any{"events": events, "at_revision": revision})
+			answerAt(w, r, map[string]any{"events": events, "at_revision": revision})
 			return
 		}
 		select {
