review: one odd record keeps a held group from a new coordinator

Script case on RECOVER. Listing the runners' records takes longer than an agent gives it, so that nobody rolls back the hold of a coordinator that was killed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"watch": watchCase,
 	"held":  heldCase,
 	"odd":   oddCase,
+	"group": groupCase,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -30,6 +30,10 @@
 	// coldUntil is the time until which the runner is cold.
 	coldUntil time.Time
 
+	// group is set if the runner is a rank of a group.
+	group *group
+	rank  int
+
 	server *http.Server
 
 	mu      sync.Mutex
@@ -97,6 +101,15 @@
 	return time.Now()
 }
 
+// next returns a channel that delivers a value, or is closed, when the next event of a
+// stream may be sent: after a pause, or in a group with its next step.
+func (r *runner) next(pause time.Duration) <-chan time.Time {
+	if r.group != nil {
+		return r.group.nextStep()
+	}
+	return time.After(pause)
+}
+
 func (r *runner) addWaiting(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -124,6 +137,9 @@
 func (r *runner) exit() { _ = r.server.Close() }
 
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if r.group != nil && r.serveEngine(w, q) {
+		return
+	}
 	_, _ = io.Copy(io.Discard, q.Body)
 	id := q.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
@@ -185,7 +201,7 @@
 	pause := max(r.firstEvent, r.eventGap)
 	for next++; next <= r.events; next++ {
 		select {
-		case <-time.After(pause):
+		case <-r.next(pause):
 		case <-ctx.Done():
 			r.record.add("runner %s stops %s before event %d: its sender left or its deadline passed", r.id, id, next)
 			panic(http.ErrAbortHandler)
