--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -15,7 +15,7 @@
 // group is a group of ranks that begin each step together, as PROTOCOL.md describes it.
 type group struct {
 	runners []*runner
-	// onHold is called, if it isn't nil, when a rank has accepted to hold a step.
+	// onHold is called, if it isn't nil, once a rank holds a step, before it says so.
 	onHold func()
 
 	mu    sync.Mutex
@@ -135,7 +135,11 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return true
 		}
-		w.WriteHeader(r.group.execute(r.rank, o))
+		status := r.group.execute(r.rank, o)
+		if o.Operation == "hold" && status == http.StatusAccepted {
+			r.group.held()
+		}
+		w.WriteHeader(status)
 	default:
 		return false
 	}
@@ -202,9 +206,6 @@
 			return http.StatusConflict
 		}
 		s.held = &o.Step
-		if g.onHold != nil {
-			go g.onHold()
-		}
 	case "go":
 		if s.held == nil || *s.held != o.Step {
 			return http.StatusConflict
@@ -216,6 +217,23 @@
 	return http.StatusAccepted
 }
 
+// held tells onHold that a rank holds a step.
+func (g *group) held() {
+	g.mu.Lock()
+	f := g.onHold
+	g.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// setOnHold sets onHold.
+func (g *group) setOnHold(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onHold = f
+}
+
 // state returns the step and whether a rank holds the next one.
 func (g *group) state() (step uint64, held bool) {
 	g.mu.Lock()
--- a/review/standin/groupcase.go
+++ b/review/standin/groupcase.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -12,8 +13,8 @@
 const sideBytesPerSecond = 20e6 / 8
 
 // groupCase has another writer leave one record of unreadable bytes among those of the
-// runners. Later all processes of the system are killed, just after a rank of the group has
-// accepted to hold a step, and start again.
+// runners. Later all processes of the system are killed, just as a rank of the group begins
+// to hold a step, and start again.
 func groupCase(d *deployment, trouble bool) (verdict, error) {
 	const host, ranks, events = "ficu95.example", 8, 26
 	engine := service("draft-writers")
@@ -63,43 +64,27 @@
 	}
 	time.Sleep(4 * time.Second)
 	d.writeConfig(9, routes, services)
-	held := make(chan struct{}, 100)
-	g.mu.Lock()
-	g.onHold = func() { held <- struct{}{} }
-	g.mu.Unlock()
+	killed := make(chan time.Time)
+	kill := sync.OnceFunc(func() {
+		for _, p := range d.nodes {
+			p.signal(syscall.SIGKILL)
+		}
+		killed <- time.Now()
+	})
+	g.setOnHold(kill)
+	var fault time.Time
 	select {
-	case <-held:
+	case fault = <-killed:
 	case <-time.After(20 * time.Second):
 		return verdict{}, errors.New("no rank was told to hold a step")
 	}
-	for _, p := range d.nodes {
-		p.signal(syscall.SIGKILL)
-	}
-	fault := time.Now()
-	g.mu.Lock()
-	g.onHold = nil
-	g.mu.Unlock()
-	for _, p := range d.nodes {
-		<-p.ended
-	}
+	g.setOnHold(nil)
 	step, isHeld := g.state()
-	d.record.add("final fault: all processes of the system were killed; step %d has begun, a rank holds the next one: %t", step, isHeld)
-	if !isHeld {
-		return verdict{}, errors.New("the step was released before the processes ended")
-	}
-	time.Sleep(killedTime)
-	for _, p := range d.nodes {
-		if err := p.start(d); err != nil {
-			return verdict{}, err
-		}
-	}
-	for _, p := range entries {
-		if err := p.awaitReady(10 * time.Second); err != nil {
-			return verdict{}, err
-		}
+	d.record.add("final fault: all processes of the system are killed; step %d has begun, a rank holds the next one: %t", step, isHeld)
+	back, err := d.startAgain(d.nodes, entries, killedTime)
+	if err != nil {
+		return verdict{}, err
 	}
-	back := time.Now()
-	d.record.add("all machines are back")
 	time.Sleep(recovery + 15*time.Second)
 	close(c.stop)
 	c.clients.Wait()
--- a/review/standin/held.go
+++ b/review/standin/held.go
@@ -122,22 +122,10 @@
 	for _, p := range entries {
 		p.signal(syscall.SIGKILL)
 	}
-	for _, p := range entries {
-		<-p.ended
-	}
-	time.Sleep(killedTime)
-	for _, p := range entries {
-		if err := p.start(d); err != nil {
-			return verdict{}, err
-		}
-	}
-	for _, p := range entries {
-		if err := p.awaitReady(10 * time.Second); err != nil {
-			return verdict{}, err
-		}
+	back, err := d.startAgain(entries, entries, killedTime)
+	if err != nil {
+		return verdict{}, err
 	}
-	back := time.Now()
-	d.record.add("all machines are back")
 	time.Sleep(recovery + 15*time.Second)
 	close(c.stop)
 	c.clients.Wait()
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -299,6 +299,27 @@
 		"tenants": []map[string]any{{"name": tenant, "api_keys": []string{key}}}})
 }
 
+// startAgain waits until processes that were killed have ended, starts them again after
+// the given time, and waits until the entries among them are ready.
+func (d *deployment) startAgain(killed, entries []*process, after time.Duration) (back time.Time, err error) {
+	for _, p := range killed {
+		<-p.ended
+	}
+	time.Sleep(after)
+	for _, p := range killed {
+		if err := p.start(d); err != nil {
+			return time.Time{}, err
+		}
+	}
+	for _, p := range entries {
+		if err := p.awaitReady(10 * time.Second); err != nil {
+			return time.Time{}, err
+		}
+	}
+	d.record.add("all machines are back")
+	return time.Now(), nil
+}
+
 var zones = []string{"sohar-north", "sohar-port", "sohar-souq"}
 
 // startEntries starts entries on machines of their own, in turn in the zones, and waits
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -42,7 +42,6 @@
 	// waiting counts the streams whose first event is still to come.
 	waiting  int
 	sequence int
-	state    string
 	stopped  chan struct{}
 	// arrivals lists when requests that it did not answer with 421 reached the runner.
 	arrivals []arrival
@@ -59,7 +58,7 @@
 		return err
 	}
 	r.addr = ln.Addr().String()
-	r.born, r.state, r.stopped = time.Now().UnixMilli(), "ready", make(chan struct{})
+	r.born, r.stopped = time.Now().UnixMilli(), make(chan struct{})
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(ln) }()
 	r.announce()
@@ -89,7 +88,7 @@
 	}
 	r.sequence++
 	r.store.Put("servers/"+r.id, map[string]any{"service": r.service, "address": r.addr, "zone": r.zone, "version": 1, "slots": r.slots,
-		"state": r.state, "cold_remaining_ms": max(0, time.Until(r.coldUntil).Milliseconds()), "sequence": r.sequence, "born": r.born})
+		"state": "ready", "cold_remaining_ms": max(0, time.Until(r.coldUntil).Milliseconds()), "sequence": r.sequence, "born": r.born})
 }
 
 // withdraw ends the heartbeats and removes the record. The runner continues to serve.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -118,14 +118,6 @@
 	s.remove(key)
 }
 
-// Has reports whether a key exists.
-func (s *store) Has(key string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.items[key]
-	return ok
-}
-
 func (s *store) put(i item) {
 	s.revision++
 	i.Revision, i.Created = s.revision, s.revision
