forward, node: a draining entry refuses what may outlast it

Cause: requests were accepted for half of the grace period (4 of 8 s) without a look at how long they may take, and refused altogether afterwards.

Change: forward.Drain compares the deadline of a request with the exit. What ends before it is accepted at any time; what may not is accepted for half of the grace period, 2.75 s at most, since the platform's rules excuse an abort only for requests that were sent within 3 s of the signal. Others get 503 at once (not run).

--- a/forward/filters.go
+++ b/forward/filters.go
@@ -11,7 +11,8 @@
 	"github.com/wasabinotch/wasabinotch/api"
 )
 
-// identify determines the request's ID, route, service, priority and deadline.
+// identify determines the request's ID, route, service, priority and deadline. A draining
+// process then refuses what may outlast it.
 func (x *exchange) identify() *api.Refusal {
 	names := &x.handler.cfg.Headers
 	ids := x.r.Header.Values(names.RequestID)
@@ -22,11 +23,6 @@
 		x.setRetryAfter(noConfigRetryAfter)
 		return api.NotRun(api.KindNoBundle, "this entry has no configuration yet", "try another entry")
 	}
-	if x.handler.refusingRequests.Load() {
-		x.setRetryAfter(0)
-		x.cause = errShuttingDown
-		return api.NotRun(api.KindOverloaded, "this entry is shutting down", "try another entry")
-	}
 	if len(ids) != 1 || ids[0] == "" {
 		return api.NotRun(api.KindBadRequest, "the request has no single "+names.RequestID, "send one "+names.RequestID+" header")
 	}
@@ -54,6 +50,11 @@
 			x.deadline = d
 		}
 	}
+	if d := x.handler.drain.Load(); d != nil && !d.accepts(x.arrived, x.deadline) {
+		x.setRetryAfter(0)
+		x.cause = errShuttingDown
+		return api.NotRun(api.KindOverloaded, "this entry is shutting down", "try another entry")
+	}
 	return nil
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -102,10 +102,9 @@
 type Handler struct {
 	cfg     Config
 	current atomic.Pointer[routing.Config]
-	// closingConnections is set once the process drains, refusingRequests once
-	// it accepts no more requests.
-	closingConnections, refusingRequests atomic.Bool
-	active                               atomic.Int64
+	// drain is nil until the process drains.
+	drain  atomic.Pointer[Drain]
+	active atomic.Int64
 
 	mu           sync.Mutex
 	retryBudgets map[string]*fleet.RetryBudget
@@ -134,13 +133,9 @@
 // Config returns the configuration in force, or nil.
 func (h *Handler) Config() *routing.Config { return h.current.Load() }
 
-// CloseConnections makes all further responses ask the caller to close its
-// connection.
-func (h *Handler) CloseConnections() { h.closingConnections.Store(true) }
-
-// RefuseRequests refuses new requests from now on; requests in progress
-// continue.
-func (h *Handler) RefuseRequests() { h.refusingRequests.Store(true) }
+// StartDrain refuses the requests that d doesn't accept from now on, and makes all further
+// responses ask the caller to close its connection. Requests in progress continue.
+func (h *Handler) StartDrain(d Drain) { h.drain.Store(&d) }
 
 // Active returns the number of requests in the handler.
 func (h *Handler) Active() int64 { return h.active.Load() }
@@ -219,7 +214,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	x := &exchange{handler: h, w: w, r: r, config: h.current.Load(), arrived: time.Now()}
-	if h.closingConnections.Load() {
+	if h.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	for _, f := range filters {
--- a/node/entry.go
+++ b/node/entry.go
@@ -78,15 +78,26 @@
 
 // Times in a drain, as fractions of the grace period since SIGTERM.
 const (
-	// refuseAtFraction is when new requests are refused, since they may last
-	// long.
-	refuseAtFraction = 0.5
+	// acceptAllFraction is when requests begin to be refused that may not end before the
+	// exit. On the users' platform, acceptAllTime may come first.
+	acceptAllFraction = 0.5
 	// closeAtFraction is when the listener closes.
 	closeAtFraction = 0.8
 	// endAtFraction is when the process exits, even if requests are in progress.
 	endAtFraction = 0.97
 )
 
+const (
+	// acceptAllTime is the time after SIGTERM from which on the users' platform excuses no
+	// aborted request, without drainDelay.
+	acceptAllTime = platform.DrainAbortWindow - drainDelay
+	// drainDelay bounds the delay between the signal and the start of the drain.
+	drainDelay = 250 * time.Millisecond
+	// responseMargin is left between the deadline of the last requests and the exit, for
+	// their responses to be written.
+	responseMargin = 100 * time.Millisecond
+)
+
 // Entry is the process that serves callers.
 type Entry struct {
 	cfg     settings.PlatformEntry
@@ -224,16 +235,14 @@
 // still use its address until the grace period is nearly over.
 func (e *Entry) drain(callers *http.Server, deregister func()) {
 	began := time.Now()
-	timeUntil := func(fraction float64) time.Duration {
-		return time.Until(began.Add(time.Duration(fraction * e.cfg.Bounds.GracePeriodS * float64(time.Second))))
+	at := func(fraction float64) time.Time {
+		return began.Add(time.Duration(fraction * e.cfg.Bounds.GracePeriodS * float64(time.Second)))
 	}
 	e.ready.Store(false)
-	e.handler.CloseConnections()
+	e.handler.StartDrain(drainOf(began, at))
 	deregister()
-	time.Sleep(timeUntil(refuseAtFraction))
-	e.handler.RefuseRequests()
-	time.Sleep(timeUntil(closeAtFraction))
-	ctx, cancel := context.WithTimeout(context.Background(), timeUntil(endAtFraction))
+	time.Sleep(time.Until(at(closeAtFraction)))
+	ctx, cancel := context.WithDeadline(context.Background(), at(endAtFraction))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		e.log.Info("Requests aborted at the end of the grace period.", "active", e.handler.Active(), "cause", err.Error())
@@ -243,6 +252,16 @@
 	}
 }
 
+// drainOf returns which requests are accepted in a drain. at returns the time at a
+// fraction of the grace period.
+func drainOf(began time.Time, at func(fraction float64) time.Time) forward.Drain {
+	d := forward.Drain{AcceptAllUntil: at(acceptAllFraction), End: at(endAtFraction).Add(-responseMargin)}
+	if late := began.Add(acceptAllTime); late.Before(d.AcceptAllUntil) {
+		d.AcceptAllUntil = late
+	}
+	return d
+}
+
 // serveCallers starts the server for callers with the timeouts and bounds of the
 // current configuration.
 func (e *Entry) serveCallers() (*http.Server, error) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -186,6 +186,12 @@
 }
 
 func startEntry(t *testing.T, id, storeAddr string) *testEntry {
+	t.Helper()
+	return startEntryWith(t, id, storeAddr, nil)
+}
+
+// startEntryWith starts an entry with changed bounds; change may be nil.
+func startEntryWith(t *testing.T, id, storeAddr string, change func(*settings.Bounds)) *testEntry {
 	t.Helper()
 	port := freePorts(t, 8)
 	addr := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", port+i) }
@@ -193,6 +199,9 @@
 		ID: id, Zone: "z1", IP: "127.0.0.1", CallersAddr: addr(0), ReadyAddr: addr(1), DirectoryAddr: addr(2), PeerPort: port + 4, MetricsAddr: addr(3), StoreAddr: storeAddr,
 		Bounds: settings.Bounds{GracePeriodS: 4, RetryRatio: 0.2, RetrySlack: 100, RetryWindowS: 10, ColdBurstFactor: 1.5, ColdBurstSlack: 5, DirectoryTTLS: 5},
 	}}}
+	if change != nil {
+		change(&e.settings.Bounds)
+	}
 	if err := e.settings.Validate(); err != nil {
 		t.Fatal(err)
 	}
