node, store: a cut watch of a store that answers defers no removal

Cause: a failed call for changes counted as an outage of the store, and each failed call deferred all removals by 1.9 s anew.

Change: a failed call for changes is an outage only if the store answered no call for a heartbeat, in which no running process can lose its record, or if other calls fail too. A deferred removal waits once, unless another outage follows. Renewals are at most 3/4 of a heartbeat apart, so that they show that the store answers (0.9 s on the users' platform, as before).

--- a/lab/platformsim/platformsim.go
+++ b/lab/platformsim/platformsim.go
@@ -59,6 +59,8 @@
 	// silenced holds the client addresses of the connections that get no more
 	// responses.
 	silenced map[string]bool
+	// cut holds the client addresses whose running watch ends without a response.
+	cut map[string]bool
 	// watching holds the client addresses of the running watches.
 	watching map[string]bool
 	// connected holds the client addresses that made a call.
@@ -68,7 +70,7 @@
 // Listen starts a store on addr (IP:port).
 func Listen(addr string) (*Store, error) {
 	s := &Store{era: 1, revision: 10, items: make(map[string]item), leases: make(map[uint64]*lease), changed: make(chan struct{}),
-		silenced: make(map[string]bool), watching: make(map[string]bool), connected: make(map[string]bool)}
+		silenced: make(map[string]bool), cut: make(map[string]bool), watching: make(map[string]bool), connected: make(map[string]bool)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.list)
 	mux.HandleFunc("GET /kv-watch", s.watch)
@@ -120,6 +122,14 @@
 	return false
 }
 
+// CutWatches closes the connections of all running watches. Other connections work.
+func (s *Store) CutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.Copy(s.cut, s.watching)
+	s.notifyWatchers()
+}
+
 // SilenceConnections makes all open connections silent.
 func (s *Store) SilenceConnections() {
 	s.mu.Lock()
@@ -351,7 +361,8 @@
 	defer s.setWatching(r.RemoteAddr, false)
 	for {
 		s.mu.Lock()
-		silenced := s.silenced[r.RemoteAddr]
+		silenced, cut := s.silenced[r.RemoteAddr], s.cut[r.RemoteAddr]
+		delete(s.cut, r.RemoteAddr)
 		events, revision, changed, down := s.eventsSince(prefix, after), s.revision, s.changed, s.down
 		compacted := after+1 < s.oldestRevision || after > s.revision
 		w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
@@ -359,6 +370,8 @@
 		switch {
 		case silenced:
 			s.awaitDisconnect(r)
+		case cut:
+			panic(http.ErrAbortHandler)
 		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/node/entry.go
+++ b/node/entry.go
@@ -125,7 +125,8 @@
 // NewEntry returns an entry that is started with Run.
 func NewEntry(s settings.PlatformEntry, log logr.Logger) *Entry {
 	e := &Entry{cfg: s, log: log, client: newClient(&s.PlatformNode), metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst)}
-	e.health = &storeHealth{log: log.WithName("store"), outages: e.metrics.NewCounter("wasabinotch_store_lost_total")}
+	// A record lapses after heartbeatsToExpiry intervals, so that one lost heartbeat is harmless.
+	e.health = &storeHealth{log: log.WithName("store"), outages: e.metrics.NewCounter("wasabinotch_store_lost_total"), maxSilence: s.Bounds.Heartbeat()}
 	e.store = platform.NewStore(s.StoreAddr, e.client)
 	e.feed = newMonitoredFeed(e.store, e.metrics, log.WithName("store"))
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
@@ -206,7 +207,9 @@
 
 func (e *Entry) registration() *registration {
 	value, _ := json.Marshal(entryRecord{Callers: e.cfg.CallersAddr, Peer: e.peerAddr(), Zone: e.cfg.Zone}) // strings always encode
-	return &registration{leaser: e.store, health: e.health, connectionLost: e.feed.connectionLost, key: platform.PrefixEntries + e.cfg.ID, value: value, log: e.log.WithName("register")}
+	// Renewals in shorter intervals than maxSilence show that the store answers.
+	interval := min(renewInterval, e.health.maxSilence*3/4)
+	return &registration{leaser: e.store, interval: interval, health: e.health, connectionLost: e.feed.connectionLost, key: platform.PrefixEntries + e.cfg.ID, value: value, log: e.log.WithName("register")}
 }
 
 func (e *Entry) peerAddr() string { return net.JoinHostPort(e.cfg.IP, strconv.Itoa(e.cfg.PeerPort)) }
--- a/node/follow.go
+++ b/node/follow.go
@@ -36,7 +36,7 @@
 }
 
 func (e *Entry) newStoreFollower() *storeFollower {
-	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: e.feed, log: e.log.WithName("store")}, byPrefix: map[string]prefixFollower{
+	return &storeFollower{watchMonitor: watchMonitor{health: e.health, feed: e.feed, cuts: e.metrics.NewCounter("wasabinotch_store_watch_cut_total"), log: e.log.WithName("store")}, byPrefix: map[string]prefixFollower{
 		platform.PrefixOperator: e.operator, platform.PrefixEndpoints: e.endpoints, platform.PrefixEntries: e.peers,
 		platform.PrefixQuarantine: e.holds,
 	}}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -64,7 +64,7 @@
 		is := is.New(t)
 		health := &storeHealth{log: logr.Discard(), outages: new(metrics.Counter)}
 		removed := make(map[string]bool)
-		d := newDeferredRemovals(health, func(key string) { removed[key] = true })
+		d := newDeferredRemovals(health, func(key string) { removed[key] = true }, logr.Discard())
 		time.Sleep(time.Minute)
 		d.keyDeleted("no-outage")
 		is.True(removed["no-outage"])
@@ -101,7 +101,7 @@
 		removing <- struct{}{}
 		time.Sleep(50 * time.Millisecond)
 		set(key, false)
-	})
+	}, logr.Discard())
 	health.recordFailure(io.ErrUnexpectedEOF)
 	d.keyDeleted("a")
 	d.keyDeleted("b")
--- a/node/records.go
+++ b/node/records.go
@@ -25,7 +25,7 @@
 // newRecordTracker returns a tracker of records that the store removes within expiry
 // once their process has ended. write and remove apply a change.
 func newRecordTracker(health *storeHealth, expiry time.Duration, write func(kv store.KeyValue), remove func(key string), log logr.Logger) recordTracker {
-	return recordTracker{write: write, removals: newDeferredRemovals(health, remove), outdated: outdatedKeys{window: expiry + restoreSlack}, ignored: &ignoredRecords{log: log}, log: log}
+	return recordTracker{write: write, removals: newDeferredRemovals(health, remove, log), outdated: outdatedKeys{window: expiry + restoreSlack}, ignored: &ignoredRecords{log: log}, log: log}
 }
 
 // applyListing applies the keys of a listing, and reports the known keys that the listing
--- a/node/register.go
+++ b/node/register.go
@@ -16,7 +16,8 @@
 	// lease leaves the directory. Until then callers lose up to a connect timeout
 	// on its address.
 	entryLeaseTTL = 3 * time.Second
-	// renewInterval leaves time for two failed renewals within the lease.
+	// renewInterval is the longest interval between renewals. It leaves time for two failed
+	// ones within the lease.
 	renewInterval = 900 * time.Millisecond
 	// maxRegisterBackoff bounds the backoff after failed calls, so that the
 	// record exists again well within two seconds of the store's return.
@@ -26,7 +27,9 @@
 // registration keeps an entry's record in the store, bound to a lease.
 type registration struct {
 	leaser store.Leaser
-	health *storeHealth
+	// interval is the time between renewals.
+	interval time.Duration
+	health   *storeHealth
 	// connectionLost is called after a call without a response.
 	connectionLost func()
 	key            string
@@ -40,7 +43,7 @@
 func (r *registration) run(ctx context.Context) {
 	backoff := store.Backoff{Max: maxRegisterBackoff}
 	for ctx.Err() == nil {
-		next := renewInterval
+		next := r.interval
 		if err := r.renewOrRegister(ctx); err != nil {
 			next = backoff.NextDelay()
 			if ctx.Err() == nil && !errors.Is(err, store.ErrNoLease) {
--- a/node/removals.go
+++ b/node/removals.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/go-logr/logr"
 )
 
 // reregisterGrace is the time that running processes get after a store outage to
@@ -17,30 +19,32 @@
 type deferredRemovals struct {
 	health *storeHealth
 	remove func(key string)
+	log    logr.Logger
 
 	mu sync.Mutex
-	// pending holds the deferred keys and when each was deferred. Only its keys are
-	// used.
+	// pending holds the deferred keys and when each was found missing.
 	pending map[string]time.Time
 }
 
 // newDeferredRemovals returns deferredRemovals that call remove for each key to be
 // removed.
-func newDeferredRemovals(health *storeHealth, remove func(key string)) *deferredRemovals {
-	return &deferredRemovals{health: health, remove: remove, pending: make(map[string]time.Time)}
+func newDeferredRemovals(health *storeHealth, remove func(key string), log logr.Logger) *deferredRemovals {
+	return &deferredRemovals{health: health, remove: remove, log: log, pending: make(map[string]time.Time)}
 }
 
 // keyDeleted removes a key that is no longer in the store, or defers the removal
 // if the store is failing or has failed in the last reregisterGrace.
 func (d *deferredRemovals) keyDeleted(key string) {
-	if !d.health.failedWithin(reregisterGrace) {
+	now := time.Now()
+	if d.health.reregistered(now) {
 		d.remove(key)
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.pending[key]; !ok {
-		d.pending[key] = time.Now()
+		d.pending[key] = now
+		d.log.Info("Removal deferred; the store may have been away.", "key", key)
 	}
 }
 
@@ -52,16 +56,15 @@
 	delete(d.pending, key)
 }
 
-// removePending removes all deferred keys, however long they were deferred, unless
-// the store is failing or has failed in the last reregisterGrace.
+// removePending removes the deferred keys whose owners have had reregisterGrace to write
+// them again.
 func (d *deferredRemovals) removePending() {
-	if d.health.failedWithin(reregisterGrace) {
-		return
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for key := range d.pending {
-		d.remove(key)
+	for key, missing := range d.pending {
+		if d.health.reregistered(missing) {
+			d.remove(key)
+			delete(d.pending, key)
+		}
 	}
-	clear(d.pending)
 }
--- a/node/watchmonitor.go
+++ b/node/watchmonitor.go
@@ -164,7 +164,21 @@
 type watchMonitor struct {
 	health *storeHealth
 	feed   *monitoredFeed
-	log    logr.Logger
+	// cuts counts the watches that failed while the store answered other calls.
+	cuts *metrics.Counter
+	log  logr.Logger
+}
+
+// WatchFailed implements store.ChangeHandler. A failed watch is no outage if the store has
+// answered another call so lately that no running process can have lost its record.
+func (m watchMonitor) WatchFailed(err error) bool {
+	silent := m.feed.age()
+	if m.health.mayBeAway(silent) {
+		return true
+	}
+	m.cuts.Inc()
+	m.log.Info("Watch cut; the store answers other calls.", "silent_ms", silent.Milliseconds(), "cause", err.Error())
+	return false
 }
 
 // StoreLost implements store.ChangeHandler.
--- a/store/follow.go
+++ b/store/follow.go
@@ -86,6 +86,9 @@
 	Reset(kvs []KeyValue, at Position)
 	// Apply handles a change; it is of the same era as the last Reset.
 	Apply(e Event)
+	// WatchFailed is called when a call for changes fails. It reports whether the failure
+	// begins an outage; a watch may also be cut while the store answers all other calls.
+	WatchFailed(err error) (outage bool)
 	// StoreLost is called at the first failed call of an outage, StoreRegained
 	// before the first Reset after the outage. A restore counts as an outage even if
 	// no call failed.
@@ -111,25 +114,24 @@
 	var lostAt time.Time
 	var at Position
 	backoff := Backoff{Max: maxFollowDelay}
-	fail := func(err error) {
+	lost := func(err error) {
 		if lostAt.IsZero() && ctx.Err() == nil {
 			lostAt = time.Now()
 			handler.StoreLost(err)
 		}
-		pause.For(ctx, backoff.NextDelay())
 	}
 	for ctx.Err() == nil {
 		lctx, cancel := context.WithTimeout(ctx, listTimeout)
 		kvs, listedAt, err := feed.List(lctx, prefix)
 		cancel()
 		if err != nil {
-			fail(err)
+			lost(err)
+			pause.For(ctx, backoff.NextDelay())
 			continue
 		}
 		backoff.Reset()
-		if restored := at.Era != 0 && listedAt.Era != at.Era; restored && lostAt.IsZero() {
-			lostAt = time.Now()
-			handler.StoreLost(ErrRestored)
+		if restored := at.Era != 0 && listedAt.Era != at.Era; restored {
+			lost(ErrRestored)
 		}
 		at = listedAt
 		if !lostAt.IsZero() {
@@ -141,7 +143,10 @@
 			events, next, err := feed.Changes(ctx, prefix, at, changesWait)
 			if err != nil {
 				if !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrWatchStale) && !errors.Is(err, ErrRestored) {
-					fail(err)
+					if ctx.Err() == nil && handler.WatchFailed(err) {
+						lost(err)
+					}
+					pause.For(ctx, backoff.NextDelay())
 				}
 				break
 			}
