gate: tokens beyond max_tokens end the run, heads are bounded

Cause: an agent of the own form of deployment relayed what a faulty endpoint sent until the deadline, and the entry keeps the text of a run in memory to resume it elsewhere. Heads were bounded by net/http's 10 MB only. The run now ends with the first token beyond max_tokens, and heads have at most 64 kB.

TestMoreTokensThanAskedForAreAFailure failed before: tokens without end.

--- a/gate/client.go
+++ b/gate/client.go
@@ -14,6 +14,8 @@
 	dialTimeout = 2 * time.Second
 	// maxIdleConns bounds the idle connections kept to the endpoint.
 	maxIdleConns = 256
+	// maxResponseHeaderBytes bounds the head of an endpoint's response.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // errSendRefused is returned for a connection that was closed before anything
@@ -46,10 +48,11 @@
 	client := func(keepAlive bool, idle int) *http.Client {
 		return &http.Client{
 			Transport: &http.Transport{
-				DialContext:         dial,
-				DisableCompression:  true,
-				DisableKeepAlives:   !keepAlive,
-				MaxIdleConnsPerHost: idle,
+				DialContext:            dial,
+				DisableCompression:     true,
+				DisableKeepAlives:      !keepAlive,
+				MaxIdleConnsPerHost:    idle,
+				MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -61,6 +61,7 @@
 	orders        map[string]int // executions by Idempotency-Key
 	cancelledIDs  []string
 	omitDone      bool          // streams end without [DONE]
+	endless       bool          // streams never end
 	block         chan struct{} // if set, orders and streams wait until it is closed
 	arrivals      atomic.Int64
 }
@@ -99,7 +100,7 @@
 	var c completion
 	_ = json.NewDecoder(r.Body).Decode(&c)
 	e.arrivals.Add(1)
-	for i := c.ResumeFrom; i < c.MaxTokens; i++ {
+	for i := c.ResumeFrom; (i < c.MaxTokens || e.endless) && r.Context().Err() == nil; i++ {
 		fmt.Fprintf(w, "data: {\"choices\":[{\"text\":\"t%d\",\"position\":%d}]}\n\n", i, i)
 	}
 	_ = http.NewResponseController(w).Flush()
@@ -214,6 +215,19 @@
 	is.Equal(h.Load().InFlight, 1) // the endpoint may still run it
 }
 
+// Guards against relaying the tokens of a faulty endpoint without end.
+func TestMoreTokensThanAskedForAreAFailure(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	h.ep.endless = true
+	h.poll(t.Context())
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	frames := h.frames(ctx, modelRequest("r1", 2))
+	is.Equal(frameKinds(frames), "accepted head token token refused")
+	is.Equal(lastFrame(frames).Refusal.Kind, api.KindEndpointFailed)
+}
+
 // Guards against a second execution of one identity, and against an order
 // that reaches the endpoint without an identity.
 func TestOrderRunsOnce(t *testing.T) {
--- a/gate/model.go
+++ b/gate/model.go
@@ -175,6 +175,10 @@
 	if position > m.nextPosition {
 		return fmt.Errorf("token %d is missing, got %d", m.nextPosition, position)
 	}
+	if position >= m.req.Generate.MaxTokens {
+		// The entry keeps the text until the end, in order to resume it elsewhere.
+		return fmt.Errorf("more than %d tokens", m.req.Generate.MaxTokens)
+	}
 	now := m.gate.cfg.Clock.Now()
 	if m.result.firstTokenTime == 0 {
 		m.result.firstTokenTime = now.Sub(m.startedAt)
