forward, upstream: endless responses fill no memory

Reported by other operators: a faulty runner sent bytes without end, the machine that had called it ran out of memory, and the requests of others ended with it (LOST).

Cause: responses were bounded one by one only. 100 requests at one faulty endpoint that sends up to the bound and then goes on slowly took 137 MB as heads (20,000 headers each) and 221 MB as incomplete events of 1 MB; the smallest VMs have 136 MB.

Change: a head has at most 256 lines, and the incomplete events of all streams together may hold 16 MB.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -105,6 +105,8 @@
 	// drain is nil until the process drains.
 	drain  atomic.Pointer[Drain]
 	active atomic.Int64
+	// partialBytes is the size of the incomplete events that streams hold, see partialEvent.
+	partialBytes atomic.Int64
 
 	mu           sync.Mutex
 	retryBudgets map[string]*fleet.RetryBudget
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/quarantine"
@@ -20,8 +23,30 @@
 	streamReadBytes = 4 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
+	// freePartialBytes is the part of an incomplete event that doesn't count towards
+	// maxPartialBytes, the bound of all incomplete events that a process holds.
+	freePartialBytes = 16 << 10
+	maxPartialBytes  = 16 << 20
 )
 
+// errEventTooLong means that an endpoint sends an event without an end.
+var errEventTooLong = fmt.Errorf("an event is incomplete after %d bytes, or those of all streams together after %d", maxEventBytes, maxPartialBytes)
+
+// partialEvent accounts for the incomplete event that a stream holds.
+type partialEvent struct {
+	total   *atomic.Int64 // of all streams
+	counted int64
+}
+
+// resize records the size of the incomplete event in bytes, and reports whether it may
+// grow further.
+func (p *partialEvent) resize(size int) bool {
+	counted := int64(max(0, size-freePartialBytes))
+	grown := counted - p.counted
+	p.counted = counted
+	return (p.total.Add(grown) <= maxPartialBytes || grown <= 0) && size <= maxEventBytes
+}
+
 // callerResponse is the state of the response to the caller.
 type callerResponse struct {
 	// started is set once the status and the headers have been written.
@@ -180,6 +205,8 @@
 		return failed
 	}
 	var pending []byte
+	partial := partialEvent{total: &x.handler.partialBytes}
+	defer partial.resize(0)
 	buf := make([]byte, streamReadBytes)
 	began := false
 	controller := http.NewResponseController(x.w)
@@ -207,12 +234,15 @@
 				return delivered
 			}
 			pending = append(pending[:0], rest...)
+			if cap(pending) > freePartialBytes && len(pending) <= streamReadBytes {
+				pending = slices.Clone(pending) // releases the memory of a long event
+			}
 		}
-		switch {
+		switch mayGrow := partial.resize(len(pending)); {
 		case foreign:
 			err = errNotContinuation
-		case len(pending) > maxEventBytes:
-			err = io.ErrShortBuffer
+		case !mayGrow && err == nil:
+			err = errEventTooLong
 		}
 		switch {
 		case err == nil:
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -143,11 +143,14 @@
 
 // readHead reads the headers of the final response and skips interim ones.
 func readHead(conn *conn, method string) (*http.Response, error) {
-	conn.head.remaining = maxHeadBytes
-	defer func() { conn.head.remaining = noLimit }()
+	conn.head.start()
+	defer conn.head.stop()
 	for {
 		parsed, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
-		if err != nil {
+		switch {
+		case conn.head.exceeded:
+			return nil, errHeadTooLong // err may be that of the line that was cut
+		case err != nil:
 			return nil, err
 		}
 		if parsed.StatusCode >= 200 {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -43,31 +44,42 @@
 	expires time.Time
 }
 
-// headLimiter is a Reader that fails after remaining bytes, unless that is noLimit.
+// headLimiter is a Reader that fails while it limits, once it has read too many bytes or
+// lines.
 type headLimiter struct {
 	io.Reader
-	remaining int
+	limits       bool
+	bytes, lines int
+	exceeded     bool
 }
 
 const (
-	// maxHeadBytes bounds the interim responses, the status line and the headers of a
-	// response together.
+	// maxHeadBytes and maxHeadLines bound the interim responses, the status line and the
+	// headers of a response together. A parsed header takes much more memory than its line.
 	maxHeadBytes = 64 << 10
-	noLimit      = -1
+	maxHeadLines = 256
 )
 
-var errHeadTooLong = fmt.Errorf("the head of the response is longer than %d bytes", maxHeadBytes)
+var errHeadTooLong = fmt.Errorf("the head of the response is longer than %d bytes or %d lines", maxHeadBytes, maxHeadLines)
+
+// start limits the reads from now on to one head.
+func (l *headLimiter) start() { *l = headLimiter{Reader: l.Reader, limits: true} }
+
+// stop ends the limit.
+func (l *headLimiter) stop() { l.limits = false }
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.remaining == noLimit {
+	if !l.limits {
 		return l.Reader.Read(p)
 	}
-	if l.remaining == 0 {
+	if l.bytes >= maxHeadBytes || l.lines >= maxHeadLines {
+		l.exceeded = true
 		return 0, errHeadTooLong
 	}
-	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
+	n, err := l.Reader.Read(p[:min(len(p), maxHeadBytes-l.bytes)])
+	l.bytes += n
+	l.lines += bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
@@ -161,7 +173,7 @@
 		c.addOpen(addr, -1)
 		return nil, err
 	}
-	head := &headLimiter{Reader: nc, remaining: noLimit}
+	head := &headLimiter{Reader: nc}
 	return &conn{Conn: nc, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
