node: entries tell each other what the store says, not what they hold back

Cause, as traced by the review: an entry told others the zones that it kept out, those held back included. A state from another entry discards what is held back, so that the return of the zone was lost everywhere.

Change: the state for other entries is what the store says; each holds back by itself what contradicts its own knowledge.

TestHeldBackReturnOutlivesStatesOfOtherEntries failed before.

--- a/node/entry.go
+++ b/node/entry.go
@@ -347,7 +347,7 @@
 	newest := e.feed.newestChange()
 	w.Header().Set(headerNewestChange, strconv.FormatUint(newest.Revision, 10))
 	w.Header().Set(headerNewestChangeEra, strconv.FormatUint(newest.Era, 10))
-	state, version := e.operator.snapshot(), e.operator.configVersion()
+	state, version := e.operator.storedState(), e.operator.configVersion()
 	query := r.URL.Query()
 	e.notices.answerLeaving(w, query.Get("leaving"))
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
--- a/node/follow.go
+++ b/node/follow.go
@@ -186,6 +186,18 @@
 	return o.state
 }
 
+// storedState returns the state as the store says, which is what other entries are told:
+// each of them holds back by itself what contradicts its own knowledge.
+func (o *operatorFollower) storedState() wire.OperatorState {
+	o.changes.Lock()
+	defer o.changes.Unlock()
+	state := o.snapshot()
+	for _, zone := range o.outdated.heldBackKeys() {
+		state.ZonesOut = changeZone(state.ZonesOut, zone, !slices.Contains(state.ZonesOut, zone))
+	}
+	return state
+}
+
 // configVersion returns the version of the configuration in force, 0 without one.
 func (o *operatorFollower) configVersion() uint64 {
 	if c := o.handler.Config(); c != nil {
--- a/node/restore.go
+++ b/node/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,13 @@
 	o.pending[key] = apply
 }
 
+// heldBackKeys returns the keys for which something is held back.
+func (o *outdatedKeys) heldBackKeys() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Keys(o.pending))
+}
+
 // changed discards what is held back for a key, since a change of it has arrived. It
 // waits for an apply in progress.
 func (o *outdatedKeys) changed(key string) {
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -255,3 +255,65 @@
 		t.Errorf("%d listings in 3 s in which nothing changed", n)
 	}
 }
+
+// Guards against entries that keep a zone out of service for good after a restore, since each adopts the state of
+// another one that still holds the zone's return back.
+func TestHeldBackReturnOutlivesStatesOfOtherEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var entries []*operatorFollower
+		for range 3 {
+			f := fleet.New("z1", nil)
+			entries = append(entries, &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, outdated: outdatedKeys{window: reregisterGrace}, log: logr.Discard()})
+		}
+		zones := func() (all [][]string) {
+			for _, e := range entries {
+				all = append(all, e.snapshot().ZonesOut)
+			}
+			return all
+		}
+		out := [][]string{{"z1"}, {"z1"}, {"z1"}}
+		for i, e := range entries {
+			e.Reset([]store.KeyValue{{Key: "op/evacuate/z1"}}, store.Position{Era: 1, Revision: 90})
+			e.Reset(nil, store.Position{Era: 2, Revision: 60 + uint64(i)}) // the copy lacks the evacuation
+			time.Sleep(reregisterGrace / 4)
+		}
+		is.Equal(zones(), out)
+		poll := func() {
+			for i, e := range entries {
+				e.adoptState(entries[(i+1)%len(entries)].storedState(), "another entry")
+				e.applyHeldBack()
+			}
+		}
+		poll()
+		is.Equal(zones(), out) // the windows haven't ended
+		for range 4 {
+			time.Sleep(reregisterGrace / 2)
+			poll()
+		}
+		for _, z := range zones() {
+			is.Equal(len(z), 0)
+		}
+	})
+}
+
+// Guards against an entry that returns a zone to service although another one knows that its evacuation was
+// written again.
+func TestStateOfAnotherEntryEndsAHeldBackReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var entries []*operatorFollower
+		for range 2 {
+			f := fleet.New("z1", nil)
+			e := &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, outdated: outdatedKeys{window: reregisterGrace}, log: logr.Discard()}
+			e.Reset([]store.KeyValue{{Key: "op/evacuate/z1"}}, store.Position{Era: 1, Revision: 90})
+			e.Reset(nil, store.Position{Era: 2, Revision: 60})
+			entries = append(entries, e)
+		}
+		entries[1].Apply(store.Event{KeyValue: store.KeyValue{Key: "op/evacuate/z1", Revision: 61}, Era: 2})
+		entries[0].adoptState(entries[1].storedState(), "another entry") // its own watch is late
+		time.Sleep(reregisterGrace)
+		entries[0].applyHeldBack()
+		is.Equal(entries[0].snapshot().ZonesOut, []string{"z1"})
+	})
+}
