fleet: an update doesn't write what requests read without the lock

Found by the race detector in TestRestoreBringsNothingBackIntoService: Update replaced the whole record of an endpoint, while requests read its ID and incarnation without the lock. The values written are equal, so that no caller can have seen it. Update now writes only the fields that may change.

TestUpdateDoesNotWriteWhatRequestsRead failed before under the race detector.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -184,12 +184,13 @@
 	}
 	changed := ep == nil
 	if ep == nil {
-		ep = &Endpoint{stalled: make(chan struct{}), turnOffset: turnOffset(r.ID)}
+		ep = &Endpoint{Record: r, stalled: make(chan struct{}), turnOffset: turnOffset(r.ID)}
 		f.byID[r.ID] = ep
 		f.byService[r.Service] = append(f.byService[r.Service], ep)
 	}
 	changed = changed || ep.Draining != r.Draining
-	ep.Record = r
+	// The other fields are the same. Requests read them without the lock.
+	ep.Zone, ep.Slots, ep.Draining, ep.ColdFor = r.Zone, r.Slots, r.Draining, r.ColdFor
 	f.attachNotice(ep)
 	ep.coldUntil = time.Now().Add(r.ColdFor)
 	if at := f.latestAtAddress[r.Address]; at == nil || !f.outranks(at, ep) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -431,3 +431,22 @@
 		})
 	}
 }
+
+// Guards against a data race between a request that reads its endpoint's identity and an update of the endpoint's
+// record. Only the race detector sees it.
+func TestUpdateDoesNotWriteWhatRequestsRead(t *testing.T) {
+	is := is.New(t)
+	f := New("z1", nil)
+	r := Record{ID: "e", Service: "s", Address: "127.0.0.1:1", Zone: "z1", Slots: 4, Incarnation: 1}
+	f.Update(r)
+	pick, _ := f.Acquire(t.Context(), &Request{Service: "s"})
+	var request sync.WaitGroup
+	request.Go(func() {
+		is.Equal(pick.Endpoint.ID+pick.Endpoint.Address+pick.Endpoint.Service, "e127.0.0.1:1s")
+		is.Equal(pick.Endpoint.Incarnation, int64(1))
+	})
+	r.Draining = true
+	is.True(f.Update(r))
+	request.Wait()
+	is.True(f.Records()[0].Draining)
+}
