--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -256,6 +256,12 @@
 	}
 }
 
+// newTestOperator returns an operatorFollower that knows nothing yet.
+func newTestOperator() *operatorFollower {
+	f := fleet.New("z1", nil)
+	return &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, outdated: outdatedKeys{window: reregisterGrace}, log: logr.Discard()}
+}
+
 // Guards against entries that keep a zone out of service for good after a restore, since each adopts the state of
 // another one that still holds the zone's return back.
 func TestHeldBackReturnOutlivesStatesOfOtherEntries(t *testing.T) {
@@ -263,8 +269,7 @@
 		is := is.New(t)
 		var entries []*operatorFollower
 		for range 3 {
-			f := fleet.New("z1", nil)
-			entries = append(entries, &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, outdated: outdatedKeys{window: reregisterGrace}, log: logr.Discard()})
+			entries = append(entries, newTestOperator())
 		}
 		zones := func() (all [][]string) {
 			for _, e := range entries {
@@ -304,8 +309,7 @@
 		is := is.New(t)
 		var entries []*operatorFollower
 		for range 2 {
-			f := fleet.New("z1", nil)
-			e := &operatorFollower{handler: forward.New(forward.Config{Fleet: f, Log: logr.Discard()}), fleet: f, outdated: outdatedKeys{window: reregisterGrace}, log: logr.Discard()}
+			e := newTestOperator()
 			e.Reset([]store.KeyValue{{Key: "op/evacuate/z1"}}, store.Position{Era: 1, Revision: 90})
 			e.Reset(nil, store.Position{Era: 2, Revision: 60})
 			entries = append(entries, e)
