--- a/node/watchcut_test.go
+++ b/node/watchcut_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wasabinotch/wasabinotch/lab/platformsim"
+	"github.com/wasabinotch/wasabinotch/settings"
 )
 
 // arrivalsEndpoint starts an endpoint that records when its requests arrive.
@@ -168,3 +169,11 @@
 		})
 	}
 }
+
+// Guards against renewals that are too rare to show, between two heartbeats, that the store answers.
+func TestRenewalsAreMoreFrequentThanHeartbeats(t *testing.T) {
+	for heartbeatMS, interval := range map[float64]time.Duration{0: renewInterval, 400: 300 * time.Millisecond, 5000: renewInterval} {
+		s := settings.PlatformEntry{PlatformNode: settings.PlatformNode{ID: "a", Bounds: settings.Bounds{HeartbeatMS: heartbeatMS}}}
+		is.New(t).Equal(NewEntry(s, logr.Discard()).registration().interval, interval)
+	}
+}
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -1,12 +1,9 @@
 package upstream
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -14,31 +11,6 @@
 	"github.com/matryer/is"
 )
 
-// serveOnce starts a server that responds to the first request on each connection with a text.
-func serveOnce(t *testing.T, text string) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					io.WriteString(c, text)
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
 // Guards against heads that take much memory, and against counting the lines of a body as lines of the head.
 func TestHeadIsBounded(t *testing.T) {
 	lines := func(n int) string {
@@ -63,8 +35,13 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			addr := serveOnce(t, c.head+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
-			_, got, err := NewClient(time.Second).Call(t.Context(), addr, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, 10000)
+			addr := serve(t, func(conn net.Conn, _ int) {
+				defer conn.Close()
+				if _, err := readRequest(conn); err == nil {
+					fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", c.head, len(body), body)
+				}
+			})
+			_, got, err := NewClient(time.Second).Call(t.Context(), addr, getRequest, 10000)
 			if !c.fits {
 				is.True(errors.Is(err, errHeadTooLong))
 				return
