--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -16,6 +16,13 @@
 	Exclude []*Endpoint
 	// MaxWait bounds the time in the queue.
 	MaxWait time.Duration
+	// Organisation is the name of the caller's organisation, "" for anonymous callers.
+	Organisation string
+	// Work is what the request is expected to cost the endpoint.
+	Work Work
+	// Aim is when a response is late, Deadline when the caller gives up. The zero time
+	// means unknown.
+	Aim, Deadline time.Time
 }
 
 // waiter is a waiting request.
--- a/forward/filters.go
+++ b/forward/filters.go
@@ -40,6 +40,7 @@
 	if v := x.r.Header.Get(names.PromptParts); v != "" {
 		x.promptParts = x.handler.cfg.SharedParts(v)
 	}
+	x.work = x.handler.cfg.ParseWork(x.r.Header.Get(names.TokenUsage), x.r.Header.Get(names.LengthHint), x.r.Header.Get(names.PromptParts))
 	x.deadline = x.arrived.Add(x.route.Timeout)
 	if v := x.r.Header.Get(names.Deadline); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -53,6 +53,8 @@
 	// TokenUsage holds the number of tokens of the prompt and the maximum
 	// number of tokens of the response.
 	TokenUsage string
+	// LengthHint holds the number of tokens of the response that the caller expects.
+	LengthHint string
 	// PromptParts names the parts of the prompt.
 	PromptParts string
 	// LastEventID holds the ID of the last event that the receiver has.
@@ -84,6 +86,8 @@
 	// SharedParts returns the IDs of the prompt parts in the value of the
 	// PromptParts header that other requests may have too.
 	SharedParts func(string) []string
+	// ParseWork decodes the values of the headers TokenUsage, LengthHint and PromptParts.
+	ParseWork func(tokenUsage, lengthHint, promptParts string) fleet.Work
 	// Quarantine holds the prompt parts that crash endpoints.
 	Quarantine *quarantine.Tracker
 	Fleet      *fleet.Fleet
@@ -177,6 +181,8 @@
 	// of all attempts.
 	attempts int
 	tried    []*fleet.Endpoint
+	// work is what the request is expected to cost the endpoint.
+	work fleet.Work
 	// promptParts lists the prompt parts that other requests may have too.
 	promptParts []string
 	// brokeOff is set if the endpoint broke off the last attempt before its answer
--- a/forward/send.go
+++ b/forward/send.go
@@ -137,7 +137,13 @@
 // acquire waits for an endpoint with capacity.
 func (x *exchange) acquire(ctx context.Context) (*fleet.Pick, fleet.Availability) {
 	began := time.Now()
-	request := &fleet.Request{Service: x.service, Priority: x.priority, Exclude: x.tried, MaxWait: x.maxAcquireWait()}
+	request := &fleet.Request{
+		Service: x.service, Priority: x.priority, Exclude: x.tried, MaxWait: x.maxAcquireWait(),
+		Work: x.work, Aim: x.arrived.Add(x.route.TargetLatency), Deadline: x.deadline,
+	}
+	if x.organisation != nil {
+		request.Organisation = x.organisation.Name
+	}
 	pick, availability := x.handler.cfg.Fleet.Acquire(ctx, request)
 	x.waited += time.Since(began)
 	if pick != nil {
--- a/forward/testentry_test.go
+++ b/forward/testentry_test.go
@@ -82,7 +82,8 @@
 		Headers: testHeaders, ParseLoad: func(string) (fleet.Load, bool) { return fleet.Load{}, false },
 		ParseRateLimit: parseTestRateLimit, TellRateLimit: func(string, fleet.RateLimit) {},
 		ParseLeaving: func(v string) bool { return v == "1" }, TellLeaving: func(fleet.Run) {}, ParsePause: parseTestPause,
-		SharedParts: func(v string) []string { return strings.Split(v, ",") }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
+		SharedParts: func(v string) []string { return strings.Split(v, ",") },
+		ParseWork:   func(string, string, string) fleet.Work { return fleet.Work{} }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
 		Fleet: f, Client: upstream.NewClient(time.Second), Log: logs.New(log), Stats: NewStats(metrics.NewSet()),
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 	})}
