balance: a returned zone's entries use its idle endpoints while limits are raised

A zone that returned got no work for 10 s and then its whole part at once: its endpoints' limits are raised over that time, but its entries didn't prefer them, and by utilisation an endpoint with a limit of 1 loses against any other. Before, only chance brought them requests.

TestReturnedZoneGetsWorkOfItsEntriesAtOnce fails without the change: map[] != map[agent-1:1 agent-3:1 agent-5:1].

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -254,3 +255,32 @@
 	}
 	is.Equal(placed, map[string]int{"a": 3 * 4, "b": 3 * 2})
 }
+
+// Guards against a zone that gets no work for as long as the limits of its endpoints are
+// raised after its return, and then its whole part at once; and against entries of the
+// zone that fill such endpoints.
+func TestReturnedZoneGetsWorkOfItsEntriesAtOnce(t *testing.T) {
+	for _, zone := range []string{"a", "b"} {
+		is := is.New(t)
+		snap := fleet(6, "a", "b")
+		for _, ep := range snap.Endpoints["s"] {
+			ep.Load.InFlight = 0
+			if ep.Node.Zone == "b" {
+				ep.ReturnedAt = now.Add(-rampUpTime / 2)
+			}
+		}
+		b := New("entry-1", zone)
+		preferred := map[string]int{} // by endpoint
+		for range 6 {
+			if pick := b.Choose(snap, Request{Service: "s", Now: now}); strings.HasPrefix(pick.Reason, "own zone") {
+				is.Equal(pick.Endpoint.Node.Zone, zone)
+				preferred[pick.Endpoint.Node.ID]++
+			}
+		}
+		if zone == "a" {
+			is.Equal(total(preferred), 6)
+			continue
+		}
+		is.Equal(preferred, map[string]int{"agent-1": 1, "agent-3": 1, "agent-5": 1})
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -219,8 +219,11 @@
 
 // hasZoneCapacity reports whether the endpoint may be preferred for being in the
 // entry's zone. An idle endpoint may be, even if its limit is so small that one request
-// exceeds maxZoneUtilisation. Without the checks for warming and ramping up, the
-// entries of a returning zone would fill its cold endpoints.
+// exceeds maxZoneUtilisation, or is still being raised after the return of its zone or VM:
+// chosen by utilisation alone, it would get nothing as long as other zones have capacity,
+// and its whole part at the end of rampUpTime. Without the other checks, the entries of a
+// returning zone would fill its cold endpoints.
 func (e estimate) hasZoneCapacity() bool {
-	return e.hasWarmCapacity() && !e.isRampingUp && (e.load == 0 || float64(e.load+1) <= maxZoneUtilisation*float64(e.limit))
+	isIdle := e.load == 0
+	return e.hasWarmCapacity() && (isIdle || !e.isRampingUp && float64(e.load+1) <= maxZoneUtilisation*float64(e.limit))
 }
