quarantine, node, wire: crashes at one moment hold no proven part; proven parts are tried soon

When all endpoints of a zone crashed at once, a preamble that all prompts have was in each of the crashes and became their only suspect. It was held for one to ten minutes, also after a restart of all entries, since the hold is in the store: every stream was refused although most endpoints were idle.

Cause: crashes were counted without regard to whether one cause beside the prompts may have ended the endpoints together; and the hold of a part that had been answered before was as long as that of an unknown one, with the attempts that might have proven it sound ended.

Crashes within a second count once for a part that was proven, and for the length of a hold. A proven part is held for 4 to 8 s first, doubled with each further crash up to five minutes; attempts with it that wait go on. The record in the store says that a part was proven. Entries tell each other that they try a part, so that they don't all do at the same time.

TestProvenPartIsHeldAfterSeveralCrashes had its crashes at one moment; they are now a second apart. Fail without the change: TestCrashesAtOneMomentHoldNoProvenPart, TestProvenPartIsTriedAgainSoon, TestHeldProvenPartEndsNoWaitingAttempts ("a waiting attempt was ended").

--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -109,7 +109,7 @@
 // shareReport sends a report to the other entries. If they have proven parts of a crash
 // sound, it tells all of them.
 func (h *holdSharer) shareReport(ctx context.Context, r wire.QuarantineReport) {
-	h.limitedLog.Info("Prompt parts reported.", "service", r.Service, "crash", r.Crash, "parts", r.Parts, "answered", r.Answered, "proven", r.Proven)
+	h.limitedLog.Info("Prompt parts reported.", "service", r.Service, "crash", r.Crash, "parts", r.Parts, "answered", r.Answered, "proven", r.Proven, "trying", r.Trying)
 	proven := h.send(ctx, r)
 	if len(proven) > 0 {
 		update := wire.QuarantineReport{Service: r.Service, Proven: proven}
@@ -187,6 +187,8 @@
 // heldRecord is the record of a held part in the store. It is removed with its lease.
 type heldRecord struct {
 	Crashes int `json:"crashes"`
+	// Proven is set if the part was proven sound before. Records of earlier versions lack it.
+	Proven bool `json:"proven,omitempty"`
 }
 
 func holdKey(service, part string) string {
@@ -223,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	value, _ := json.Marshal(heldRecord{Crashes: hold.Crashes}) // numbers always encode
+	value, _ := json.Marshal(heldRecord{Crashes: hold.Crashes, Proven: hold.Proven}) // numbers always encode
 	return h.store.Put(ctx, holdKey(hold.Service, hold.Part), value, lease)
 }
 
@@ -281,5 +283,5 @@
 	h.mu.Lock()
 	h.stored[e.Key] = record.Crashes
 	h.mu.Unlock()
-	h.tracker.Restore(service, part, record.Crashes)
+	h.tracker.Restore(service, part, record.Crashes, record.Proven)
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,10 +13,14 @@
 )
 
 const (
-	// crashesIfProven is the number of crashes without an answer between them after
-	// which a part that was proven sound is held. A part that many requests have is in
-	// most crashes, whatever causes them.
+	// crashesIfProven is the number of crashes at different moments, without an answer
+	// between them, after which a part that was proven sound is held. A part that many
+	// requests have is in most crashes, whatever causes them.
 	crashesIfProven = 3
+	// crashMoment is the time within which crashes count as one for a part that was proven
+	// sound, and for the length of a hold: one cause beside the prompts, such as the loss of a
+	// zone, ends many endpoints at once.
+	crashMoment = time.Second
 	// ambiguousHold is the hold if several parts may have caused a crash: all but one
 	// of them are sound, and trials tell them apart.
 	ambiguousHold = time.Second
@@ -25,6 +29,11 @@
 	// rank group for seconds.
 	firstHold    = time.Minute
 	repeatedHold = 5 * time.Minute
+	// provenHold is the first hold of a part that was proven sound. All prompts of a service
+	// may have the part, so it is tried again within the time in which a service has to
+	// recover. The hold doubles with each crash that follows, up to repeatedHold. It is longer
+	// than the time for which a rank group stands after a crash.
+	provenHold = 4 * time.Second
 	// maxJitter is the factor by which a hold may be longer at one entry than at
 	// another, so that entries don't all try a part at the same time.
 	maxJitter = 2
@@ -32,6 +41,9 @@
 	maxHold = maxJitter * repeatedHold
 	// memory is the time for which a proof of soundness and a crash count.
 	memory = 2 * maxHold
+	// maxRestoredCrashes bounds the crashes that a record of a hold brings back; further ones
+	// don't lengthen a hold.
+	maxRestoredCrashes = crashesIfProven + 7
 	// maxParts bounds the parts in memory. If there are more, those proven longest ago
 	// are forgotten.
 	maxParts = 4096
@@ -113,12 +125,21 @@
 // cancel is called with ErrHeld if a part is held before the answer begins. If a part is
 // held already, Begin returns nil and the time after which the request may return.
 func (t *Tracker) Begin(service string, parts []string, crashName string, cancel func(error)) (*Attempt, time.Duration) {
+	a, suspect, retryAfter := t.begin(service, parts, crashName, cancel)
+	if suspect != "" {
+		t.share(wire.QuarantineReport{Service: service, Trying: []string{suspect}})
+	}
+	return a, retryAfter
+}
+
+// begin is Begin. It returns the name of the part that the attempt tries, "" for none.
+func (t *Tracker) begin(service string, parts []string, crashName string, cancel func(error)) (_ *Attempt, tried string, retryAfter time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ids := partIDs(service, parts)
 	suspect, retryAfter := t.check(ids)
 	if retryAfter > 0 {
-		return nil, retryAfter
+		return nil, "", retryAfter
 	}
 	a := &Attempt{tracker: t, ids: ids, crashName: crashName, cancel: cancel}
 	for _, id := range ids {
@@ -126,8 +147,13 @@
 	}
 	if suspect != nil {
 		suspect.trial = a
+		for _, id := range ids {
+			if t.parts[id] == suspect {
+				tried = id.part
+			}
+		}
 	}
-	return a, 0
+	return a, tried, 0
 }
 
 // RetryAfter returns the time after which a request with the given parts may return,
@@ -139,6 +165,31 @@
 	return retryAfter
 }
 
+// moments returns the number of crashes that a part was in, where those within crashMoment
+// count as one.
+func (p *part) moments() int {
+	n := 0
+	var began time.Time
+	for _, c := range p.crashes {
+		if n == 0 || c.at.Sub(began) >= crashMoment {
+			n++
+			began = c.at
+		}
+	}
+	return n
+}
+
+// counted returns the number of crashes that count for holding the part.
+func (p *part) counted() int {
+	if p.proven() {
+		return p.moments()
+	}
+	return len(p.crashes)
+}
+
+// proven reports whether the part was proven sound and that still counts.
+func (p *part) proven() bool { return !p.provenAt.IsZero() && time.Since(p.provenAt) <= memory }
+
 // check returns the part that a request would try, nil if none is suspect, or the time
 // after which the request may return. A request with several suspect parts can't tell
 // them apart.
@@ -280,7 +331,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range partIDs(service, parts) {
-		if p := t.parts[id]; p == nil || len(p.crashes)+1 >= p.crashesToHold() {
+		if p := t.parts[id]; p == nil || p.counted()+1 >= p.crashesToHold() {
 			return true
 		}
 	}
@@ -289,7 +340,7 @@
 
 // crashesToHold returns the number of crashes after which the part is held.
 func (p *part) crashesToHold() int {
-	if !p.provenAt.IsZero() && time.Since(p.provenAt) <= memory {
+	if p.proven() {
 		return crashesIfProven
 	}
 	return 1
@@ -325,6 +376,9 @@
 	for _, id := range partIDs(r.Service, r.Proven) {
 		t.recordProven(id)
 	}
+	for _, id := range partIDs(r.Service, r.Trying) {
+		t.recordTrial(id)
+	}
 	if r.Crash == "" {
 		return nil, nil
 	}
@@ -335,7 +389,7 @@
 		t.crashes[r.Crash] = c
 	}
 	for _, id := range partIDs(r.Service, r.Parts) {
-		if t.part(id).crashesToHold() > 1 {
+		if t.part(id).proven() {
 			proven = append(proven, id.part)
 		}
 		t.addToCrash(c, id)
@@ -367,7 +421,7 @@
 // before its last crash.
 func (t *Tracker) recordProven(id partID) {
 	p := t.part(id)
-	if p.crashesToHold() > 1 {
+	if p.proven() {
 		return
 	}
 	p.provenAt = time.Now()
@@ -376,6 +430,18 @@
 	}
 }
 
+// recordTrial records that another entry tries a part: until its answer has begun or not,
+// requests from here would only crash further endpoints.
+func (t *Tracker) recordTrial(id partID) {
+	p := t.parts[id]
+	if p == nil || p.heldUntil.IsZero() || p.trial != nil {
+		return
+	}
+	if until := time.Now().Add(trialRetryAfter); until.After(p.heldUntil) {
+		p.heldUntil = until
+	}
+}
+
 // suspects returns the parts that may have caused a crash: of those with enough crashes
 // to be held, those with the most beyond that.
 func (t *Tracker) suspects(c *crash) []*part {
@@ -383,7 +449,7 @@
 	most := 0
 	for _, id := range c.parts {
 		p := t.part(id)
-		excess := len(p.crashes) - p.crashesToHold()
+		excess := p.counted() - p.crashesToHold()
 		if excess < most {
 			continue
 		}
@@ -423,8 +489,8 @@
 			hold := p.unambiguousHold()
 			if len(suspects) > 1 {
 				hold = ambiguousHold
-			} else {
-				p.cancelWaiting()
+			} else if !p.proven() {
+				p.cancelWaiting() // answers to attempts with a part that was sound may prove it again
 			}
 			if until := c.at.Add(time.Duration(t.jitter * float64(hold))); until.After(p.heldUntil) {
 				p.heldUntil = until
@@ -440,8 +506,14 @@
 	}
 }
 
+// unambiguousHold returns the hold if the part alone may have caused a crash.
 func (p *part) unambiguousHold() time.Duration {
-	if len(p.crashes) > p.crashesToHold() {
+	further := p.moments() - p.crashesToHold()
+	if p.proven() {
+		const doublings = 7 // 4 s doubled seven times exceed repeatedHold
+		return min(provenHold<<min(max(further, 0), doublings), repeatedHold)
+	}
+	if further > 0 {
 		return repeatedHold
 	}
 	return firstHold
@@ -450,8 +522,10 @@
 // Hold is a part that is held because it alone may have caused a crash.
 type Hold struct {
 	Service, Part string
-	// Crashes is the number of crashes since the last answer.
+	// Crashes is the number of crashes at different moments since the last answer.
 	Crashes int
+	// Proven is set if the part was proven sound before.
+	Proven bool
 	// Age is the time since the last crash, Remaining the time until a request may try
 	// the part.
 	Age, Remaining time.Duration
@@ -465,25 +539,32 @@
 	for id, p := range t.parts {
 		if remaining := time.Until(p.heldUntil); remaining > maxJitter*ambiguousHold {
 			last := p.crashes[len(p.crashes)-1]
-			holds = append(holds, Hold{Service: id.service, Part: id.part, Crashes: len(p.crashes), Age: time.Since(last.at), Remaining: remaining})
+			holds = append(holds, Hold{Service: id.service, Part: id.part, Crashes: p.moments(), Proven: p.proven(), Age: time.Since(last.at), Remaining: remaining})
 		}
 	}
 	slices.SortFunc(holds, func(a, b Hold) int { return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part)) })
 	return holds
 }
 
-// Restore holds a part that another entry, or this one before a restart, held after the
-// given number of crashes. It has no effect on a part that is known here.
-func (t *Tracker) Restore(service, name string, crashes int) {
+// Restore holds a part that another entry, or this one before a restart, held after crashes
+// at the given number of moments. It has no effect on a part that is known here.
+func (t *Tracker) Restore(service, name string, crashes int, proven bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.part(partID{service, name})
 	if crashes <= 0 || !p.provenAt.IsZero() || len(p.crashes) > 0 {
 		return
 	}
-	for range min(crashes, crashesIfProven) {
-		p.crashes = append(p.crashes, &crash{at: time.Now()})
+	now := time.Now()
+	crashes = min(crashes, maxRestoredCrashes)
+	for i := range crashes {
+		p.crashes = append(p.crashes, &crash{at: now.Add(time.Duration(i+1-crashes) * crashMoment)})
+	}
+	if proven {
+		p.provenAt = p.crashes[0].at
+	}
+	p.heldUntil = now.Add(time.Duration(t.jitter * float64(p.unambiguousHold())))
+	if !proven {
+		p.cancelWaiting()
 	}
-	p.heldUntil = time.Now().Add(time.Duration(t.jitter * float64(p.unambiguousHold())))
-	p.cancelWaiting()
 }
--- a/wire/quarantine.go
+++ b/wire/quarantine.go
@@ -16,6 +16,9 @@
 	Answered []string `json:"answered,omitempty"`
 	// Proven lists parts of prompts to which an answer had begun before the crash.
 	Proven []string `json:"proven,omitempty"`
+	// Trying lists suspect parts of a prompt that the entry sends to an endpoint to learn
+	// whether they are sound. Entries of earlier versions ignore it.
+	Trying []string `json:"trying,omitempty"`
 }
 
 // QuarantineReply lists the parts of the report's crash that are proven sound at the
