quarantine, node: several suspects of a crash survive restarts of entries

A crash that one of several unproven parts may have caused was known only to the entries that ran at the time: only holds of a sole suspect were in the store. An entry that restarted while the rank group was down sent a prompt with both parts to the next endpoint.

The first entry that ticks writes the suspects of a crash to the store for a minute, under the name of the crash; whoever learns that one of them was answered narrows the record, or removes it when one is left, which is then held as before. Entries of earlier versions ignore it.

TestSuspectsSurviveARestartOfAllEntries fails on: "502 != 503". The simulated store removes keys in transactions now.

--- a/lab/platformsim/platformsim.go
+++ b/lab/platformsim/platformsim.go
@@ -438,7 +438,8 @@
 
 func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
 	var txn struct {
-		Puts []item `json:"puts"`
+		Puts   []item   `json:"puts"`
+		Remove []string `json:"remove"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -455,6 +456,9 @@
 	for _, i := range txn.Puts {
 		s.put(i)
 	}
+	for _, key := range txn.Remove {
+		s.remove(key)
+	}
 	reply(w, map[string]uint64{"revision": s.revision})
 }
 
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -38,6 +38,11 @@
 	// holdSettleTime is the age from which a hold is written: by then other entries have
 	// reported further parts of the crash, which may release the part.
 	holdSettleTime = 500 * time.Millisecond
+	// maxSuspects bounds the suspects in the record of a crash. Of more, each is unlikely
+	// to be the cause.
+	maxSuspects = 64
+	// minSuspectTime is the least time for which a record of suspects is written.
+	minSuspectTime = 5 * time.Second
 )
 
 // holdSharer shares what this entry learns about prompt parts that may crash endpoints
@@ -58,11 +63,13 @@
 	mu sync.Mutex
 	// stored holds the number of crashes in each record of a hold, by store key.
 	stored map[string]int
+	// suspects holds the suspects in each record of a crash, by store key.
+	suspects map[string][]string
 }
 
 func newHoldSharer(s *platform.Store, c *upstream.Client, peers func() []string, log logr.Logger) *holdSharer {
 	h := &holdSharer{store: s, client: c, peers: peers, log: log, limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst),
-		pending: make(chan wire.QuarantineReport, maxPendingReports), ignored: &ignoredRecords{log: log}, stored: make(map[string]int)}
+		pending: make(chan wire.QuarantineReport, maxPendingReports), ignored: &ignoredRecords{log: log}, stored: make(map[string]int), suspects: make(map[string][]string)}
 	h.tracker = quarantine.New(h.enqueue)
 	return h
 }
@@ -184,18 +191,23 @@
 	}
 }
 
-// heldRecord is the record of a held part in the store. It is removed with its lease.
+// heldRecord is the record of a held part in the store, or of a crash that one of several
+// parts may have caused. It is removed with its lease.
 type heldRecord struct {
 	Crashes int `json:"crashes"`
 	// Proven is set if the part was proven sound before. Records of earlier versions lack it.
 	Proven bool `json:"proven,omitempty"`
+	// Suspects are the parts that may have caused the crash. Entries of earlier versions
+	// ignore the record then, since Crashes is 0.
+	Suspects []string `json:"suspects,omitempty"`
 }
 
-func holdKey(service, part string) string {
-	return platform.PrefixQuarantine + url.PathEscape(service) + "/" + url.PathEscape(part)
+// holdKey returns the store key of the record of a held part, or of a crash.
+func holdKey(service, name string) string {
+	return platform.PrefixQuarantine + url.PathEscape(service) + "/" + url.PathEscape(name)
 }
 
-// keepHolds writes the holds that the store doesn't have until ctx ends.
+// keepHolds writes the holds and the suspects that the store doesn't have until ctx ends.
 func (h *holdSharer) keepHolds(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, rand.N(2*holdCheckInterval))
@@ -209,9 +221,49 @@
 			}
 			h.log.Info("Prompt part held.", "service", hold.Service, "part", hold.Part, "crashes", hold.Crashes, "hold_ms", hold.Remaining.Milliseconds())
 		}
+		for _, c := range h.tracker.Crashes() {
+			h.keepSuspects(ctx, c)
+		}
 	}
 }
 
+// keepSuspects keeps the suspects of a crash in the store as long as there are several: a
+// prompt with all of them would crash a further endpoint at each entry that starts.
+func (h *holdSharer) keepSuspects(ctx context.Context, c quarantine.Crash) {
+	key := holdKey(c.Service, c.Name)
+	h.mu.Lock()
+	stored := h.suspects[key]
+	h.mu.Unlock()
+	several := len(c.Suspects) > 1 && len(c.Suspects) <= maxSuspects
+	remaining := quarantine.SuspectMemory - c.Age
+	var err error
+	switch {
+	case stored == nil && (!several || c.Restored || c.Age < holdSettleTime || remaining < minSuspectTime):
+		return
+	case stored != nil && !isNarrower(c.Suspects, stored):
+		return // this entry knows no more than the record
+	case several:
+		err = h.put(ctx, key, heldRecord{Suspects: c.Suspects}, max(remaining, minSuspectTime))
+	default:
+		err = h.store.Remove(ctx, key)
+	}
+	if err != nil {
+		h.limitedLog.Info("Suspects of a crash not kept in the store.", "service", c.Service, "crash", c.Name, "cause", err.Error())
+		return
+	}
+	h.limitedLog.Info("Suspects of a crash kept in the store.", "service", c.Service, "crash", c.Name, "suspects", c.Suspects)
+}
+
+// isNarrower reports whether parts are some of those in a record, but not all.
+func isNarrower(parts, record []string) bool {
+	for _, part := range parts {
+		if !slices.Contains(record, part) {
+			return false
+		}
+	}
+	return len(parts) < len(record)
+}
+
 func (h *holdSharer) isStored(hold quarantine.Hold) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -221,12 +273,20 @@
 // write writes a hold to the store for as long as it lasts. The store grants leases of
 // up to ten minutes, the longest hold.
 func (h *holdSharer) write(ctx context.Context, hold quarantine.Hold) error {
-	lease, err := h.store.Grant(ctx, hold.Remaining)
+	return h.put(ctx, holdKey(hold.Service, hold.Part), heldRecord{Crashes: hold.Crashes, Proven: hold.Proven}, hold.Remaining)
+}
+
+// put writes a record with a lease of its own.
+func (h *holdSharer) put(ctx context.Context, key string, record heldRecord, ttl time.Duration) error {
+	value, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
-	value, _ := json.Marshal(heldRecord{Crashes: hold.Crashes, Proven: hold.Proven}) // numbers always encode
-	return h.store.Put(ctx, holdKey(hold.Service, hold.Part), value, lease)
+	lease, err := h.store.Grant(ctx, ttl)
+	if err != nil {
+		return err
+	}
+	return h.store.Put(ctx, key, value, lease)
 }
 
 // forget removes the holds of parts from the store. A hold that stays there only delays
@@ -252,6 +312,7 @@
 func (h *holdSharer) Reset(kvs []store.KeyValue, at store.Position) {
 	h.mu.Lock()
 	clear(h.stored)
+	clear(h.suspects)
 	h.mu.Unlock()
 	for _, kv := range kvs {
 		h.Apply(store.Event{KeyValue: kv, Era: at.Era})
@@ -268,6 +329,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		delete(h.stored, e.Key)
+		delete(h.suspects, e.Key)
 		return
 	}
 	service, part, ok := strings.Cut(strings.TrimPrefix(e.Key, platform.PrefixQuarantine), "/")
@@ -280,6 +342,14 @@
 		return
 	}
 	h.ignored.valid(e.Key)
+	if suspects := record.Suspects; len(suspects) > 0 {
+		suspects = suspects[:min(len(suspects), maxSuspects)]
+		h.mu.Lock()
+		h.suspects[e.Key] = suspects
+		h.mu.Unlock()
+		h.tracker.RestoreSuspects(service, part, suspects)
+		return
+	}
 	h.mu.Lock()
 	h.stored[e.Key] = record.Crashes
 	h.mu.Unlock()
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -222,3 +222,35 @@
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(log.crashCount(), 1)
 }
+
+// Guards against entries that forget, when all of them restart, which of two parts may have
+// crashed an endpoint, and send a prompt with both to a second one.
+func TestSuspectsSurviveARestartOfAllEntries(t *testing.T) {
+	is := is.New(t)
+	sim, log := startCrashingEngines(t, 2)
+	a, b := startEntry(t, "a", sim.Addr()), startEntry(t, "b", sim.Addr())
+	for _, e := range []*testEntry{a, b} {
+		eventually(t, "a stream is served", func() bool { began, _ := e.sendPrompt(t, "warm", "shared:40,own:100"); return began })
+	}
+	prompt := "sound:20," + deadlyPart + ":30,own:100"
+	a.sendPrompt(t, "deadly1", prompt)
+	is.Equal(log.crashCount(), 1)
+	time.Sleep(3 * holdCheckInterval)
+	a.stop()
+	b.stop()
+	is.NoErr(<-a.done)
+	is.NoErr(<-b.done)
+
+	c := startEntry(t, "c", sim.Addr())
+	eventually(t, "a stream is served again", func() bool { began, _ := c.sendPrompt(t, "other", "shared:40,own:100"); return began })
+	_, status := c.sendPrompt(t, "deadly2", prompt)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(log.crashCount(), 1)
+	eventually(t, "the sound one is tried and served", func() bool { began, _ := c.sendPrompt(t, "sound", "sound:20,own:100"); return began })
+	_, status = c.sendPrompt(t, "deadly3", prompt)
+	is.Equal(status, http.StatusServiceUnavailable) // the other one is the only suspect left
+	is.Equal(log.crashCount(), 1)
+	eventually(t, "the record is gone, and the deadly part is held", func() bool {
+		return !sim.Has(holdKey("s", "i0-1@1")) && !sim.Has(holdKey("s", "i1-1@1")) && sim.Has(holdKey("s", deadlyPart))
+	})
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -75,6 +75,8 @@
 
 // crash is one crash of an endpoint.
 type crash struct {
+	// restored is set if the crash is known from a record only.
+	restored bool
 	// at is when it became known here.
 	at time.Time
 	// parts are those of the requests whose answer hadn't begun.
@@ -384,7 +386,7 @@
 	}
 	c := t.crashes[r.Crash]
 	if c == nil {
-		maps.DeleteFunc(t.crashes, func(_ string, c *crash) bool { return c.forgotten() })
+		t.forgetCrashes()
 		c = &crash{at: time.Now()}
 		t.crashes[r.Crash] = c
 	}
@@ -406,6 +408,11 @@
 	return proven, own
 }
 
+// forgetCrashes removes the crashes that no longer count.
+func (t *Tracker) forgetCrashes() {
+	maps.DeleteFunc(t.crashes, func(_ string, c *crash) bool { return c.forgotten() })
+}
+
 // addToCrash adds a part to a crash and reports whether it is new there.
 func (t *Tracker) addToCrash(c *crash, id partID) bool {
 	if slices.Contains(c.parts, id) {
@@ -546,6 +553,65 @@
 	return holds
 }
 
+// Crash is a crash that became known lately.
+type Crash struct {
+	Name, Service string
+	// Suspects are the parts that may have caused it, in order.
+	Suspects []string
+	// Age is the time since it became known here.
+	Age time.Duration
+	// Restored is set if it is known from a record only.
+	Restored bool
+}
+
+// SuspectMemory is the time for which entries that start learn the suspects of a crash.
+const SuspectMemory = firstHold
+
+// Crashes returns the crashes that became known within SuspectMemory.
+func (t *Tracker) Crashes() []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var crashes []Crash
+	for name, c := range t.crashes {
+		if time.Since(c.at) > SuspectMemory || len(c.parts) == 0 {
+			continue
+		}
+		suspects := t.suspects(c)
+		known := Crash{Name: name, Service: c.parts[0].service, Age: time.Since(c.at), Restored: c.restored}
+		for _, id := range c.parts {
+			if slices.Contains(suspects, t.parts[id]) {
+				known.Suspects = append(known.Suspects, id.part)
+			}
+		}
+		slices.Sort(known.Suspects)
+		crashes = append(crashes, known)
+	}
+	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Compare(a.Name, b.Name) })
+	return crashes
+}
+
+// RestoreSuspects records the parts that may have caused a crash, according to another entry
+// or to this one before a restart: prompts with several of them can't tell them apart. It
+// has no effect on a crash that is known here, and on parts that are proven sound here.
+func (t *Tracker) RestoreSuspects(service, name string, parts []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.crashes[name] != nil {
+		return
+	}
+	t.forgetCrashes()
+	c := &crash{restored: true, at: time.Now()}
+	t.crashes[name] = c
+	for _, id := range partIDs(service, parts) {
+		if !t.part(id).proven() {
+			t.addToCrash(c, id)
+		}
+	}
+	if len(c.parts) > 0 {
+		t.assessAll(c)
+	}
+}
+
 // Restore holds a part that another entry, or this one before a restart, held after crashes
 // at the given number of moments. It has no effect on a part that is known here.
 func (t *Tracker) Restore(service, name string, crashes int, proven bool) {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -328,3 +328,35 @@
 		is.True(!held(there, "a")) // the trial was inconclusive, or its entry has ended
 	})
 }
+
+// Guards against entries that send a prompt with several suspects of a crash once more
+// after a restart, and against suspects that stay although they were answered.
+func TestSuspectsAreRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		before, _ := newTracker()
+		before.ReportCrash("e1", "s", []string{"b", "a"})
+		crashes := before.Crashes()
+		is.Equal(len(crashes), 1)
+		is.Equal(crashes[0], Crash{Name: "e1", Service: "s", Suspects: []string{"a", "b"}})
+
+		after, _ := newTracker()
+		for range 2 {
+			after.RestoreSuspects("s", "e1", crashes[0].Suspects)
+		}
+		time.Sleep(maxJitter * ambiguousHold)
+		is.True(held(after, "a", "b"))
+		is.True(!held(after, "a"))
+		is.Equal(len(after.Holds()), 0)
+		answer(t, after, "a")
+		is.True(held(after, "b")) // the only suspect left
+		is.Equal(after.Crashes()[0].Suspects, []string{"b"})
+
+		proven, _ := newTracker()
+		answer(t, proven, "a")
+		proven.RestoreSuspects("s", "e1", crashes[0].Suspects)
+		is.True(!held(proven, "a"))
+		time.Sleep(firstHold + time.Second)
+		is.Equal(len(before.Crashes()), 0)
+	})
+}
