quarantine, node: entries with different views keep one record of suspects

The record is written once and only loses parts that are proven sound; entries that run add its parts to what they know of the crash.

--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -63,7 +64,8 @@
 	mu sync.Mutex
 	// stored holds the number of crashes in each record of a hold, by store key.
 	stored map[string]int
-	// suspects holds the suspects in each record of a crash, by store key.
+	// suspects holds the suspects in each record of a crash, by store key; none if the
+	// record was removed.
 	suspects map[string][]string
 }
 
@@ -221,47 +223,52 @@
 			}
 			h.log.Info("Prompt part held.", "service", hold.Service, "part", hold.Part, "crashes", hold.Crashes, "hold_ms", hold.Remaining.Milliseconds())
 		}
-		for _, c := range h.tracker.Crashes() {
+		crashes := h.tracker.Crashes()
+		for _, c := range crashes {
 			h.keepSuspects(ctx, c)
 		}
+		h.forgetRemoved(crashes)
 	}
 }
 
+// forgetRemoved forgets the records that were removed of crashes that aren't recent.
+func (h *holdSharer) forgetRemoved(recent []quarantine.Crash) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.suspects, func(key string, suspects []string) bool {
+		return suspects == nil && !slices.ContainsFunc(recent, func(c quarantine.Crash) bool { return holdKey(c.Service, c.Name) == key })
+	})
+}
+
 // keepSuspects keeps the suspects of a crash in the store as long as there are several: a
-// prompt with all of them would crash a further endpoint at each entry that starts.
+// prompt with all of them would crash a further endpoint at each entry that starts. The
+// record is written once, and each entry removes from it what is proven sound there.
 func (h *holdSharer) keepSuspects(ctx context.Context, c quarantine.Crash) {
 	key := holdKey(c.Service, c.Name)
 	h.mu.Lock()
-	stored := h.suspects[key]
+	stored, written := h.suspects[key]
 	h.mu.Unlock()
-	several := len(c.Suspects) > 1 && len(c.Suspects) <= maxSuspects
+	suspects := c.Suspects
 	remaining := quarantine.SuspectMemory - c.Age
-	var err error
-	switch {
-	case stored == nil && (!several || c.Restored || c.Age < holdSettleTime || remaining < minSuspectTime):
+	if written {
+		suspects = h.tracker.Unproven(c.Service, stored)
+		if len(suspects) == len(stored) {
+			return
+		}
+	} else if len(suspects) <= 1 || len(suspects) > maxSuspects || c.Restored || c.Age < holdSettleTime || remaining < minSuspectTime {
 		return
-	case stored != nil && !isNarrower(c.Suspects, stored):
-		return // this entry knows no more than the record
-	case several:
-		err = h.put(ctx, key, heldRecord{Suspects: c.Suspects}, max(remaining, minSuspectTime))
-	default:
+	}
+	var err error
+	if len(suspects) > 1 {
+		err = h.put(ctx, key, heldRecord{Suspects: suspects}, max(remaining, minSuspectTime))
+	} else {
 		err = h.store.Remove(ctx, key)
 	}
 	if err != nil {
 		h.limitedLog.Info("Suspects of a crash not kept in the store.", "service", c.Service, "crash", c.Name, "cause", err.Error())
 		return
 	}
-	h.limitedLog.Info("Suspects of a crash kept in the store.", "service", c.Service, "crash", c.Name, "suspects", c.Suspects)
-}
-
-// isNarrower reports whether parts are some of those in a record, but not all.
-func isNarrower(parts, record []string) bool {
-	for _, part := range parts {
-		if !slices.Contains(record, part) {
-			return false
-		}
-	}
-	return len(parts) < len(record)
+	h.limitedLog.Info("Suspects of a crash kept in the store.", "service", c.Service, "crash", c.Name, "suspects", suspects)
 }
 
 func (h *holdSharer) isStored(hold quarantine.Hold) bool {
@@ -312,7 +319,9 @@
 func (h *holdSharer) Reset(kvs []store.KeyValue, at store.Position) {
 	h.mu.Lock()
 	clear(h.stored)
-	clear(h.suspects)
+	for key := range h.suspects {
+		h.suspects[key] = nil
+	}
 	h.mu.Unlock()
 	for _, kv := range kvs {
 		h.Apply(store.Event{KeyValue: kv, Era: at.Era})
@@ -329,7 +338,9 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		delete(h.stored, e.Key)
-		delete(h.suspects, e.Key)
+		if _, ok := h.suspects[e.Key]; ok {
+			h.suspects[e.Key] = nil // what was removed isn't written again
+		}
 		return
 	}
 	service, part, ok := strings.Cut(strings.TrimPrefix(e.Key, platform.PrefixQuarantine), "/")
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -592,26 +592,40 @@
 
 // RestoreSuspects records the parts that may have caused a crash, according to another entry
 // or to this one before a restart: prompts with several of them can't tell them apart. It
-// has no effect on a crash that is known here, and on parts that are proven sound here.
+// has no effect on parts that are proven sound here.
 func (t *Tracker) RestoreSuspects(service, name string, parts []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.crashes[name] != nil {
-		return
+	c := t.crashes[name]
+	if c == nil {
+		t.forgetCrashes()
+		c = &crash{restored: true, at: time.Now()}
+		t.crashes[name] = c
 	}
-	t.forgetCrashes()
-	c := &crash{restored: true, at: time.Now()}
-	t.crashes[name] = c
+	added := false
 	for _, id := range partIDs(service, parts) {
-		if !t.part(id).proven() {
-			t.addToCrash(c, id)
+		if !t.part(id).proven() && t.addToCrash(c, id) {
+			added = true
 		}
 	}
-	if len(c.parts) > 0 {
+	if added {
 		t.assessAll(c)
 	}
 }
 
+// Unproven returns those of the given parts that are not proven sound here.
+func (t *Tracker) Unproven(service string, parts []string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var unproven []string
+	for _, id := range partIDs(service, parts) {
+		if p := t.parts[id]; p == nil || !p.proven() {
+			unproven = append(unproven, id.part)
+		}
+	}
+	return unproven
+}
+
 // Restore holds a part that another entry, or this one before a restart, held after crashes
 // at the given number of moments. It has no effect on a part that is known here.
 func (t *Tracker) Restore(service, name string, crashes int, proven bool) {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -356,6 +356,14 @@
 		answer(t, proven, "a")
 		proven.RestoreSuspects("s", "e1", crashes[0].Suspects)
 		is.True(!held(proven, "a"))
+		is.Equal(proven.Unproven("s", crashes[0].Suspects), []string{"b"})
+
+		missed, _ := newTracker() // a report on the crash was lost
+		missed.Receive(wire.QuarantineReport{Service: "s", Crash: "e1", Parts: []string{"a"}})
+		is.Equal(len(missed.Holds()), 1)
+		missed.RestoreSuspects("s", "e1", crashes[0].Suspects)
+		is.Equal(len(missed.Holds()), 0)
+
 		time.Sleep(firstHold + time.Second)
 		is.Equal(len(before.Crashes()), 0)
 	})
