--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -12,5 +12,5 @@
 // Requests with a suspect part are refused. If it is the only suspect of a crash: for a
 // minute or more, or, if it was proven before, for a few seconds that double with each
 // further crash. Otherwise for about a second. After that, one request at a time tries
-// it; entries tell each other that they do.
+// it; entries tell each other when they try the only suspect.
 package quarantine
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -134,7 +134,9 @@
 	return a, retryAfter
 }
 
-// begin is Begin. It returns the name of the part that the attempt tries, "" for none.
+// begin is Begin. It returns the name of the part whose trial other entries must know, ""
+// for none. Trials of one of several suspects aren't among them: the sooner the sound ones
+// are answered, the fewer trials are of the one that crashes endpoints.
 func (t *Tracker) begin(service string, parts []string, crashName string, cancel func(error)) (_ *Attempt, tried string, retryAfter time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -150,7 +152,7 @@
 	if suspect != nil {
 		suspect.trial = a
 		for _, id := range ids {
-			if t.parts[id] == suspect {
+			if t.parts[id] == suspect && t.soleSuspect(suspect) {
 				tried = id.part
 			}
 		}
@@ -158,6 +160,11 @@
 	return a, tried, 0
 }
 
+// soleSuspect reports whether a part is the only suspect of one of its crashes.
+func (t *Tracker) soleSuspect(p *part) bool {
+	return slices.ContainsFunc(p.crashes, func(c *crash) bool { return len(t.suspects(c)) <= 1 })
+}
+
 // RetryAfter returns the time after which a request with the given parts may return,
 // 0 if it may be sent now.
 func (t *Tracker) RetryAfter(service string, parts []string) time.Duration {
