--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -38,6 +39,11 @@
 	// holdSettleTime is the age from which a hold is written: by then other entries have
 	// reported further parts of the crash, which may release the part.
 	holdSettleTime = 500 * time.Millisecond
+	// maxSuspects bounds the suspects in the record of a crash. Of more, each is unlikely
+	// to be the cause.
+	maxSuspects = 64
+	// minSuspectTime is the least time for which a record of suspects is written.
+	minSuspectTime = 5 * time.Second
 )
 
 // holdSharer shares what this entry learns about prompt parts that may crash endpoints
@@ -58,11 +64,14 @@
 	mu sync.Mutex
 	// stored holds the number of crashes in each record of a hold, by store key.
 	stored map[string]int
+	// suspects holds the suspects in each record of a crash, by store key; none if the
+	// record was removed.
+	suspects map[string][]string
 }
 
 func newHoldSharer(s *platform.Store, c *upstream.Client, peers func() []string, log logr.Logger) *holdSharer {
 	h := &holdSharer{store: s, client: c, peers: peers, log: log, limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst),
-		pending: make(chan wire.QuarantineReport, maxPendingReports), ignored: &ignoredRecords{log: log}, stored: make(map[string]int)}
+		pending: make(chan wire.QuarantineReport, maxPendingReports), ignored: &ignoredRecords{log: log}, stored: make(map[string]int), suspects: make(map[string][]string)}
 	h.tracker = quarantine.New(h.enqueue)
 	return h
 }
@@ -109,7 +118,7 @@
 // shareReport sends a report to the other entries. If they have proven parts of a crash
 // sound, it tells all of them.
 func (h *holdSharer) shareReport(ctx context.Context, r wire.QuarantineReport) {
-	h.limitedLog.Info("Prompt parts reported.", "service", r.Service, "crash", r.Crash, "parts", r.Parts, "answered", r.Answered, "proven", r.Proven)
+	h.limitedLog.Info("Prompt parts reported.", "service", r.Service, "crash", r.Crash, "parts", r.Parts, "answered", r.Answered, "proven", r.Proven, "trying", r.Trying)
 	proven := h.send(ctx, r)
 	if len(proven) > 0 {
 		update := wire.QuarantineReport{Service: r.Service, Proven: proven}
@@ -184,16 +193,23 @@
 	}
 }
 
-// heldRecord is the record of a held part in the store. It is removed with its lease.
+// heldRecord is the record of a held part in the store, or of a crash that one of several
+// parts may have caused. It is removed with its lease.
 type heldRecord struct {
 	Crashes int `json:"crashes"`
+	// Proven is set if the part was proven sound before. Records of earlier versions lack it.
+	Proven bool `json:"proven,omitempty"`
+	// Suspects are the parts that may have caused the crash. Entries of earlier versions
+	// ignore the record then, since Crashes is 0.
+	Suspects []string `json:"suspects,omitempty"`
 }
 
-func holdKey(service, part string) string {
-	return platform.PrefixQuarantine + url.PathEscape(service) + "/" + url.PathEscape(part)
+// holdKey returns the store key of the record of a held part, or of a crash.
+func holdKey(service, name string) string {
+	return platform.PrefixQuarantine + url.PathEscape(service) + "/" + url.PathEscape(name)
 }
 
-// keepHolds writes the holds that the store doesn't have until ctx ends.
+// keepHolds writes the holds and the suspects that the store doesn't have until ctx ends.
 func (h *holdSharer) keepHolds(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, rand.N(2*holdCheckInterval))
@@ -207,9 +223,54 @@
 			}
 			h.log.Info("Prompt part held.", "service", hold.Service, "part", hold.Part, "crashes", hold.Crashes, "hold_ms", hold.Remaining.Milliseconds())
 		}
+		crashes := h.tracker.Crashes()
+		for _, c := range crashes {
+			h.keepSuspects(ctx, c)
+		}
+		h.forgetRemoved(crashes)
 	}
 }
 
+// forgetRemoved forgets the records that were removed of crashes that aren't recent.
+func (h *holdSharer) forgetRemoved(recent []quarantine.Crash) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.suspects, func(key string, suspects []string) bool {
+		return suspects == nil && !slices.ContainsFunc(recent, func(c quarantine.Crash) bool { return holdKey(c.Service, c.Name) == key })
+	})
+}
+
+// keepSuspects keeps the suspects of a crash in the store as long as there are several: a
+// prompt with all of them would crash a further endpoint at each entry that starts. The
+// record is written once, and each entry removes from it what is proven sound there.
+func (h *holdSharer) keepSuspects(ctx context.Context, c quarantine.Crash) {
+	key := holdKey(c.Service, c.Name)
+	h.mu.Lock()
+	stored, written := h.suspects[key]
+	h.mu.Unlock()
+	suspects := c.Suspects
+	remaining := quarantine.SuspectMemory - c.Age
+	if written {
+		suspects = h.tracker.Unproven(c.Service, stored)
+		if len(suspects) == len(stored) {
+			return
+		}
+	} else if len(suspects) <= 1 || len(suspects) > maxSuspects || c.Restored || c.Age < holdSettleTime || remaining < minSuspectTime {
+		return
+	}
+	var err error
+	if len(suspects) > 1 {
+		err = h.put(ctx, key, heldRecord{Suspects: suspects}, max(remaining, minSuspectTime))
+	} else {
+		err = h.store.Remove(ctx, key)
+	}
+	if err != nil {
+		h.limitedLog.Info("Suspects of a crash not kept in the store.", "service", c.Service, "crash", c.Name, "cause", err.Error())
+		return
+	}
+	h.limitedLog.Info("Suspects of a crash kept in the store.", "service", c.Service, "crash", c.Name, "suspects", suspects)
+}
+
 func (h *holdSharer) isStored(hold quarantine.Hold) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -219,12 +280,20 @@
 // write writes a hold to the store for as long as it lasts. The store grants leases of
 // up to ten minutes, the longest hold.
 func (h *holdSharer) write(ctx context.Context, hold quarantine.Hold) error {
-	lease, err := h.store.Grant(ctx, hold.Remaining)
+	return h.put(ctx, holdKey(hold.Service, hold.Part), heldRecord{Crashes: hold.Crashes, Proven: hold.Proven}, hold.Remaining)
+}
+
+// put writes a record with a lease of its own.
+func (h *holdSharer) put(ctx context.Context, key string, record heldRecord, ttl time.Duration) error {
+	value, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
-	value, _ := json.Marshal(heldRecord{Crashes: hold.Crashes}) // numbers always encode
-	return h.store.Put(ctx, holdKey(hold.Service, hold.Part), value, lease)
+	lease, err := h.store.Grant(ctx, ttl)
+	if err != nil {
+		return err
+	}
+	return h.store.Put(ctx, key, value, lease)
 }
 
 // forget removes the holds of parts from the store. A hold that stays there only delays
@@ -250,6 +319,9 @@
 func (h *holdSharer) Reset(kvs []store.KeyValue, at store.Position) {
 	h.mu.Lock()
 	clear(h.stored)
+	for key := range h.suspects {
+		h.suspects[key] = nil
+	}
 	h.mu.Unlock()
 	for _, kv := range kvs {
 		h.Apply(store.Event{KeyValue: kv, Era: at.Era})
@@ -266,6 +338,9 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		delete(h.stored, e.Key)
+		if _, ok := h.suspects[e.Key]; ok {
+			h.suspects[e.Key] = nil // what was removed isn't written again
+		}
 		return
 	}
 	service, part, ok := strings.Cut(strings.TrimPrefix(e.Key, platform.PrefixQuarantine), "/")
@@ -278,8 +353,16 @@
 		return
 	}
 	h.ignored.valid(e.Key)
+	if suspects := record.Suspects; len(suspects) > 0 {
+		suspects = suspects[:min(len(suspects), maxSuspects)]
+		h.mu.Lock()
+		h.suspects[e.Key] = suspects
+		h.mu.Unlock()
+		h.tracker.RestoreSuspects(service, part, suspects)
+		return
+	}
 	h.mu.Lock()
 	h.stored[e.Key] = record.Crashes
 	h.mu.Unlock()
-	h.tracker.Restore(service, part, record.Crashes)
+	h.tracker.Restore(service, part, record.Crashes, record.Proven)
 }
