placement, fleet: requests are placed by their size, engine memory and held prompts

Cause: all requests counted as one slot. A prompt of 18,000 tokens was placed like one of 300, so short prompts waited behind long ones; nothing knew an engine's memory; and a long shared beginning was read anew although another endpoint held it.

Change: package placement scores an endpoint by requests or engine time (whichever is more), unread prompts, failures and zone, less the reading that a held beginning saves. Agents report the engine's memory; what can't fit goes elsewhere or waits, prompts that could overfill an engine only by turns. The sample is drawn without a permutation of all endpoints.

Measured: TestShortPromptsDoNotWaitBehindLongOnes before: 509 of 2000 short prompts late; now 0 to 8 in repeated runs. TestLongSharedBeginningsAreUsed before: 14 of 40 reused; now 32. Without the memory check TestSumOfRequestsFitsIntoTheMemory exceeds the memory 1602 times with one entry; now never.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/placement"
 )
 
 // Record is what an endpoint publishes about itself in the store.
@@ -37,6 +39,10 @@
 	// Pace is how many times longer the endpoint takes for the same work than it should, 0
 	// if unknown.
 	Pace float64
+	// MemoryTotal is the engine's memory in tokens, MemoryShare the fraction of it that is
+	// in use at most. Not every report names the total; 0 leaves the known one.
+	MemoryTotal int
+	MemoryShare float64
 }
 
 const (
@@ -56,14 +62,8 @@
 	// failureHalfLife is the time after which the failure rate of an endpoint that gets
 	// no requests has halved.
 	failureHalfLife = 4 * time.Second
-	// failureCost is the load, as a fraction of the slots, at which an endpoint without
-	// failures costs as much as an idle one that always fails.
-	failureCost = 3.0
-	// zoneCost is the cost of sending a request to another availability zone, in the
-	// same unit; traffic between zones is billed, but a slower response costs more.
-	zoneCost = 0.1
 	// tieNoise is the random cost that spreads the entries' choices over nearly equal
-	// endpoints.
+	// endpoints, in the unit of placement.Score.
 	tieNoise = 0.06
 	// sampleSize is the number of endpoints that are compared for one request. Reports
 	// are as old as the time in which many entries choose; if each compared all
@@ -94,6 +94,12 @@
 	report           Load
 	reportAt         time.Time
 	inFlightAtReport int
+	// own is what this entry's requests in progress take there.
+	own ownWork
+	// memory is what is known of the engine's memory.
+	memory endpointMemory
+	// beginnings are the beginnings of prompts that the endpoint holds.
+	beginnings placement.Beginnings
 	// agentReportAt is when the endpoint's agent last reported, zero if it never did.
 	agentReportAt       time.Time
 	consecutiveFailures int
@@ -133,6 +139,8 @@
 	// TargetGap is the longest interval between two streamed events that meets the
 	// service's target, 0 for no target.
 	TargetGap time.Duration
+	// Engine holds the figures by which requests differ in cost.
+	Engine placement.Engine
 }
 
 // Fleet holds the state of the endpoints. It is safe for concurrent use.
@@ -152,6 +160,8 @@
 	entries    int
 	entryIndex int
 	queues     map[string]*queue
+	reuse      placement.Reuse
+	counts     PlacementCounts
 	// notices holds what endpoints have said of themselves, by ID. They outlast records
 	// that expire or are outdated.
 	notices  map[string]*notice
@@ -167,7 +177,8 @@
 func New(zone string, onRemove func(addr string)) *Fleet {
 	return &Fleet{
 		zone: zone, onRemove: onRemove, entries: initialEntries, entryIndex: rand.N(initialEntries),
-		byID: make(map[string]*Endpoint), byService: make(map[string][]*Endpoint), latestAtAddress: make(map[string]*Endpoint),
+		reuse: placement.Reuse{Weight: placement.DefaultReuseWeight},
+		byID:  make(map[string]*Endpoint), byService: make(map[string][]*Endpoint), latestAtAddress: make(map[string]*Endpoint),
 		zonesOut: make(map[string]bool), limits: make(map[string]Limits), queues: make(map[string]*queue), notices: make(map[string]*notice),
 	}
 }
@@ -307,6 +318,7 @@
 	defer f.mu.Unlock()
 	if ep := f.byID[id]; ep != nil {
 		ep.agentReportAt = time.Now()
+		ep.memory.record(l, ep.agentReportAt)
 		f.applyLoad(ep, l)
 	}
 }
@@ -379,59 +391,80 @@
 	// Paused means that all endpoints that could take the request have asked for a pause
 	// that outlasts its MaxWait.
 	Paused
+	// OutOfMemory means that an endpoint with a free slot lacks memory for the request.
+	// One that needs less may find room.
+	OutOfMemory
 )
 
 // choose returns the endpoint with the lowest cost among a random sample of a service's
 // endpoints, and counts the request there.
-func (f *Fleet) choose(service string, exclude []*Endpoint) (*Pick, Availability) {
+func (f *Fleet) choose(request *Request) (*Pick, Availability) {
 	now := time.Now()
-	limits := f.limits[service]
-	var best, fallback *Endpoint
-	var bestCost, fallbackCost float64
+	p := f.newPlacing(request, now)
+	var best, fallback assessment
 	availability := Unavailable
-	all := f.byService[service]
+	all := f.byService[request.Service]
+	holders := f.moveHoldersFirst(all, p, now)
 	compared := 0
-	for _, i := range rand.Perm(len(all)) {
-		if compared >= sampleSize {
-			break
+	for i := 0; i < len(all) && compared < sampleSize; i++ {
+		if i >= holders {
+			// Shuffles the slice as far as it is read; its order has no meaning.
+			j := i + rand.IntN(len(all)-i)
+			all[i], all[j] = all[j], all[i]
 		}
-		ep := all[i]
-		if !f.usable(ep, exclude, now) {
+		a := f.assess(all[i], p, now)
+		switch {
+		case a.obstacle == notInService:
 			continue
-		}
-		load := ep.load(now)
-		if load >= ep.usableSlots(limits, now) || !f.belowConnectionLimit(ep, limits) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
-			availability = AllBusy
+		case a.obstacle == noMemory:
+			availability = OutOfMemory
+			continue
+		case a.obstacle != none:
+			if availability == Unavailable {
+				availability = AllBusy
+			}
 			continue
 		}
-		cost := float64(load)/float64(ep.Slots) + failureCost*ep.decayedFailureRate(now) + tieNoise*rand.Float64()
-		if ep.Zone != f.zone {
-			cost += zoneCost
-		}
-		if now.Before(ep.backoffUntil) || ep.isSlow(now) || f.isSilent(ep, now) {
-			if fallback == nil || cost < fallbackCost {
-				fallback, fallbackCost = ep, cost
+		a.cost += tieNoise * rand.Float64()
+		if a.lastResort != noReason {
+			if fallback.endpoint == nil || a.cost < fallback.cost {
+				fallback = a
 			}
 			continue
 		}
-		compared++
-		if best == nil || cost < bestCost {
-			best, bestCost = ep, cost
+		if i >= holders {
+			compared++
+		}
+		if best.endpoint == nil || a.cost < best.cost {
+			best = a
 		}
 	}
-	if best == nil && availability == Unavailable {
+	if best.endpoint == nil && availability == Unavailable {
 		// Only endpoints in backoff after a recent failure, slow or silent ones are left.
 		best = fallback
 	}
-	if best == nil {
+	if availability == OutOfMemory {
+		f.counts.MemoryShort++
+	}
+	if best.endpoint == nil {
 		return nil, availability
 	}
-	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), ReportAge: NoReport, RateLimit: best.rateLimit, Stalled: best.stalled}
-	if !best.reportAt.IsZero() {
-		p.ReportAge = now.Sub(best.reportAt)
+	return f.claim(&best, p, now), Available
+}
+
+// claim counts the request at the endpoint that was chosen for it.
+func (f *Fleet) claim(a *assessment, p *placing, now time.Time) *Pick {
+	ep := a.endpoint
+	pick := &Pick{Endpoint: ep, fleet: f, Load: a.load, ReportAge: NoReport, RateLimit: ep.rateLimit, Stalled: ep.stalled, Score: a.score}
+	if !ep.reportAt.IsZero() {
+		pick.ReportAge = now.Sub(ep.reportAt)
+	}
+	if a.score.Held > 0 {
+		f.counts.Reused++
 	}
-	f.recordSend(best, limits, now)
-	return p, Available
+	f.recordSend(ep, p.limits, now)
+	f.beginWork(pick, p, a.held, now)
+	return pick
 }
 
 // usableSlots returns the number of slots that may be occupied. The more requests a
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/placement"
+)
 
 // Pick is a request's claim to a slot of the endpoint that was chosen for it. The
 // first call of a method whose name begins with End ends it: the method frees the
@@ -19,6 +23,13 @@
 	// each step; a request that may be retried
 	// should then be sent to another endpoint.
 	Stalled <-chan struct{}
+	// Score is the cost at which the endpoint was chosen.
+	Score placement.Score
+	// demand is what the request asks of the endpoint; reading is set until its prompt is
+	// known to be read. beginnings are those of its prompt that were recorded there.
+	demand     placement.Demand
+	reading    bool
+	beginnings []placement.Beginning
 }
 
 // NoReport is the ReportAge of an endpoint that never reported its load.
@@ -42,9 +53,11 @@
 		return
 	}
 	p.finished = true
+	now := time.Now()
 	p.Endpoint.inFlight--
+	p.endWork(now)
 	if f != nil {
-		f(p.Endpoint, time.Now())
+		f(p.Endpoint, now)
 	}
 	p.fleet.assignWaiting(p.Endpoint.Service)
 }
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -54,7 +54,7 @@
 		f.queues[request.Service] = q
 	}
 	if !q.blocks(request) {
-		if p, availability := f.choose(request.Service, request.Exclude); p != nil {
+		if p, availability := f.choose(request); p != nil {
 			f.mu.Unlock()
 			return p, availability
 		}
@@ -107,7 +107,7 @@
 		return AllBusy
 	}
 	for _, ep := range f.byService[r.Service] {
-		if f.usable(ep, r.Exclude, now) {
+		if f.usable(ep, r.Exclude, now) && ep.memory.canHold(r) {
 			return AllBusy
 		}
 	}
@@ -143,7 +143,7 @@
 	}
 	stillWaiting := q.waiters[:0]
 	for i, w := range q.waiters {
-		p, availability := f.choose(service, w.request.Exclude)
+		p, availability := f.choose(w.request)
 		if p != nil {
 			w.assigned <- p
 			continue
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "github.com/wasabinotch/wasabinotch/placement"
+
 // Work is what a request is expected to cost an endpoint, as its caller states it. The zero
 // value means that nothing is known.
 type Work struct {
@@ -16,7 +18,4 @@
 }
 
 // PromptPart is a part of a prompt that other prompts may begin with too.
-type PromptPart struct {
-	ID     string
-	Tokens int
-}
+type PromptPart = placement.Part
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -20,6 +20,7 @@
 
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/placement"
 	"github.com/wasabinotch/wasabinotch/quarantine"
 	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/upstream"
@@ -209,7 +210,9 @@
 	lastLoadAge  time.Duration
 	// lastRateLimit is the rate limit of the endpoint acquired last.
 	lastRateLimit fleet.RateLimit
-	cause         error
+	// lastScore is the cost at which the endpoint acquired last was chosen.
+	lastScore placement.Score
+	cause     error
 }
 
 // filter is one stage of the chain. A non-nil refusal ends the request.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -218,6 +218,7 @@
 			if !began {
 				began = true
 				guard.Began()
+				pick.RecordFirstToken()
 			}
 			if !x.response.started {
 				x.copyHeaders(resp)
--- a/forward/send.go
+++ b/forward/send.go
@@ -148,6 +148,7 @@
 	x.waited += time.Since(began)
 	if pick != nil {
 		x.lastEndpoint, x.lastLoad, x.lastLoadAge, x.lastRateLimit = pick.Endpoint.ID, pick.Load, pick.ReportAge, pick.RateLimit
+		x.lastScore = pick.Score
 	}
 	return pick, availability
 }
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -56,6 +57,9 @@
 	if x.route != nil {
 		args = append(args, "route", x.route.Name, "service", x.service, "config", x.config.Version)
 	}
+	if s := &x.lastScore; s.Reading >= notableReading || s.Held > 0 {
+		args = append(args, "reading_cost", round(s.Reading), "held_gain", round(s.Held))
+	}
 	if x.lastRateLimit.Named {
 		args = append(args, "rate_limit", x.lastRateLimit.PerSecond)
 	}
@@ -67,3 +71,9 @@
 	}
 	x.handler.cfg.Log.Info("Request ended.", args...)
 }
+
+// notableReading is the reading cost from which it is logged: a tenth of the target latency.
+const notableReading = 0.1
+
+// round rounds a cost to three digits, so that it takes little room in the log.
+func round(cost float64) float64 { return math.Round(cost*1000) / 1000 }
--- a/node/agent.go
+++ b/node/agent.go
@@ -138,7 +138,7 @@
 	defer ticker.Stop()
 	var last wire.LoadReport
 	var monitor stepMonitor
-	var lastPublished time.Time
+	var lastPublished, memoryPublished time.Time
 	rateLimit := "" // as in wire.LoadReport
 	lost := false
 	for {
@@ -171,10 +171,16 @@
 			next.Leaving, next.Incarnation = true, report.Incarnation
 		}
 		a.mu.Unlock()
+		next.MemoryUsed = memoryUnits(report)
 		since, interval := time.Since(lastPublished), a.publishInterval()
 		if urgent := next.Stalled != last.Stalled || next.RateLimit != last.RateLimit || next.Leaving != last.Leaving || next.PacePercent != last.PacePercent; urgent || since >= interval && next != last || since >= unchangedLoadInterval {
-			a.publish(conn, next)
-			last, lastPublished = next, time.Now()
+			now := time.Now()
+			sent := next
+			if now.Sub(memoryPublished) >= memoryInterval {
+				sent.MemoryTotal, memoryPublished = report.MemoryTotal, now
+			}
+			a.publish(conn, sent)
+			last, lastPublished = next, now
 		}
 		if report.Group != "" && report.Open {
 			if term, ok := a.leadership.claim(report.Group, report.Rank, report.HeldStep != nil); ok {
@@ -194,6 +200,18 @@
 	return percent
 }
 
+// memoryInterval is the interval at which reports name the size of the engine's memory, for
+// entries that have started since.
+const memoryInterval = time.Second
+
+// memoryUnits returns the form of the memory in use in load reports.
+func memoryUnits(r rankgroup.Report) int {
+	if r.MemoryTotal <= 0 {
+		return 0
+	}
+	return min(r.MemoryUsed, r.MemoryTotal) * wire.MemoryUnits / r.MemoryTotal
+}
+
 // stallTimeout is the time without a new step after which a rank group with
 // requests counts as stalled. The longest steps take a quarter of it.
 const stallTimeout = 500 * time.Millisecond
--- a/node/entry.go
+++ b/node/entry.go
@@ -21,6 +21,7 @@
 	"github.com/wasabinotch/wasabinotch/forward"
 	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/pause"
+	"github.com/wasabinotch/wasabinotch/placement"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/settings"
 	"github.com/wasabinotch/wasabinotch/store"
@@ -150,6 +151,9 @@
 	e.metrics.NewGauge("wasabinotch_endpoints_rate_limited", func() float64 { return float64(e.fleet.RateLimited()) })
 	e.metrics.NewGauge("wasabinotch_endpoints_leaving", func() float64 { n, _ := e.fleet.NoticeCounts(); return float64(n) })
 	e.metrics.NewGauge("wasabinotch_endpoints_paused", func() float64 { _, n := e.fleet.NoticeCounts(); return float64(n) })
+	e.fleet.SetReuse(placement.Reuse{Weight: s.Placement.ReuseWeight(), Retention: time.Duration(s.Placement.PromptRetentionMS * float64(time.Millisecond))})
+	e.metrics.NewGauge("wasabinotch_placements_reusing_prompt", func() float64 { return float64(e.fleet.PlacementCounts().Reused) })
+	e.metrics.NewGauge("wasabinotch_placements_short_of_memory", func() float64 { return float64(e.fleet.PlacementCounts().MemoryShort) })
 	e.metrics.NewGauge("wasabinotch_config_version", func() float64 {
 		if c := e.handler.Config(); c != nil {
 			return float64(c.Version)
--- a/node/follow.go
+++ b/node/follow.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/forward"
+	"github.com/wasabinotch/wasabinotch/placement"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/settings"
@@ -253,7 +254,7 @@
 		o.fleet.SetLimits(s.Name, fleet.Limits{
 			TargetGap:     gaps[s.Name],
 			ColdPerSecond: s.ColdPerSecond, ColdBurst: s.ColdPerSecond*o.bounds.ColdBurstFactor + o.bounds.ColdBurstSlack,
-			MaxConnections: s.MaxConnections,
+			MaxConnections: s.MaxConnections, Engine: placementEngine(s.Engine),
 		})
 	})
 	if !o.handler.SetConfig(c) {
@@ -406,3 +407,14 @@
 	defer e.mu.Unlock()
 	return maps.Clone(e.known)
 }
+
+// placementEngine returns the figures of an engine by which requests differ in cost.
+func placementEngine(e *routing.Engine) placement.Engine {
+	if e == nil {
+		return placement.Engine{}
+	}
+	return placement.Engine{
+		ReadPerSecond: e.PromptTokensPerSecond, WriteTime: e.StepTimePerRequest,
+		MeanPrompt: e.MeanPromptTokens, MeanResponse: e.MeanResponseTokens,
+	}
+}
--- a/node/loads.go
+++ b/node/loads.go
@@ -109,7 +109,17 @@
 		e.fleet.RecordLoad(r.Endpoint, fleet.Load{
 			Running: r.Running, Waiting: r.Waiting, Stalled: r.Stalled,
 			StepTime: time.Duration(r.StepTimeMS) * time.Millisecond, ColdFor: time.Duration(r.ColdRemainingMS) * time.Millisecond,
-			Pace: float64(r.PacePercent) / 100,
+			Pace: float64(r.PacePercent) / 100, MemoryTotal: max(0, r.MemoryTotal), MemoryShare: memoryShare(&r),
 		})
 	}
 }
+
+// memoryShare returns the fraction of an engine's memory that is in use at most. Reports
+// round it down; without requests nothing is in use.
+func memoryShare(r *wire.LoadReport) float64 {
+	units := min(max(0, r.MemoryUsed), wire.MemoryUnits)
+	if r.Running+r.Waiting > 0 {
+		units = min(units+1, wire.MemoryUnits)
+	}
+	return float64(units) / wire.MemoryUnits
+}
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -44,6 +44,10 @@
 	// Pace is how many times longer the rank takes for the same work than it should; 0 if
 	// it doesn't say.
 	Pace float64 `json:"pace,omitempty"`
+	// MemoryUsed is the engine's memory that is in use and MemoryTotal all of it, in tokens;
+	// 0 if the rank doesn't say. Coordinators don't need them.
+	MemoryUsed  int `json:"-"`
+	MemoryTotal int `json:"-"`
 	// Step is the last engine step that began.
 	Step uint64 `json:"step"`
 	// MapVersion is the version of the map in force.
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/placement"
 )
 
 // PlatformNode holds the settings common to entries and agents that run on the
@@ -38,6 +40,43 @@
 	// platform ends the process; 0 for no limit.
 	MemoryLimitMB int    `json:"memory_mb"`
 	Bounds        Bounds `json:"bounds"`
+	// Placement is used by entries only.
+	Placement Placement `json:"placement"`
+}
+
+// Placement configures how endpoints are chosen for prompts.
+type Placement struct {
+	// PromptReuseWeight multiplies the reading time that is saved at an endpoint which holds
+	// the beginning of a prompt, against the load there; a number without unit. 0 switches
+	// this off. Default (left out): placement.DefaultReuseWeight.
+	PromptReuseWeight *float64 `json:"prompt_reuse_weight"`
+	// PromptRetentionMS is how long engines hold a prompt after its request, in
+	// milliseconds. Default 0: only while the request runs.
+	PromptRetentionMS float64 `json:"prompt_retention_ms"`
+}
+
+// ReuseWeight returns PromptReuseWeight or its default.
+func (p *Placement) ReuseWeight() float64 {
+	if p.PromptReuseWeight == nil {
+		return placement.DefaultReuseWeight
+	}
+	return *p.PromptReuseWeight
+}
+
+// maxReuseWeight and maxRetentionMS bound the settings of Placement.
+const (
+	maxReuseWeight = 10
+	maxRetentionMS = 24 * 3600 * 1000
+)
+
+func (p *Placement) validate() error {
+	if w := p.ReuseWeight(); w < 0 || w > maxReuseWeight {
+		return &Error{Field: "placement.prompt_reuse_weight", Reason: fmt.Sprintf("%v is out of range", w), Remedy: fmt.Sprintf("use a number from 0 (off) to %d, or leave it out", maxReuseWeight)}
+	}
+	if ms := p.PromptRetentionMS; ms < 0 || ms > maxRetentionMS {
+		return &Error{Field: "placement.prompt_retention_ms", Reason: fmt.Sprintf("%v is out of range", ms), Remedy: fmt.Sprintf("set the milliseconds for which engines hold a prompt after its request, from 0 to %d", maxRetentionMS)}
+	}
+	return nil
 }
 
 // Bounds are the limits that the operators guarantee for the whole system.
@@ -132,7 +171,7 @@
 	if e.Bounds.DirectoryTTLS <= 0 {
 		return &Error{Field: "bounds.directory_ttl_s", Reason: "is not positive", Remedy: "set the longest time in seconds that callers may cache a directory response"}
 	}
-	return nil
+	return e.Placement.validate()
 }
 
 // PlatformAgent holds the settings of an agent on the users' platform.
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -26,8 +26,16 @@
 	// Leaving is set if the endpoint says that it leaves, Incarnation is then its run.
 	Leaving     bool  `json:"x,omitempty"`
 	Incarnation int64 `json:"i,omitempty"`
+	// MemoryTotal is the engine's memory in tokens. It is left out of most reports, since it
+	// doesn't change.
+	MemoryTotal int `json:"m,omitempty"`
+	// MemoryUsed is the part of it that is in use, in units of 1/MemoryUnits, rounded down.
+	MemoryUsed int `json:"u,omitempty"`
 }
 
+// MemoryUnits is the number of units in which load reports express an engine's memory.
+const MemoryUnits = 32
+
 // RateLimitNone is the value of RateLimit fields if the endpoint names no limit any more.
 const RateLimitNone = "none"
 
