placement: requests count as slots whatever their length; wasabinotch-node explain-placement

An engine writes the responses of all requests side by side, so a long one doesn't slow others more than a short one; the length of prompts already counts by their reading.

explain-placement asks a running entry over its internal address where a request would go now: candidates with their costs and chances, what excluded the others, the queue, as a table or JSON. It sends and claims nothing; the addresses that callers reach don't serve it.

--- a/cmd/wasabinotch-node/main.go
+++ b/cmd/wasabinotch-node/main.go
@@ -1,7 +1,7 @@
 // Command wasabinotch-node runs an entry or an agent on the users' platform. The
 // settings file is named by --settings or by the platform's environment variable.
 // With explain it reads the logs of the processes and reports why a request ended
-// as it did.
+// as it did. With explain-placement it asks a running entry where a request would go now.
 package main
 
 import (
@@ -46,8 +46,10 @@
 type options struct {
 	Settings string `long:"settings" value-name:"FILE" description:"JSON settings file; by default the one that the platform names"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
-	Args     struct {
-		Mode string   `positional-arg-name:"entry|agent|explain" required:"yes"`
+	// Placement holds the options of explain-placement.
+	Placement placementOptions `group:"Options of explain-placement"`
+	Args      struct {
+		Mode string   `positional-arg-name:"entry|agent|explain|explain-placement" required:"yes"`
 		Rest []string `positional-arg-name:"REQUEST-ID LOG..." description:"for explain: the request's ID and the log files of all processes"`
 	} `positional-args:"yes"`
 }
@@ -83,8 +85,11 @@
 	case "explain":
 		signal.Reset(syscall.SIGHUP)
 		err = runExplain(o.Args.Rest)
+	case "explain-placement":
+		signal.Reset(syscall.SIGHUP)
+		err = runExplainPlacement(ctx, &o.Placement, os.Stdout)
 	default:
-		err = &settings.Error{Field: "(command line)", Reason: fmt.Sprintf("unknown mode %q", o.Args.Mode), Remedy: "use entry, agent or explain"}
+		err = &settings.Error{Field: "(command line)", Reason: fmt.Sprintf("unknown mode %q", o.Args.Mode), Remedy: "use entry, agent, explain or explain-placement"}
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -401,9 +401,22 @@
 func (f *Fleet) choose(request *Request) (*Pick, Availability) {
 	now := time.Now()
 	p := f.newPlacing(request, now)
-	var best, fallback assessment
-	availability := Unavailable
-	all := f.byService[request.Service]
+	best, availability := f.compare(p, now)
+	if availability == OutOfMemory {
+		f.counts.MemoryShort++
+	}
+	if best.endpoint == nil {
+		return nil, availability
+	}
+	return f.claim(&best, p, now), Available
+}
+
+// compare returns the best endpoint of a random sample. Its endpoint is nil if none can take
+// the request now; availability says why.
+func (f *Fleet) compare(p *placing, now time.Time) (best assessment, availability Availability) {
+	var fallback assessment
+	availability = Unavailable
+	all := f.byService[p.request.Service]
 	holders := f.moveHoldersFirst(all, p, now)
 	compared := 0
 	for i := 0; i < len(all) && compared < sampleSize; i++ {
@@ -443,13 +456,7 @@
 		// Only endpoints in backoff after a recent failure, slow or silent ones are left.
 		best = fallback
 	}
-	if availability == OutOfMemory {
-		f.counts.MemoryShort++
-	}
-	if best.endpoint == nil {
-		return nil, availability
-	}
-	return f.claim(&best, p, now), Available
+	return best, availability
 }
 
 // claim counts the request at the endpoint that was chosen for it.
--- a/fleet/placement_test.go
+++ b/fleet/placement_test.go
@@ -13,7 +13,7 @@
 	"github.com/wasabinotch/wasabinotch/placement"
 )
 
-var testEngine = placement.Engine{ReadPerSecond: 60_000, WriteTime: time.Millisecond, MeanPrompt: 2300, MeanResponse: 90}
+var testEngine = placement.Engine{ReadPerSecond: 60_000, MeanPrompt: 2300, MeanResponse: 90}
 
 // fakeEngine reads prompts one after the other and writes each response at a fixed pace
 // beside others.
@@ -165,7 +165,7 @@
 func memoryFleet(entries, index, endpoints, total int) *Fleet {
 	f := New("z1", nil)
 	f.SetEntries(entries, index)
-	f.SetLimits(service, Limits{Engine: placement.Engine{ReadPerSecond: 60_000, WriteTime: time.Millisecond, MeanPrompt: 14_000, MeanResponse: 1000}})
+	f.SetLimits(service, Limits{Engine: placement.Engine{ReadPerSecond: 60_000, MeanPrompt: 14_000, MeanResponse: 1000}})
 	for i := range endpoints {
 		id := fmt.Sprint("e", i)
 		r := record(id, id, 1)
--- a/fleet/placing.go
+++ b/fleet/placing.go
@@ -13,9 +13,8 @@
 
 // ownWork is what this entry's requests in progress take at an endpoint.
 type ownWork struct {
-	// units is their work as in placement.Demand, tokens the memory that they need, unread
-	// the length of the prompts that are not known to be read.
-	units          float64
+	// tokens is the memory that they need, unread the length of the prompts that are not
+	// known to be read.
 	tokens, unread int
 }
 
@@ -150,7 +149,7 @@
 		a.held = ep.beginnings.Held(p.beginnings, f.reuse.Retention, a.room, now)
 	}
 	c := placement.Candidate{
-		Slots: ep.Slots, Others: a.load - ep.inFlight, Own: ep.inFlight, Units: ep.own.units, Unread: ep.own.unread, Held: a.held,
+		Slots: ep.Slots, Load: a.load, Unread: ep.own.unread, Held: a.held,
 		FailureRate: ep.decayedFailureRate(now), OtherZone: ep.Zone != f.zone,
 	}
 	a.score = p.limits.Engine.Score(&c, &p.demand, f.reuse.Weight)
@@ -200,8 +199,9 @@
 // beginWork counts what a request takes at its endpoint.
 func (f *Fleet) beginWork(pick *Pick, p *placing, held int, now time.Time) {
 	ep := pick.Endpoint
-	pick.demand, pick.reading = p.limits.Engine.Reusing(p.demand, held), true
-	ep.own.units += pick.demand.Units
+	pick.demand, pick.reading = p.demand, true
+	// The memory is counted in full: the endpoint may drop what it holds before.
+	pick.demand.Prompt = max(0, p.demand.Prompt-held)
 	ep.own.tokens += pick.demand.Tokens
 	ep.own.unread += pick.demand.Prompt
 	ep.memory.add(p.demand.Tokens, now)
@@ -214,12 +214,8 @@
 func (p *Pick) endWork(now time.Time) {
 	ep := p.Endpoint
 	p.endReading()
-	ep.own.units -= p.demand.Units
 	ep.own.tokens -= p.demand.Tokens
 	ep.memory.add(-p.demand.Tokens, now)
-	if ep.inFlight == 0 {
-		ep.own.units = 0 // rounding must not add up
-	}
 	if len(p.beginnings) > 0 {
 		ep.beginnings.End(p.beginnings, p.fleet.reuse.Retention, now)
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -300,15 +300,22 @@
 	mux.HandleFunc("GET "+pathOperator, e.serveOperator)
 	mux.Handle("POST "+wire.PathQuarantine, e.holds)
 	mux.HandleFunc("GET "+pathMetrics, metricsPage(e.metrics))
+	// Explanations name endpoints and are for operators, so that callers' addresses don't serve them.
+	internal := http.NewServeMux()
+	internal.Handle("/", mux)
+	internal.HandleFunc("POST "+wire.PathPlacement, e.servePlacement)
 	e.servers = append(e.servers, serveMetrics(e.cfg.MetricsAddr, e.metrics, e.log))
-	for _, l := range []struct{ field, addr string }{
-		{"ready_addr", e.cfg.ReadyAddr}, {"directory_addr", e.cfg.DirectoryAddr}, {"peer_port", e.peerAddr()},
+	for _, l := range []struct {
+		field, addr string
+		handler     http.Handler
+	}{
+		{"ready_addr", e.cfg.ReadyAddr, mux}, {"directory_addr", e.cfg.DirectoryAddr, mux}, {"peer_port", e.peerAddr(), internal},
 	} {
 		ln, err := settings.Listen(l.field, l.addr)
 		if err != nil {
 			return err
 		}
-		s := newServer(mux)
+		s := newServer(l.handler)
 		e.servers = append(e.servers, s)
 		go serve(s, ln, e.log)
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -414,7 +414,7 @@
 		return placement.Engine{}
 	}
 	return placement.Engine{
-		ReadPerSecond: e.PromptTokensPerSecond, WriteTime: e.StepTimePerRequest,
-		MeanPrompt: e.MeanPromptTokens, MeanResponse: e.MeanResponseTokens,
+		ReadPerSecond: e.PromptTokensPerSecond,
+		MeanPrompt:    e.MeanPromptTokens, MeanResponse: e.MeanResponseTokens,
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,5 +1,5 @@
 // Package placement decides where a request to a model engine goes: it compares endpoints
-// by the work in front of the request, the prompts that are still to be read there, the
+// by the requests that are there, the prompts that are still to be read there, the
 // part of its own prompt that an endpoint holds already, and the memory that the endpoint
 // has left. It has no state of the fleet, network or clock of its own; package fleet calls
 // it.
@@ -20,9 +20,6 @@
 	// minSaving is the least part of the target latency that a held beginning must save to
 	// count. Less isn't noticed by a caller, and would only draw requests to few endpoints.
 	minSaving = 0.02
-	// maxUnits bounds the work that one request counts as, since it is its caller's
-	// statement.
-	maxUnits = 16
 )
 
 // Engine holds the published performance figures of a service's engines. The zero value
@@ -30,16 +27,12 @@
 type Engine struct {
 	// ReadPerSecond is the number of prompt tokens that an engine reads in a second.
 	ReadPerSecond float64
-	// WriteTime is what each token of a response adds to the engine's steps.
-	WriteTime time.Duration
 	// MeanPrompt and MeanResponse are the mean lengths in tokens.
 	MeanPrompt, MeanResponse float64
 }
 
 // Demand is what a request asks of an engine.
 type Demand struct {
-	// Units is the engine's time for the request, as a multiple of that for a mean request.
-	Units float64
 	// Prompt is the number of tokens of the prompt that must be read.
 	Prompt int
 	// Tokens is the engine's memory that the request is expected to take, in tokens.
@@ -63,40 +56,14 @@
 	if w.MaxResponse > 0 {
 		response = min(response, float64(w.MaxResponse))
 	}
-	d := Demand{Units: 1, Prompt: int(prompt), Tokens: int(prompt + response), Target: target}
-	if mean := e.time(e.MeanPrompt, e.MeanResponse); mean > 0 {
-		d.Units = min(e.time(prompt, response)/mean, maxUnits)
-	}
-	return d
-}
-
-// Reusing returns the demand at an endpoint that holds tokens of the prompt. They need not be
-// read; the memory is counted in full, as the endpoint may drop them before.
-func (e *Engine) Reusing(d Demand, held int) Demand {
-	held = min(held, d.Prompt)
-	if mean := e.time(e.MeanPrompt, e.MeanResponse); mean > 0 {
-		d.Units = max(0, d.Units-e.time(float64(held), 0)/mean)
-	}
-	d.Prompt -= held
-	return d
-}
-
-// time returns the seconds of an engine that a request takes.
-func (e *Engine) time(prompt, response float64) float64 {
-	t := response * e.WriteTime.Seconds()
-	if e.ReadPerSecond > 0 {
-		t += prompt / e.ReadPerSecond
-	}
-	return t
+	return Demand{Prompt: int(prompt), Tokens: int(prompt + response), Target: target}
 }
 
 // Candidate is what is known of an endpoint that may get a request.
 type Candidate struct {
-	Slots int
-	// Others is the number of requests of other entries at the endpoint, Own that of this
-	// entry's ones, Units the work of these.
-	Others, Own int
-	Units       float64
+	// Slots is the number of requests that the endpoint runs at the same time, Load the
+	// number that are there.
+	Slots, Load int
 	// Unread is the number of tokens in the prompts that this entry sent and that the
 	// endpoint has not read yet.
 	Unread int
@@ -123,21 +90,21 @@
 
 // Score returns the cost of sending a request to an endpoint.
 //
-// It answers two loads. Requests that differ greatly in size: they count by their number, as
-// each takes a slot, or by their engine time if that is more, so that a few long ones aren't
-// taken for a light load; and prompts that are read
-// one after the other: what this entry sent and the endpoint hasn't read delays the first
-// token by its reading time, which costs as much as a full endpoint if it takes the whole
-// time that the request has. What the endpoint holds of the prompt reduces the reading by
-// reuse times its reading time; it thereby competes with the wait at that endpoint. It doesn't
-// count for the last slot, which another entry's request may have taken by then.
+// It answers prompts that differ greatly in length. An engine writes the responses of all
+// running requests side by side, so that a request there costs a slot, however long it is;
+// but prompts are read one after the other: what this entry sent and the endpoint hasn't read
+// delays the first token by its reading time, which costs as much as a full endpoint if it
+// takes the whole time that the request has. What the endpoint holds of the prompt reduces
+// the reading by reuse times its reading time; it thereby competes with the wait at that
+// endpoint. It doesn't count for the last slot, which another entry's request may have taken
+// by then.
 func (e *Engine) Score(c *Candidate, d *Demand, reuse float64) Score {
-	s := Score{Load: (float64(c.Others) + max(c.Units, float64(c.Own))) / float64(max(1, c.Slots)), Failures: failureCost * c.FailureRate}
+	s := Score{Load: float64(c.Load) / float64(max(1, c.Slots)), Failures: failureCost * c.FailureRate}
 	if c.OtherZone {
 		s.Zone = zoneCost
 	}
 	s.Reading = e.readingCost(c.Unread, d.Target)
-	if saved := e.readingCost(min(c.Held, d.Prompt), d.Target); saved >= minSaving && c.Others+c.Own+1 < c.Slots {
+	if saved := e.readingCost(min(c.Held, d.Prompt), d.Target); saved >= minSaving && c.Load+1 < c.Slots {
 		s.Held = reuse * saved
 	}
 	return s
