placement, fleet, node: entries learn of each other's long prompts through the agent

Cause: with several entries each knows only the prompts that it sent itself.

Change: an entry tells the agent beside the endpoint of a prompt of at least four times the mean length whose reading takes a fifth of the target latency; the agent reports the reading that is left at once. It is a field of the subscription, which older agents ignore.

--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -75,6 +75,7 @@
 	if len(chosen) > 0 {
 		x.Availability = Available
 	}
+	p.explain = true
 	for _, ep := range f.byService[r.Service] {
 		a := f.assess(ep, p, now)
 		e := EndpointExplanation{
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,6 +43,9 @@
 	// in use at most. Not every report names the total; 0 leaves the known one.
 	MemoryTotal int
 	MemoryShare float64
+	// Reading is the time until the endpoint has read the long prompts of which entries have
+	// told its agent.
+	Reading time.Duration
 }
 
 const (
@@ -98,6 +101,8 @@
 	own ownWork
 	// memory is what is known of the engine's memory.
 	memory endpointMemory
+	// reading is what entries have told the agent of long prompts.
+	reading endpointReading
 	// beginnings are the beginnings of prompts that the endpoint holds.
 	beginnings placement.Beginnings
 	// agentReportAt is when the endpoint's agent last reported, zero if it never did.
@@ -161,7 +166,9 @@
 	entryIndex int
 	queues     map[string]*queue
 	reuse      placement.Reuse
-	counts     PlacementCounts
+	// tellReading is called with each long prompt that is sent to an endpoint with an agent.
+	tellReading func(endpoint Record, reading time.Duration)
+	counts      PlacementCounts
 	// notices holds what endpoints have said of themselves, by ID. They outlast records
 	// that expire or are outdated.
 	notices  map[string]*notice
@@ -319,6 +326,7 @@
 	if ep := f.byID[id]; ep != nil {
 		ep.agentReportAt = time.Now()
 		ep.memory.record(l, ep.agentReportAt)
+		ep.reading = endpointReading{left: l.Reading, at: ep.agentReportAt}
 		f.applyLoad(ep, l)
 	}
 }
--- a/fleet/placement_test.go
+++ b/fleet/placement_test.go
@@ -67,55 +67,78 @@
 
 // Guards against short prompts that wait behind long ones while other endpoints read
 // nothing. Prompts of 18,000 tokens keep half of the endpoints reading; the many short ones
-// decide how many requests each endpoint runs.
+// decide how many requests each endpoint runs. The entries see reports that are up to a
+// quarter of a second old.
 func TestShortPromptsDoNotWaitBehindLongOnes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const endpoints, seconds, target = 8, 20, 200 * time.Millisecond
+	for _, entries := range []int{1, 4, 16} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playLongPrompts(t, entries) })
+		})
+	}
+}
+
+func playLongPrompts(t *testing.T, entries int) {
+	const endpoints, seconds, target = 8, 20, 200 * time.Millisecond
+	engines := make(map[string]*fakeEngine)
+	backlogs := make(map[string]*placement.Backlog)
+	told := make(map[string]bool) // agents that have been told of a long prompt since the last tick
+	var events []event
+	var fleets []*Fleet
+	for i := range entries {
 		f := New("z1", nil)
-		f.SetEntries(1, 0)
+		f.SetEntries(entries, i)
 		f.SetLimits(service, Limits{Engine: testEngine})
-		engines := make(map[string]*fakeEngine)
-		var events []event
-		for i := range endpoints {
-			id := fmt.Sprint("e", i)
-			r := record(id, id, 1)
-			r.Slots = 40
+		f.TellReadings(func(r Record, reading time.Duration) {
+			backlogs[r.ID].Add(reading, time.Now())
+			told[r.ID] = true
+		})
+		fleets = append(fleets, f)
+	}
+	for i := range endpoints {
+		id := fmt.Sprint("e", i)
+		r := record(id, id, 1)
+		r.Slots = 40
+		for _, f := range fleets {
 			f.Update(r)
-			engines[id] = &fakeEngine{readPerSecond: 60_000, tokenTime: 10 * time.Millisecond, events: &events}
 		}
-		short, late := 0, 0
-		for tick := range seconds * 100 { // of 10 ms
-			runDue(&events)
-			if tick%25 == 0 {
-				for id, e := range engines {
-					f.RecordLoad(id, Load{Running: e.running, Waiting: e.unread})
-				}
+		engines[id] = &fakeEngine{readPerSecond: 60_000, tokenTime: 10 * time.Millisecond, events: &events}
+		backlogs[id] = &placement.Backlog{}
+	}
+	short, late := 0, 0
+	for tick := range seconds * 100 { // of 10 ms
+		runDue(&events)
+		for id, e := range engines {
+			if tick%25 != 0 && !told[id] {
+				continue
 			}
-			work := []Work{{PromptTokens: 300, ResponseTokens: 100, MaxResponseTokens: 100}}
-			if tick%8 == 0 {
-				work = append(work, Work{PromptTokens: 18_000, ResponseTokens: 10, MaxResponseTokens: 10})
+			for _, f := range fleets {
+				f.RecordLoad(id, Load{Running: e.running, Waiting: e.unread, Reading: backlogs[id].Left(time.Now())})
 			}
-			for _, w := range work {
-				now := time.Now()
-				p, _ := acquire(t, f, Request{Work: w, Aim: now.Add(target)})
-				if p == nil {
-					t.Fatal("no endpoint")
-				}
-				wait := engines[p.Endpoint.ID].serve(p, w)
-				if w.PromptTokens == 300 {
-					short++
-					if wait > target {
-						late++
-					}
+		}
+		clear(told)
+		work := []Work{{PromptTokens: 300, ResponseTokens: 100, MaxResponseTokens: 100}}
+		if tick%8 == 0 {
+			work = append(work, Work{PromptTokens: 18_000, ResponseTokens: 10, MaxResponseTokens: 10})
+		}
+		for _, w := range work {
+			p, _ := acquire(t, fleets[rand.IntN(entries)], Request{Work: w, Aim: time.Now().Add(target)})
+			if p == nil {
+				t.Fatal("no endpoint")
+			}
+			wait := engines[p.Endpoint.ID].serve(p, w)
+			if w.PromptTokens == 300 {
+				short++
+				if wait > target {
+					late++
 				}
 			}
-			time.Sleep(10 * time.Millisecond)
-		}
-		t.Logf("%d of %d short prompts late", late, short)
-		if 20*late > short {
-			t.Errorf("%d of %d short prompts got their first token late, 1 in 20 may", late, short)
 		}
-	})
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("%d of %d short prompts late", late, short)
+	if 20*late > short {
+		t.Errorf("%d of %d short prompts got their first token late, 1 in 20 may", late, short)
+	}
 }
 
 // Guards against requests that read a long beginning anew while an endpoint with room
--- a/fleet/placing.go
+++ b/fleet/placing.go
@@ -26,39 +26,57 @@
 	share            float64
 	running, waiting int
 	reportAt         time.Time
-	// changes lists what this entry's requests have taken, and given back when they ended,
-	// that the report may not contain.
-	changes []memoryChange
+	// sent is what this entry has sent that the report may not contain, the oldest first;
+	// ended is the memory that its requests have given back since the report.
+	sent  []sentTokens
+	ended int
 }
 
-type memoryChange struct {
-	at time.Time
-	// tokens is negative for a request that ended.
-	tokens int
+// sentTokens is what this entry sent within sentInterval.
+type sentTokens struct {
+	first, last time.Time
+	tokens      int
 }
 
+// sentInterval bounds the number of sentTokens between two reports.
+const sentInterval = 10 * time.Millisecond
+
 // record records a report of the agent.
 func (m *endpointMemory) record(l Load, now time.Time) {
 	if l.MemoryTotal > 0 {
 		m.total = l.MemoryTotal
 	}
 	m.share, m.running, m.waiting, m.reportAt = l.MemoryShare, l.Running, l.Waiting, now
-	m.dropChangesBefore(now.Add(-reportTransit))
-	// The report may already lack what has ended; memory must not be given back twice.
-	m.changes = slices.DeleteFunc(m.changes, func(c memoryChange) bool { return c.tokens < 0 })
+	m.dropSentBefore(now.Add(-reportTransit))
+	m.ended = 0 // the report may already lack it; memory must not be given back twice
 }
 
-func (m *endpointMemory) dropChangesBefore(t time.Time) {
-	m.changes = slices.DeleteFunc(m.changes, func(c memoryChange) bool { return c.at.Before(t) })
+func (m *endpointMemory) dropSentBefore(t time.Time) {
+	m.sent = slices.DeleteFunc(m.sent, func(s sentTokens) bool { return s.last.Before(t) })
 }
 
-// add records tokens that a request of this entry takes, or gives back if negative.
-func (m *endpointMemory) add(tokens int, now time.Time) {
+// recordSent records the memory that a request takes which this entry sends.
+func (m *endpointMemory) recordSent(tokens int, now time.Time) {
 	if m.total <= 0 {
 		return
 	}
-	m.dropChangesBefore(now.Add(-reportValidity - reportTransit)) // no report comes
-	m.changes = append(m.changes, memoryChange{now, tokens})
+	m.dropSentBefore(now.Add(-reportValidity - reportTransit)) // no report comes
+	if n := len(m.sent); n > 0 && now.Sub(m.sent[n-1].first) < sentInterval {
+		m.sent[n-1].last = now
+		m.sent[n-1].tokens += tokens
+		return
+	}
+	m.sent = append(m.sent, sentTokens{first: now, last: now, tokens: tokens})
+}
+
+// sentSinceReport returns what this entry has sent that the report may not contain, less
+// what its requests have given back.
+func (m *endpointMemory) sentSinceReport() int {
+	tokens := -m.ended
+	for _, s := range m.sent {
+		tokens += s.tokens
+	}
+	return tokens
 }
 
 // canHold reports whether the engine has room for a request when it is idle.
@@ -66,12 +84,37 @@
 	return m.total <= 0 || r.Work.PromptTokens < m.total
 }
 
+// endpointReading is what all entries' long prompts still take to be read at an endpoint.
+type endpointReading struct {
+	// left is the agent's last report of it, which arrived at the given time; told is the
+	// number of tokens of which this entry has told the agent since.
+	left time.Duration
+	at   time.Time
+	told int
+}
+
+// unread returns the tokens of prompts that an endpoint has not read yet.
+func (ep *Endpoint) unread(e *placement.Engine, now time.Time) int {
+	left := max(0, ep.reading.left-now.Sub(ep.reading.at))
+	return max(ep.own.unread, e.TokensReadIn(left)+ep.reading.told)
+}
+
+// TellReadings has f called with each long prompt that is sent to an endpoint with an agent,
+// and the time that reading it takes. f must not block.
+func (f *Fleet) TellReadings(tell func(endpoint Record, reading time.Duration)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tellReading = tell
+}
+
 // placing is a request while an endpoint is chosen for it.
 type placing struct {
 	request    *Request
 	limits     Limits
 	demand     placement.Demand
 	beginnings []placement.Beginning
+	// explain is set if the request is only asked about.
+	explain bool
 }
 
 func (f *Fleet) newPlacing(r *Request, now time.Time) *placing {
@@ -122,34 +165,18 @@
 	held, room int
 }
 
-// assess says whether an endpoint may get a request, and at which cost.
+// assess says whether an endpoint may get a request, and at which cost. Only an explanation
+// needs the cost of one that may not.
 func (f *Fleet) assess(ep *Endpoint, p *placing, now time.Time) assessment {
-	a := assessment{endpoint: ep}
-	if !f.usable(ep, p.request.Exclude, now) {
-		a.obstacle = notInService
+	a := assessment{endpoint: ep, load: ep.load(now)}
+	if a.obstacle = f.obstacleAt(&a, p, now); a.obstacle != none && !p.explain {
 		return a
 	}
-	a.load = ep.load(now)
-	a.room = f.room(ep, p, now)
-	switch {
-	case a.load >= ep.usableSlots(p.limits, now):
-		a.obstacle = noSlot
-	case !f.belowConnectionLimit(ep, p.limits):
-		a.obstacle = noConnection
-	case !ep.testedSincePause():
-		a.obstacle = untestedSincePause
-	case !f.withinRateLimit(ep, p.limits, now):
-		a.obstacle = coldLimit
-	case !f.withinNamedLimit(ep, now):
-		a.obstacle = namedLimit
-	case p.demand.Tokens > a.room:
-		a.obstacle = noMemory
-	}
 	if len(p.beginnings) > 0 {
 		a.held = ep.beginnings.Held(p.beginnings, f.reuse.Retention, a.room, now)
 	}
 	c := placement.Candidate{
-		Slots: ep.Slots, Load: a.load, Unread: ep.own.unread, Held: a.held,
+		Slots: ep.Slots, Load: a.load, Unread: ep.unread(&p.limits.Engine, now), Held: a.held,
 		FailureRate: ep.decayedFailureRate(now), OtherZone: ep.Zone != f.zone,
 	}
 	a.score = p.limits.Engine.Score(&c, &p.demand, f.reuse.Weight)
@@ -165,6 +192,33 @@
 	return a
 }
 
+// obstacleAt says why the endpoint can't get the request now.
+func (f *Fleet) obstacleAt(a *assessment, p *placing, now time.Time) obstacle {
+	ep := a.endpoint
+	if !f.usable(ep, p.request.Exclude, now) {
+		return notInService
+	}
+	if p.explain {
+		a.room = f.room(ep, p, now)
+	}
+	switch {
+	case a.load >= ep.usableSlots(p.limits, now):
+		return noSlot
+	case !f.belowConnectionLimit(ep, p.limits):
+		return noConnection
+	case !ep.testedSincePause():
+		return untestedSincePause
+	case !f.withinRateLimit(ep, p.limits, now):
+		return coldLimit
+	case !f.withinNamedLimit(ep, now):
+		return namedLimit
+	}
+	if a.room = f.room(ep, p, now); p.demand.Tokens > a.room {
+		return noMemory
+	}
+	return none
+}
+
 // moveHoldersFirst moves the endpoints that hold a beginning of the prompt to the front, at
 // most sampleSize, and returns their number. A random sample of many endpoints seldom
 // contains them. Only this entry knows them, so that entries don't all choose the same ones.
@@ -188,10 +242,7 @@
 	if now.Sub(m.reportAt) > reportValidity {
 		return placement.RoomWithoutReport(m.total, ep.own.tokens, f.entries)
 	}
-	known := placement.Memory{Total: m.total, Used: int(m.share * float64(m.total)), Slots: ep.Slots, Running: m.running, Waiting: m.waiting}
-	for _, c := range m.changes {
-		known.Sent += c.tokens
-	}
+	known := placement.Memory{Total: m.total, Used: int(m.share * float64(m.total)), Slots: ep.Slots, Running: m.running, Waiting: m.waiting, Sent: m.sentSinceReport()}
 	ownTurn := placement.OwnTurn(f.entries, f.entryIndex, ep.turnOffset, m.reportAt, now, reportTransit)
 	return known.Room(&p.limits.Engine, p.demand.Tokens, f.entries, ownTurn)
 }
@@ -204,7 +255,11 @@
 	pick.demand.Prompt = max(0, p.demand.Prompt-held)
 	ep.own.tokens += pick.demand.Tokens
 	ep.own.unread += pick.demand.Prompt
-	ep.memory.add(p.demand.Tokens, now)
+	ep.memory.recordSent(p.demand.Tokens, now)
+	if reading := p.limits.Engine.Tell(&pick.demand); reading > 0 && f.tellReading != nil && now.Sub(ep.agentReportAt) <= reportValidity {
+		ep.reading.told += pick.demand.Prompt
+		f.tellReading(ep.Record, reading)
+	}
 	if len(p.beginnings) > 0 {
 		pick.beginnings = ep.beginnings.Begin(p.beginnings, p.demand.Tokens)
 	}
@@ -215,7 +270,7 @@
 	ep := p.Endpoint
 	p.endReading()
 	ep.own.tokens -= p.demand.Tokens
-	ep.memory.add(-p.demand.Tokens, now)
+	ep.memory.ended += p.demand.Tokens
 	if len(p.beginnings) > 0 {
 		ep.beginnings.End(p.beginnings, p.fleet.reuse.Retention, now)
 	}
--- a/node/agent.go
+++ b/node/agent.go
@@ -14,6 +14,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/wasabinotch/wasabinotch/logs"
+	"github.com/wasabinotch/wasabinotch/pause"
+	"github.com/wasabinotch/wasabinotch/placement"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/rankgroup"
 	"github.com/wasabinotch/wasabinotch/settings"
@@ -56,6 +58,10 @@
 	// endpointID is the ID under which the entries know the endpoint; it comes
 	// with their subscriptions.
 	endpointID string
+	// backlog is the reading of the long prompts that entries sent to the endpoint.
+	backlog placement.Backlog
+	// backlogGrew has an item when a report of it is due at once.
+	backlogGrew chan struct{}
 	// coordinating is true while this agent runs a coordinator.
 	coordinating bool
 }
@@ -67,7 +73,7 @@
 
 // NewAgent returns an agent that is started with Run.
 func NewAgent(s settings.PlatformAgent, log logr.Logger) *Agent {
-	a := &Agent{cfg: s, log: log, client: newClient(&s.PlatformNode), subscribers: make(map[string]subscriber),
+	a := &Agent{cfg: s, log: log, client: newClient(&s.PlatformNode), subscribers: make(map[string]subscriber), backlogGrew: make(chan struct{}, 1),
 		metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst)}
 	a.store = platform.NewStore(s.StoreAddr, a.client)
 	a.rank = &localRank{Engine: platform.NewEngine(s.EndpointAddr, a.client)}
@@ -127,7 +133,16 @@
 		a.mu.Lock()
 		a.subscribers[from.String()] = subscriber{addr: from, lastSeen: time.Now()}
 		a.endpointID = s.Endpoint
+		if s.ReadingMS > 0 {
+			a.backlog.Add(time.Duration(min(s.ReadingMS, maxReadingMS))*time.Millisecond, time.Now())
+		}
 		a.mu.Unlock()
+		if s.ReadingMS > 0 {
+			select {
+			case a.backlogGrew <- struct{}{}:
+			default: // a report is due already
+			}
+		}
 	}
 }
 
@@ -146,6 +161,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-a.backlogGrew:
+			// Short prompts are kept away only by a report that arrives before them.
+			pause.For(ctx, backlogReportInterval-time.Since(lastPublished))
 		}
 		report, err := a.rank.Report(ctx)
 		if err != nil {
@@ -167,13 +185,14 @@
 		next := wire.LoadReport{Endpoint: a.endpointID, Running: report.Running, Waiting: report.Waiting,
 			Stalled: report.Group != "" && (!report.Open || stalled), StepTimeMS: monitor.stepTimeMS(), ColdRemainingMS: report.ColdFor.Milliseconds(),
 			RateLimit: rateLimit, PacePercent: pacePercent(report.Pace)}
+		next.ReadingMS = a.backlog.Left(time.Now()).Milliseconds() / readingUnitMS * readingUnitMS
 		if a.rank.Leaving() {
 			next.Leaving, next.Incarnation = true, report.Incarnation
 		}
 		a.mu.Unlock()
 		next.MemoryUsed = memoryUnits(report)
 		since, interval := time.Since(lastPublished), a.publishInterval()
-		if urgent := next.Stalled != last.Stalled || next.RateLimit != last.RateLimit || next.Leaving != last.Leaving || next.PacePercent != last.PacePercent; urgent || since >= interval && next != last || since >= unchangedLoadInterval {
+		if urgent := next.Stalled != last.Stalled || next.RateLimit != last.RateLimit || next.Leaving != last.Leaving || next.PacePercent != last.PacePercent || next.ReadingMS > last.ReadingMS; urgent || since >= interval && next != last || since >= unchangedLoadInterval {
 			now := time.Now()
 			sent := next
 			if now.Sub(memoryPublished) >= memoryInterval {
@@ -200,6 +219,16 @@
 	return percent
 }
 
+const (
+	// readingUnitMS is the unit in milliseconds to which the reported backlog is rounded
+	// down, so that it is left out when little remains.
+	readingUnitMS = 10
+	// backlogReportInterval bounds the reports of a backlog that grows.
+	backlogReportInterval = 20 * time.Millisecond
+	// maxReadingMS bounds what one datagram can add.
+	maxReadingMS = 60_000
+)
+
 // memoryInterval is the interval at which reports name the size of the engine's memory, for
 // entries that have started since.
 const memoryInterval = time.Second
--- a/node/entry.go
+++ b/node/entry.go
@@ -71,6 +71,8 @@
 	// of the two seconds within which configurations and leaving endpoints must
 	// take effect.
 	settleTime = 150 * time.Millisecond
+	// longPromptQueue bounds the long prompts of which agents have not been told yet.
+	longPromptQueue = 64
 	// directoryTTLSeconds is the lifetime of a directory response unless the
 	// settings bound it lower. It is short so that callers soon stop using the
 	// address of a stopped entry.
@@ -117,6 +119,8 @@
 	peers      *entryFollower
 	holds      *holdSharer
 	notices    *noticeSharer
+	// longPrompts are those of which the endpoints' agents are to be told.
+	longPrompts chan longPrompt
 	// ready is true while the entry accepts callers and is not draining.
 	ready atomic.Bool
 	// servers are the internal HTTP servers; they run until the end of a drain.
@@ -131,6 +135,8 @@
 	e.store = platform.NewStore(s.StoreAddr, e.client)
 	e.feed = newMonitoredFeed(e.store, e.metrics, log.WithName("store"))
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
+	e.longPrompts = make(chan longPrompt, longPromptQueue)
+	e.fleet.TellReadings(e.queueReading)
 	e.holds = newHoldSharer(e.store, e.client, e.otherEntries, e.log.WithName("quarantine"))
 	e.notices = newNoticeSharer(e.fleet, e.otherEntries, e.metrics, log.WithName("endpoints"))
 	e.handler = forward.New(forward.Config{
--- a/node/loads.go
+++ b/node/loads.go
@@ -37,6 +37,7 @@
 	defer conn.Close()
 	go e.receiveLoads(conn)
 	go e.notices.run(ctx, conn)
+	go e.tellReadings(ctx, conn)
 	ticker := time.NewTicker(subscribeInterval / 8)
 	defer ticker.Stop()
 	subscribed := make(map[string]time.Time)
@@ -62,6 +63,42 @@
 	}
 }
 
+// longPrompt is a long prompt that this entry has sent to an endpoint.
+type longPrompt struct {
+	endpoint fleet.Record
+	reading  time.Duration
+}
+
+// queueReading queues a long prompt for tellReadings. It doesn't block: without room, the
+// other entries aren't told.
+func (e *Entry) queueReading(endpoint fleet.Record, reading time.Duration) {
+	select {
+	case e.longPrompts <- longPrompt{endpoint, reading}:
+	default:
+		e.metrics.GetOrCreateCounter("wasabinotch_datagrams_lost_total").Inc()
+	}
+}
+
+// tellReadings tells the agents of the long prompts that this entry sends, until ctx ends.
+func (e *Entry) tellReadings(ctx context.Context, conn net.PacketConn) {
+	told := e.metrics.NewCounter("wasabinotch_long_prompts_told_total")
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-e.longPrompts:
+			addr, err := agentAddr(p.endpoint.Address, e.cfg.PeerPort)
+			if err != nil {
+				continue
+			}
+			datagram, _ := json.Marshal(wire.LoadSubscription{Entry: e.cfg.ID, Endpoint: p.endpoint.ID, ReadingMS: p.reading.Milliseconds()}) // always encodes
+			sendDatagram(conn, datagram, net.UDPAddrFromAddrPort(addr), e.metrics, e.limitedLog)
+			told.Inc()
+			e.limitedLog.Info("Long prompt sent.", "endpoint", p.endpoint.ID, "reading_ms", p.reading.Milliseconds())
+		}
+	}
+}
+
 // hasAgent reports whether a service's endpoints are model engines; only these
 // have agents.
 func (e *Entry) hasAgent(service string) bool {
@@ -110,6 +147,7 @@
 			Running: r.Running, Waiting: r.Waiting, Stalled: r.Stalled,
 			StepTime: time.Duration(r.StepTimeMS) * time.Millisecond, ColdFor: time.Duration(r.ColdRemainingMS) * time.Millisecond,
 			Pace: float64(r.PacePercent) / 100, MemoryTotal: max(0, r.MemoryTotal), MemoryShare: memoryShare(&r),
+			Reading: time.Duration(min(max(0, r.ReadingMS), maxReadingMS)) * time.Millisecond,
 		})
 	}
 }
--- a/node/placement_test.go
+++ b/node/placement_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -82,42 +81,78 @@
 	}
 }
 
-// Guards against memory that the engine reports and entries never learn, and against a
-// larger datagram in each report.
-func TestAgentReportsTheEnginesMemory(t *testing.T) {
+// startReportingAgent starts an agent whose engine returns the report, and streams a response
+// to each request.
+func startReportingAgent(t *testing.T, peerPort int, report string) (a *Agent, endpoint string) {
+	t.Helper()
 	is := is.New(t)
-	var mu sync.Mutex
-	report := `{"born":1,"active":3,"queued":0,"kv_used":50000,"kv_total":90000}`
-	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	defer endpoint.Close()
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		mu.Lock()
-		defer mu.Unlock()
-		fmt.Fprint(w, report)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/report" {
+			fmt.Fprint(w, report)
+			return
+		}
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Signature", "sig")
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: x\n\n")
 	})}
-	go server.Serve(endpoint)
-	defer server.Close()
-	a := NewAgent(settings.PlatformAgent{PlatformNode: settings.PlatformNode{ID: "g", Zone: "z1", IP: "127.0.0.1", PeerPort: freePorts(t, 4), EndpointAddr: endpoint.Addr().String(), Service: "s", StoreAddr: "127.0.0.1:1"}}, logr.Discard())
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	a = NewAgent(settings.PlatformAgent{PlatformNode: settings.PlatformNode{ID: "g", Zone: "z1", IP: "127.0.0.1", PeerPort: peerPort, EndpointAddr: listener.Addr().String(), Service: "s", StoreAddr: "127.0.0.1:1"}}, logr.Discard())
 	go a.Run(t.Context())
+	return a, listener.Addr().String()
+}
+
+// newSubscriber returns a socket for load reports.
+func newSubscriber(t *testing.T) net.PacketConn {
+	t.Helper()
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer conn.Close()
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// sendSubscription sends a subscription to an agent.
+func sendSubscription(t *testing.T, a *Agent, conn net.PacketConn, s wire.LoadSubscription) {
+	t.Helper()
+	is := is.New(t)
 	to, err := net.ResolveUDPAddr("udp", a.peerAddr())
 	is.NoErr(err)
-	total, named, reports := 0, 0, 0
-	subscription, err := json.Marshal(wire.LoadSubscription{Entry: "e", Endpoint: "i"})
+	datagram, err := json.Marshal(s)
+	is.NoErr(err)
+	_, err = conn.WriteTo(datagram, to)
 	is.NoErr(err)
+}
+
+// receiveReport returns the next load report, and false if none arrives within 200 ms.
+func receiveReport(t *testing.T, conn net.PacketConn) (r wire.LoadReport, ok bool) {
+	t.Helper()
+	is := is.New(t)
 	buf := make([]byte, maxDatagramBytes)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond)))
+	n, _, err := conn.ReadFrom(buf)
+	if err != nil {
+		return r, false
+	}
+	is.NoErr(json.Unmarshal(buf[:n], &r))
+	return r, true
+}
+
+// Guards against memory that the engine reports and entries never learn, and against a
+// larger datagram in each report.
+func TestAgentReportsTheEnginesMemory(t *testing.T) {
+	is := is.New(t)
+	conn := newSubscriber(t)
+	a, _ := startReportingAgent(t, freePorts(t, 4), `{"born":1,"active":3,"queued":0,"kv_used":50000,"kv_total":90000}`)
+	total, named, reports := 0, 0, 0
 	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); {
-		_, _ = conn.WriteTo(subscription, to)
-		is.NoErr(conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond)))
-		n, _, err := conn.ReadFrom(buf)
-		if err != nil {
+		sendSubscription(t, a, conn, wire.LoadSubscription{Entry: "e", Endpoint: "i"})
+		r, ok := receiveReport(t, conn)
+		if !ok {
 			continue
 		}
-		var r wire.LoadReport
-		is.NoErr(json.Unmarshal(buf[:n], &r))
 		is.Equal(r.MemoryUsed, 50000*wire.MemoryUnits/90000)
 		reports++
 		if r.MemoryTotal > 0 {
@@ -132,3 +167,77 @@
 	is.Equal(memoryShare(&wire.LoadReport{}), 0.0)
 	is.Equal(memoryUnits(rankgroup.Report{MemoryUsed: 5}), 0)
 }
+
+// Guards against long prompts of which the other entries never learn, and against a backlog
+// that remains after they have been read or that one datagram makes endless.
+func TestAgentReportsLongPrompts(t *testing.T) {
+	conn := newSubscriber(t)
+	a, _ := startReportingAgent(t, freePorts(t, 4), `{"born":1,"active":3,"queued":0}`)
+	subscribe := wire.LoadSubscription{Entry: "e", Endpoint: "i"}
+	eventually(t, "the agent reports", func() bool {
+		sendSubscription(t, a, conn, subscribe)
+		r, ok := receiveReport(t, conn)
+		return ok && r.ReadingMS == 0
+	})
+	long := subscribe
+	long.ReadingMS = 700
+	sendSubscription(t, a, conn, long)
+	eventually(t, "the agent reports the long prompt", func() bool {
+		r, ok := receiveReport(t, conn)
+		return ok && r.ReadingMS > 0 && r.ReadingMS <= 700
+	})
+	eventually(t, "the prompt has been read", func() bool {
+		r, ok := receiveReport(t, conn)
+		return ok && r.ReadingMS == 0
+	})
+	long.ReadingMS = 1 << 62
+	sendSubscription(t, a, conn, long)
+	eventually(t, "the backlog is bounded", func() bool {
+		r, ok := receiveReport(t, conn)
+		return ok && r.ReadingMS > 0 && r.ReadingMS <= 10_000
+	})
+}
+
+// Guards against an entry that doesn't tell the agent of a long prompt, or that tells it of
+// each prompt.
+func TestEntryTellsLongPrompts(t *testing.T) {
+	is := is.New(t)
+	sim, err := platformsim.Listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer sim.Close()
+	sim.Put("op/config", []byte(engineConfig))
+	e := startEntry(t, "a", sim.Addr())
+	_, endpoint := startReportingAgent(t, e.settings.PeerPort, `{"born":1,"active":0,"queued":0}`)
+	sim.Put("servers/i-1", []byte(fmt.Sprintf(`{"service":"s","address":%q,"zone":"z1","slots":4,"state":"ready","cold_remaining_ms":0}`, endpoint)))
+	send := func(usage string) int {
+		r, err := http.NewRequest(http.MethodPost, "http://"+e.settings.CallersAddr+"/x/1", strings.NewReader("b"))
+		is.NoErr(err)
+		r.Host = "h.example"
+		r.Header.Set("Request-Id", "id")
+		r.Header.Set("Token-Usage", usage)
+		resp, err := http.DefaultTransport.RoundTrip(r)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	told := func(n int) bool {
+		_, page := get(t, "http://"+e.settings.MetricsAddr+pathMetrics)
+		return strings.Contains(page, fmt.Sprintf("wasabinotch_long_prompts_told_total %d\n", n))
+	}
+	eventually(t, "a short prompt is served and the agent reports", func() bool {
+		x, err := AskPlacement(t.Context(), net.JoinHostPort("127.0.0.1", strconv.Itoa(e.settings.PeerPort)), &wire.PlacementQuery{Service: "s"})
+		return err == nil && len(x.Endpoints) == 1 && x.Endpoints[0].ReportAgeMS >= 0 && x.Endpoints[0].ReportAgeMS < 300 && send("2880,100") == http.StatusOK
+	})
+	is.True(told(0))
+	is.Equal(send("18000,100"), http.StatusOK)
+	eventually(t, "the agent is told", func() bool { return told(1) })
+	reading := func() float64 {
+		x, err := AskPlacement(t.Context(), net.JoinHostPort("127.0.0.1", strconv.Itoa(e.settings.PeerPort)), &wire.PlacementQuery{Service: "s", TargetMS: 400})
+		is.NoErr(err)
+		return x.Endpoints[0].Reading
+	}
+	is.True(reading() > 0)
+	eventually(t, "the prompt has been read, after 300 ms", func() bool { return reading() == 0 })
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -139,3 +139,36 @@
 		is.True(n > 0)
 	}
 }
+
+// Guards against telling agents of ordinary prompts, and against long ones that are kept.
+func TestTell(t *testing.T) {
+	is := is.New(t)
+	tell := func(prompt int, target time.Duration) time.Duration {
+		d := engine.Demand(Work{Prompt: prompt}, target)
+		return engine.Tell(&d)
+	}
+	const target = 400 * time.Millisecond
+	is.Equal(tell(18_000, target), 300*time.Millisecond)
+	is.Equal(tell(2300, target), time.Duration(0))            // below four times the mean
+	is.Equal(tell(4000, target), time.Duration(0))            // read in a sixth of the target
+	is.Equal(tell(18_000, 0), time.Duration(0))               // no target
+	is.True(tell(2500, 20*time.Millisecond) > 0)              // nearly late
+	is.Equal((&Engine{}).ReadingTime(5000), time.Duration(0)) // unknown rate
+}
+
+// Guards against a backlog that time doesn't reduce, or that grows without bound.
+func TestBacklog(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var b Backlog
+	is.Equal(b.Left(now), time.Duration(0))
+	b.Add(300*time.Millisecond, now)
+	b.Add(300*time.Millisecond, now.Add(100*time.Millisecond))
+	is.Equal(b.Left(now.Add(100*time.Millisecond)), 500*time.Millisecond)
+	is.Equal(b.Left(now.Add(time.Second)), time.Duration(0))
+	b.Add(-time.Hour, now)
+	for range 10 {
+		b.Add(time.Hour, now)
+	}
+	is.Equal(b.Left(now), maxBacklog)
+}
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -31,6 +31,9 @@
 	MemoryTotal int `json:"m,omitempty"`
 	// MemoryUsed is the part of it that is in use, in units of 1/MemoryUnits, rounded down.
 	MemoryUsed int `json:"u,omitempty"`
+	// ReadingMS is the time in milliseconds until the endpoint has read the long prompts of
+	// which entries have told the agent.
+	ReadingMS int64 `json:"q,omitempty"`
 }
 
 // MemoryUnits is the number of units in which load reports express an engine's memory.
@@ -58,6 +61,9 @@
 	Entry string `json:"entry"` // ID of the entry
 	// Endpoint is the ID under which the entry knows the agent's endpoint.
 	Endpoint string `json:"endpoint"`
+	// ReadingMS is set if the entry has just sent the endpoint a long prompt, to the time in
+	// milliseconds that reading it takes.
+	ReadingMS int64 `json:"reading_ms,omitempty"`
 }
 
 // OperatorState is an entry's copy of what the operator wrote to the store: the
