--- a/fleet/placement_test.go
+++ b/fleet/placement_test.go
@@ -361,3 +361,31 @@
 	q, _ := acquire(t, f, Request{Aim: time.Now().Add(400 * time.Millisecond), Work: Work{PromptTokens: 714, Parts: []PromptPart{{ID: "b", Tokens: 40}, {ID: "p", Tokens: 674}}}})
 	is.Equal(q.Score.Held, 0.0)
 }
+
+// Guards against a response whose load header, which names no memory, makes a full engine
+// appear empty, and against memory that is given back twice when requests end around a report.
+func TestMemoryIsKnownFromAgentsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := memoryFleet(1, 0, 1, 100_000)
+		send := func(prompt int) *Pick {
+			p, _ := acquire(t, f, Request{Work: Work{PromptTokens: prompt, ResponseTokens: 1000}})
+			return p
+		}
+		p := send(50_000)
+		f.RecordLoad("e0", Load{Running: 1, MemoryShare: 0.55})
+		time.Sleep(reportValidity / 2)
+		p.RecordLoad(Load{Slots: 10})
+		is.True(send(50_000) == nil)
+
+		p.EndSucceeded()
+		f.RecordLoad("e0", Load{})
+		time.Sleep(2 * reportTransit)
+		is.True(send(95_000) == nil) // 90,000 may be used
+		p = send(80_000)
+		is.True(p != nil)
+		p.EndSucceeded()
+		is.True(send(80_000) != nil)
+		is.True(send(30_000) == nil)
+	})
+}
--- a/node/placement_test.go
+++ b/node/placement_test.go
@@ -72,6 +72,7 @@
 
 	var table bytes.Buffer
 	is.NoErr(WritePlacement(&table, reply))
+	t.Log("\n" + table.String())
 	is.True(strings.Contains(table.String(), "excluded: it drains"))
 	_, err = AskPlacement(t.Context(), peer, &wire.PlacementQuery{Service: "other"})
 	is.True(err != nil && strings.Contains(err.Error(), "no such service"))
