--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -68,12 +68,11 @@
 	chosen := make(map[*Endpoint]int)
 	for range explainDraws {
 		best, availability := f.compare(p, now)
-		if x.Availability = availability; best.endpoint != nil {
-			chosen[best.endpoint]++
+		if best.endpoint == nil {
+			x.Availability = availability // further draws look at all endpoints too
+			break
 		}
-	}
-	if len(chosen) > 0 {
-		x.Availability = Available
+		chosen[best.endpoint]++
 	}
 	p.explain = true
 	for _, ep := range f.byService[r.Service] {
