--- a/node/agent.go
+++ b/node/agent.go
@@ -156,6 +156,7 @@
 	var lastPublished, memoryPublished time.Time
 	rateLimit := "" // as in wire.LoadReport
 	lost := false
+	var incarnation int64
 	for {
 		select {
 		case <-ctx.Done():
@@ -185,6 +186,9 @@
 		next := wire.LoadReport{Endpoint: a.endpointID, Running: report.Running, Waiting: report.Waiting,
 			Stalled: report.Group != "" && (!report.Open || stalled), StepTimeMS: monitor.stepTimeMS(), ColdRemainingMS: report.ColdFor.Milliseconds(),
 			RateLimit: rateLimit, PacePercent: pacePercent(report.Pace)}
+		if report.Incarnation != incarnation {
+			incarnation, a.backlog = report.Incarnation, placement.Backlog{} // what another run read is gone
+		}
 		next.ReadingMS = a.backlog.Left(time.Now()).Milliseconds() / readingUnitMS * readingUnitMS
 		if a.rank.Leaving() {
 			next.Leaving, next.Incarnation = true, report.Incarnation
