--- a/node/entry.go
+++ b/node/entry.go
@@ -22,6 +22,7 @@
 	"github.com/wasabinotch/wasabinotch/forward"
 	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/pause"
+	"github.com/wasabinotch/wasabinotch/placement"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/settings"
 	"github.com/wasabinotch/wasabinotch/store"
@@ -71,6 +72,8 @@
 	// of the two seconds within which configurations and leaving endpoints must
 	// take effect.
 	settleTime = 150 * time.Millisecond
+	// longPromptQueue bounds the long prompts of which agents have not been told yet.
+	longPromptQueue = 64
 	// directoryTTLSeconds is the lifetime of a directory response unless the
 	// settings bound it lower. It is short so that callers soon stop using the
 	// address of a stopped entry.
@@ -121,6 +124,8 @@
 	peers      *entryFollower
 	holds      *holdSharer
 	notices    *noticeSharer
+	// longPrompts are those of which the endpoints' agents are to be told.
+	longPrompts chan longPrompt
 	// ready is true while the entry accepts callers and is not draining.
 	ready atomic.Bool
 	// servers are the internal HTTP servers; they run until the end of a drain.
@@ -135,6 +140,8 @@
 	e.store = platform.NewStore(s.StoreAddr, e.client)
 	e.feed = newMonitoredFeed(e.store, e.metrics, log.WithName("store"))
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
+	e.longPrompts = make(chan longPrompt, longPromptQueue)
+	e.fleet.TellReadings(e.queueReading)
 	e.holds = newHoldSharer(e.store, e.client, e.otherEntries, e.log.WithName("quarantine"))
 	e.notices = newNoticeSharer(e.fleet, e.otherEntries, e.metrics, log.WithName("endpoints"))
 	e.handler = forward.New(forward.Config{
@@ -155,6 +162,9 @@
 	e.metrics.NewGauge("wasabinotch_endpoints_rate_limited", func() float64 { return float64(e.fleet.RateLimited()) })
 	e.metrics.NewGauge("wasabinotch_endpoints_leaving", func() float64 { n, _ := e.fleet.NoticeCounts(); return float64(n) })
 	e.metrics.NewGauge("wasabinotch_endpoints_paused", func() float64 { _, n := e.fleet.NoticeCounts(); return float64(n) })
+	e.fleet.SetReuse(placement.Reuse{Weight: s.Placement.ReuseWeight(), Retention: time.Duration(s.Placement.PromptRetentionMS * float64(time.Millisecond))})
+	e.metrics.NewGauge("wasabinotch_placements_reusing_prompt", func() float64 { return float64(e.fleet.PlacementCounts().Reused) })
+	e.metrics.NewGauge("wasabinotch_placements_short_of_memory", func() float64 { return float64(e.fleet.PlacementCounts().MemoryShort) })
 	e.metrics.NewGauge("wasabinotch_config_version", func() float64 {
 		if c := e.handler.Config(); c != nil {
 			return float64(c.Version)
@@ -301,15 +311,22 @@
 	mux.HandleFunc("GET "+pathOperator, e.serveOperator)
 	mux.Handle("POST "+wire.PathQuarantine, e.holds)
 	mux.HandleFunc("GET "+pathMetrics, metricsPage(e.metrics))
+	// Explanations name endpoints and are for operators, so that callers' addresses don't serve them.
+	internal := http.NewServeMux()
+	internal.Handle("/", mux)
+	internal.HandleFunc("POST "+wire.PathPlacement, e.servePlacement)
 	e.servers = append(e.servers, serveMetrics(e.cfg.MetricsAddr, e.metrics, e.log))
-	for _, l := range []struct{ field, addr string }{
-		{"ready_addr", e.cfg.ReadyAddr}, {"directory_addr", e.cfg.DirectoryAddr}, {"peer_port", e.peerAddr()},
+	for _, l := range []struct {
+		field, addr string
+		handler     http.Handler
+	}{
+		{"ready_addr", e.cfg.ReadyAddr, mux}, {"directory_addr", e.cfg.DirectoryAddr, mux}, {"peer_port", e.peerAddr(), internal},
 	} {
 		ln, err := settings.Listen(l.field, l.addr)
 		if err != nil {
 			return err
 		}
-		s := newServer(mux)
+		s := newServer(l.handler)
 		e.servers = append(e.servers, s)
 		go serve(s, ln, e.log)
 	}
