share, fleet, node: parts of shared limits hold while entries lapse, drain and restart; the directory weighs entries

Lapsed entries that serve on and draining ones no longer counted, a restarted entry began with a full part, and entries that learned of a change at different moments numbered the turns differently.

Entries now count for a drain after their record is gone (share.Members); the owner of a turn has the highest hash, so that entries that are gone never lead to a turn used twice (share.Ring); an entry takes few turns until the others know it; the part of the retry budget accrues over the first window (share.Part). Records of entries carry the capacity of their VM, by which parts are divided and entries are named in the directory (share.Named).

--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -3,11 +3,13 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/share"
 )
 
 // RetryBudget bounds the retries that this entry sends to one service. The bound is
 // this entry's share of a bound for all entries together: a fraction of the requests in
-// the window, plus a fixed number that is divided among the entries.
+// the window, plus this entry's part of a fixed number.
 type RetryBudget struct {
 	ratio  float64
 	slack  float64
@@ -25,7 +27,7 @@
 }
 
 // budgetMargin keeps the sum over the entries below the bound when requests of one
-// window are retried in the next, or when entries join.
+// window are retried in the next.
 const budgetMargin = 0.7
 
 // RecordRequest counts a caller's request.
@@ -36,15 +38,15 @@
 	b.requests = append(dropBefore(b.requests, now.Add(-b.window)), now)
 }
 
-// TakeRetry consumes one retry and reports whether one was available. entries is the
-// number of entries that share the bound.
-func (b *RetryBudget) TakeRetry(entries int) bool {
+// TakeRetry consumes one retry and reports whether one was available. part is this entry's
+// part of the fixed number of retries.
+func (b *RetryBudget) TakeRetry(part share.Part) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	b.requests = dropBefore(b.requests, now.Add(-b.window))
 	b.retries = dropBefore(b.retries, now.Add(-b.window))
-	allowed := budgetMargin * (b.ratio*float64(len(b.requests)) + b.slack/float64(max(1, entries)))
+	allowed := budgetMargin*b.ratio*float64(len(b.requests)) + b.slack*part.Use(b.window, now)
 	if float64(len(b.retries)+1) > allowed {
 		return false
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,10 +5,14 @@
 package fleet
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/share"
 )
 
 // Record is what an endpoint publishes about itself in the store.
@@ -101,7 +105,7 @@
 	failureRate         float64
 	failureRateAt       time.Time
 	// sentAt lists the send times of the last second's requests. lastColdTurn is the turn
-	// that was used last if this entry's share of the rate that a cold endpoint sustains
+	// that was used last if an entry's share of the rate that a cold endpoint sustains
 	// is below one request a second (see Fleet.nextTurn).
 	sentAt       []time.Time
 	lastColdTurn time.Time
@@ -147,11 +151,12 @@
 	latestAtAddress map[string]*Endpoint
 	zonesOut        map[string]bool
 	limits          map[string]Limits
-	// entries is the number of entries that share the endpoints, entryIndex the place of
-	// this one among them.
-	entries    int
-	entryIndex int
-	queues     map[string]*queue
+	// entries is the number of entries that may send requests to the endpoints; view is what
+	// this one knows of them, and ring their turns, nil until it is needed.
+	entries int
+	view    share.View
+	ring    *share.Ring
+	queues  map[string]*queue
 	// notices holds what endpoints have said of themselves, by ID. They outlast records
 	// that expire or are outdated.
 	notices  map[string]*notice
@@ -165,11 +170,13 @@
 // New returns an empty fleet for an entry in zone. onRemove is called with the address
 // of each endpoint that is removed.
 func New(zone string, onRemove func(addr string)) *Fleet {
-	return &Fleet{
-		zone: zone, onRemove: onRemove, entries: initialEntries, entryIndex: rand.N(initialEntries),
+	f := &Fleet{
+		zone: zone, onRemove: onRemove,
 		byID: make(map[string]*Endpoint), byService: make(map[string][]*Endpoint), latestAtAddress: make(map[string]*Endpoint),
 		zonesOut: make(map[string]bool), limits: make(map[string]Limits), queues: make(map[string]*queue), notices: make(map[string]*notice),
 	}
+	f.SetEntries(initialEntries, rand.N(initialEntries))
+	return f
 }
 
 // Update adds or changes an endpoint. It reports whether the endpoint is new, restarted,
@@ -285,13 +292,46 @@
 	}
 }
 
-// SetEntries sets the number of entries that share the endpoints, at least 1, and the
-// place of this one among them, from 0.
+// SetEntries sets the number of entries that share the endpoints in equal parts, at least
+// 1, and the place of this one among them, from 0.
 func (f *Fleet) SetEntries(n, index int) {
+	n = max(1, n)
+	members := make([]share.Member, n)
+	for i := range members {
+		members[i] = share.Member{ID: strconv.Itoa(i), Weight: 1}
+	}
+	f.SetView(share.View{Self: members[index%n], Members: members, Retry: share.Part{Fraction: 1 / float64(n)}})
+}
+
+// SetView sets which entries share the endpoints, and their parts.
+func (f *Fleet) SetView(v share.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = max(1, n)
-	f.entryIndex = index % f.entries
+	if f.view.Self != v.Self {
+		f.ring = nil
+	}
+	f.view = v
+	f.entries = max(1, len(v.Members))
+	if f.ring != nil {
+		f.ring.Set(v.Members)
+	}
+}
+
+// shares returns the entries' turns and parts, and whether this entry takes few of them
+// since it may not know all others yet.
+func (f *Fleet) shares(now time.Time) (r *share.Ring, cautious bool) {
+	if f.ring == nil {
+		f.ring = share.NewRing(f.view.Self)
+		f.ring.Set(f.view.Members)
+	}
+	return f.ring, now.Before(f.view.CautiousUntil)
+}
+
+// RetryPart returns this entry's part of the retry budgets.
+func (f *Fleet) RetryPart() share.Part {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Retry
 }
 
 // Entries returns the number of entries that share the endpoints.
@@ -400,7 +440,7 @@
 			continue
 		}
 		load := ep.load(now)
-		if load >= ep.usableSlots(limits, now) || !f.belowConnectionLimit(ep, limits) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
+		if load >= ep.usableSlots(limits, now) || !f.belowConnectionLimit(ep, limits, now) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
 			availability = AllBusy
 			continue
 		}
@@ -450,8 +490,12 @@
 
 // belowConnectionLimit reports whether this entry's share of the connection limit
 // allows another request.
-func (f *Fleet) belowConnectionLimit(ep *Endpoint, l Limits) bool {
-	return l.MaxConnections <= 0 || ep.inFlight < max(1, l.MaxConnections/f.entries)
+func (f *Fleet) belowConnectionLimit(ep *Endpoint, l Limits, now time.Time) bool {
+	if l.MaxConnections <= 0 {
+		return true
+	}
+	ring, cautious := f.shares(now)
+	return ep.inFlight < max(1, wholePart(float64(l.MaxConnections), ring.Fraction(cautious)))
 }
 
 // withinRateLimit enforces this entry's share of the rate that a cold endpoint
@@ -463,11 +507,25 @@
 		return true
 	}
 	allowed := ep.coldRate(l, now)
-	if int(allowed) < f.entries {
+	if f.takesTurns(allowed, now) {
 		return !f.nextTurn(ep, coldTurns(allowed), ep.lastColdTurn, now).After(now)
 	}
 	ep.sentAt = slices.DeleteFunc(ep.sentAt, func(t time.Time) bool { return now.Sub(t) > time.Second })
-	return len(ep.sentAt) < int(allowed)/f.entries
+	ring, cautious := f.shares(now)
+	return len(ep.sentAt) < wholePart(allowed, ring.Fraction(cautious))
+}
+
+// takesTurns reports whether the entries take turns at an endpoint that bears the given
+// number of requests within one second, since the part of some entry is less than one.
+func (f *Fleet) takesTurns(perSecond float64, now time.Time) bool {
+	ring, cautious := f.shares(now)
+	return wholePart(perSecond, ring.LeastFraction(cautious)) < 1
+}
+
+// wholePart returns a part of a limit for all entries, rounded down. A rounding error of the
+// fraction must not cost a whole request.
+func wholePart(limit, fraction float64) int {
+	return int(math.Floor(limit)*fraction + 1e-9)
 }
 
 // coldRate returns the requests a second that all entries together may send to an
@@ -488,9 +546,9 @@
 	if l.ColdPerSecond <= 0 {
 		return
 	}
-	if allowed := ep.coldRate(l, now); int(allowed) < f.entries {
+	if allowed := ep.coldRate(l, now); f.takesTurns(allowed, now) {
 		ep.lastColdTurn = f.nextTurn(ep, coldTurns(allowed), ep.lastColdTurn, now)
-		return
 	}
+	ep.sentAt = slices.DeleteFunc(ep.sentAt, func(t time.Time) bool { return now.Sub(t) > time.Second })
 	ep.sentAt = append(ep.sentAt, now)
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/share"
 )
 
 const service = "drafts"
@@ -113,7 +115,7 @@
 			b := NewRetryBudget(ratio, slack, 10*time.Second)
 			for range each {
 				b.RecordRequest()
-				if b.TakeRetry(entries) {
+				if b.TakeRetry(share.Part{Fraction: 1.0 / entries}) {
 					retries++
 				}
 			}
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -104,10 +104,9 @@
 		from = last
 	}
 	turn := from.UnixNano()/interval + 1
-	entries := int64(f.entries)
+	ring, cautious := f.shares(now)
 	// The endpoint's offset keeps an entry's turns at different endpoints apart.
-	own := (int64(f.entryIndex) + ep.turnOffset) % entries
-	turn += ((own-turn)%entries + entries) % entries
+	turn = ring.Next(turn+ep.turnOffset, cautious) - ep.turnOffset
 	return time.Unix(0, turn*interval)
 }
 
@@ -129,6 +128,8 @@
 // it returns math.MaxInt.
 func (f *Fleet) turnsBy(r *Request, now, until time.Time) int {
 	n := 0
+	ring, cautious := f.shares(now)
+	fraction := ring.Fraction(cautious)
 	for _, ep := range f.byService[r.Service] {
 		if !f.inService(ep, r.Exclude, now) || ep.notice.paused(until) {
 			continue
@@ -138,7 +139,7 @@
 		}
 		t := ep.rateLimit.turns()
 		if ahead := until.Sub(f.nextTurn(ep, t, ep.lastTurn, now)); ahead >= 0 {
-			n += 1 + int(ahead/(t.interval*time.Duration(f.entries)))
+			n += 1 + int(float64(ahead)/float64(t.interval)*fraction)
 		}
 	}
 	return n
--- a/forward/send.go
+++ b/forward/send.go
@@ -131,7 +131,7 @@
 // takeRetry takes a retry from the budget, unless watch already took one when
 // it cancelled the previous attempt.
 func (x *exchange) takeRetry(budget *fleet.RetryBudget) bool {
-	return x.retryReserved.Swap(false) || budget.TakeRetry(x.handler.cfg.Fleet.Entries())
+	return x.retryReserved.Swap(false) || budget.TakeRetry(x.handler.cfg.Fleet.RetryPart())
 }
 
 // acquire waits for an endpoint with capacity.
@@ -432,7 +432,7 @@
 		if !mayFailOver {
 			return
 		}
-		if budget.TakeRetry(x.handler.cfg.Fleet.Entries()) {
+		if budget.TakeRetry(x.handler.cfg.Fleet.RetryPart()) {
 			x.retryReserved.Store(true)
 			cancel(reason)
 			return
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/share"
 )
 
 func delayedResponse(d time.Duration, body string) responder {
@@ -88,7 +89,7 @@
 	s := newTestEntry(t, route, stream, stream)
 	s.handler.cfg.RetryRatio, s.handler.cfg.RetrySlack = 0, 2 // one retry is left
 	s.handler.cfg.RetryWindow = 300 * time.Millisecond
-	s.handler.retryBudget("s").TakeRetry(1)
+	s.handler.retryBudget("s").TakeRetry(share.Whole)
 	go func() {
 		time.Sleep(100 * time.Millisecond)
 		for _, stalled := range []bool{true, false} {
--- a/node/entry.go
+++ b/node/entry.go
@@ -23,6 +23,7 @@
 	"github.com/wasabinotch/wasabinotch/pause"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/share"
 	"github.com/wasabinotch/wasabinotch/store"
 	"github.com/wasabinotch/wasabinotch/upstream"
 	"github.com/wasabinotch/wasabinotch/wire"
@@ -40,7 +41,7 @@
 	// expiryInterval is the interval at which deferred removals are attempted.
 	expiryInterval = 100 * time.Millisecond
 	// roundsPerSweep is the number of expiry rounds between sweeps of idle
-	// connections.
+	// connections and of entries that left.
 	roundsPerSweep = 10
 	// initialConfigTimeout is how long a starting entry waits for a configuration
 	// before it serves without one.
@@ -116,6 +117,8 @@
 	peers      *entryFollower
 	holds      *holdSharer
 	notices    *noticeSharer
+	// partialAnswers counts the responses of the directory that name some entries only.
+	partialAnswers *metrics.Counter
 	// ready is true while the entry accepts callers and is not draining.
 	ready atomic.Bool
 	// servers are the internal HTTP servers; they run until the end of a drain.
@@ -143,9 +146,12 @@
 	})
 	e.operator = &operatorFollower{handler: e.handler, fleet: e.fleet, bounds: s.Bounds, outdated: outdatedKeys{window: reregisterGrace}, log: log.WithName("operator")}
 	e.endpoints = newEndpointFollower(e.fleet, s.Bounds.Heartbeat(), e.health, log.WithName("endpoints"))
-	e.peers = newEntryFollower(e.fleet, platform.PrefixEntries+s.ID, e.health, log.WithName("entries"))
+	e.peers = newEntryFollower(e.fleet, share.Member{ID: platform.PrefixEntries + s.ID, Weight: e.record().weight()}, s.Bounds, e.health, log.WithName("entries"))
+	e.partialAnswers = e.metrics.NewCounter("wasabinotch_directory_partial_total")
 	e.metrics.NewGauge("wasabinotch_requests_active", func() float64 { return float64(e.handler.Active()) })
-	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.fleet.Entries()) })
+	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.peers.registered()) })
+	e.metrics.NewGauge("wasabinotch_entries_sharing", func() float64 { return float64(e.fleet.Entries()) })
+	e.metrics.NewGauge("wasabinotch_retry_part", func() float64 { return e.fleet.RetryPart().Fraction })
 	e.metrics.NewGauge("wasabinotch_endpoints", func() float64 { return float64(len(e.fleet.Records())) })
 	e.metrics.NewGauge("wasabinotch_endpoints_rate_limited", func() float64 { return float64(e.fleet.RateLimited()) })
 	e.metrics.NewGauge("wasabinotch_endpoints_leaving", func() float64 { n, _ := e.fleet.NoticeCounts(); return float64(n) })
@@ -206,12 +212,17 @@
 }
 
 func (e *Entry) registration() *registration {
-	value, _ := json.Marshal(entryRecord{Callers: e.cfg.CallersAddr, Peer: e.peerAddr(), Zone: e.cfg.Zone}) // strings always encode
+	value, _ := json.Marshal(e.record()) // strings and finite numbers always encode
 	// Renewals in shorter intervals than maxSilence show that the store answers.
 	interval := min(renewInterval, e.health.maxSilence*3/4)
 	return &registration{leaser: e.store, interval: interval, health: e.health, connectionLost: e.feed.connectionLost, key: platform.PrefixEntries + e.cfg.ID, value: value, log: e.log.WithName("register")}
 }
 
+// record returns the record of this entry.
+func (e *Entry) record() entryRecord {
+	return entryRecord{Callers: e.cfg.CallersAddr, Peer: e.peerAddr(), Zone: e.cfg.Zone, Capacity: e.cfg.Resources().Capacity()}
+}
+
 func (e *Entry) peerAddr() string { return net.JoinHostPort(e.cfg.IP, strconv.Itoa(e.cfg.PeerPort)) }
 
 // otherEntries returns the addresses at which the other entries serve each other.
@@ -317,21 +328,27 @@
 	}
 }
 
+// serveDirectory names entries to a caller (share.Named).
 func (e *Entry) serveDirectory(w http.ResponseWriter, r *http.Request) {
-	addresses := make([]string, 0, platform.MaxDirectoryAddresses)
+	all := e.peers.all()
 	self := platform.PrefixEntries + e.cfg.ID
+	delete(all, self)
 	if e.ready.Load() {
-		addresses = append(addresses, e.cfg.CallersAddr)
+		all[self] = e.record()
 	}
-	for key, record := range e.peers.all() {
-		if key != self {
-			addresses = append(addresses, record.Callers)
-		}
+	members := make([]share.Member, 0, len(all))
+	for key, record := range all {
+		members = append(members, share.Member{ID: key, Weight: record.namedWeight()})
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	if len(addresses) > platform.MaxDirectoryAddresses {
-		addresses = addresses[:platform.MaxDirectoryAddresses]
+	named := share.Named(members, callerHost(r)+"\n"+r.URL.RawQuery, platform.MaxDirectoryAddresses, time.Now())
+	if len(named) < len(all) {
+		e.partialAnswers.Inc()
 	}
+	addresses := make([]string, len(named))
+	for i, m := range named {
+		addresses[i] = all[m.ID].Callers
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	w.Header().Set("Content-Type", "application/json")
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -340,6 +357,14 @@
 	_, _ = w.Write(platform.EncodeDirectory(addresses, min(directoryTTLSeconds, e.cfg.Bounds.DirectoryTTLS))) // if this fails, the caller tries another entry
 }
 
+// callerHost returns the address of the caller without its port.
+func callerHost(r *http.Request) string {
+	if ap, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		return ap.Addr().String()
+	}
+	return r.RemoteAddr
+}
+
 // serveOperator serves the operator's state to other entries if it is newer than the
 // position in the query parameters "era" and "after", or has a newer configuration than
 // "version", and in any case the position of the newest change seen.
@@ -453,6 +478,7 @@
 		e.applyHeldBack()
 		if round%roundsPerSweep == 0 {
 			e.client.CloseExpired()
+			e.peers.refresh(time.Now())
 		}
 	}
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -16,6 +16,7 @@
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/share"
 	"github.com/wasabinotch/wasabinotch/store"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
@@ -327,38 +328,71 @@
 	Callers string `json:"callers"` // address at which the entry serves callers
 	Peer    string `json:"peer"`    // address at which it serves other entries
 	Zone    string `json:"zone"`
+	// Capacity is what the entry's VM bears (share.Capacity), 0 if unknown.
+	Capacity float64 `json:"capacity,omitempty"`
+}
+
+// weight returns the entry's weight among those that share limits. Entries of earlier
+// versions don't tell theirs; all entries then count the same.
+func (r entryRecord) weight() float64 { return share.Weight(r.Capacity) }
+
+// namedWeight returns the entry's weight in the directory, 0 if its capacity is unknown.
+func (r entryRecord) namedWeight() float64 {
+	if r.Capacity <= 0 {
+		return 0
+	}
+	return r.weight()
 }
 
 // errNotEntryRecord means that a record of an entry names no address to use.
 var errNotEntryRecord = errors.New("an address is missing or invalid; ignored until it is written again")
 
-// entryFollower keeps the records of the running entries.
+// entryFollower keeps the records of the running entries, and tells the fleet which of them
+// share the endpoints.
 type entryFollower struct {
 	recordTracker
 	fleet *fleet.Fleet
-	// self is the store key of this entry.
-	self string
+	// self is this entry, by its store key.
+	self share.Member
+	// sendHold is how long an entry may send requests after its record is gone, and
+	// retryHold how long its retries count.
+	sendHold, retryHold time.Duration
+	// started is when this process started.
+	started time.Time
 
 	mu sync.Mutex
 	// known holds the records by store key.
-	known map[string]entryRecord
+	known   map[string]entryRecord
+	members share.Members
+	// settled is when the others know this entry, the zero time if it isn't registered.
+	settled time.Time
+	// loggedMembers is the number of members that was logged last.
+	loggedMembers int
 }
 
-func newEntryFollower(f *fleet.Fleet, self string, health *storeHealth, log logr.Logger) *entryFollower {
-	e := &entryFollower{fleet: f, self: self, known: make(map[string]entryRecord)}
+// settleDelay is the time from an entry's registration until the others know it and it knows
+// those that registered at the same time: a call of the watch, settleTime and the next call.
+const settleDelay = 1500 * time.Millisecond
+
+func newEntryFollower(f *fleet.Fleet, self share.Member, b settings.Bounds, health *storeHealth, log logr.Logger) *entryFollower {
+	grace, window := time.Duration(b.GracePeriodS*float64(time.Second)), time.Duration(b.RetryWindowS*float64(time.Second))
+	e := &entryFollower{fleet: f, self: self, sendHold: grace + restoreSlack, retryHold: grace + window + restoreSlack, started: time.Now(), known: make(map[string]entryRecord)}
 	e.recordTracker = newRecordTracker(health, entryLeaseTTL, e.write, e.remove, log)
+	e.refresh(e.started)
 	return e
 }
 
 func (e *entryFollower) remove(key string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
 	if _, ok := e.known[key]; ok {
 		delete(e.known, key)
 		e.departed.add(key, 0)
+		e.members.Leave(key, now)
 		e.log.Info("Entry removed.", "entry", key)
 	}
-	e.updateFleet()
+	e.updateFleet(now)
 }
 
 // Reset implements prefixFollower.
@@ -385,19 +419,49 @@
 	e.ignored.valid(kv.Key)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
 	if old, ok := e.known[kv.Key]; !ok || old != r {
 		e.known[kv.Key] = r
-		e.log.Info("Entry added or changed.", "entry", kv.Key, "callers", r.Callers)
+		e.members.Join(share.Member{ID: kv.Key, Weight: r.weight()})
+		e.log.Info("Entry added or changed.", "entry", kv.Key, "callers", r.Callers, "capacity", r.Capacity)
+	}
+	if kv.Key == e.self.ID && e.settled.IsZero() {
+		e.settled = now.Add(settleDelay)
+	}
+	e.updateFleet(now)
+}
+
+// refresh tells the fleet which entries share the endpoints now: those that left count for
+// some time.
+func (e *entryFollower) refresh(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.members.Forget(e.retryHold, now)
+	members := e.updateFleet(now)
+	if n := len(members); n != e.loggedMembers {
+		e.loggedMembers = n
+		e.log.Info("Entries that share limits changed.", "counted", n, "registered", e.members.Present(), "part", e.self.Weight/share.Total(members))
+	}
+}
+
+// updateFleet tells the fleet which entries share the endpoints, and returns those. The
+// caller holds mu.
+func (e *entryFollower) updateFleet(now time.Time) []share.Member {
+	e.members.Join(e.self) // registered or not
+	v := share.View{Self: e.self, Members: e.members.Within(e.sendHold, now), CautiousUntil: e.settled}
+	if e.settled.IsZero() {
+		v.CautiousUntil = now.Add(settleDelay)
 	}
-	e.updateFleet()
+	v.Retry = share.Part{Fraction: e.self.Weight / share.Total(e.members.Within(e.retryHold, now)), Since: e.started}
+	e.fleet.SetView(v)
+	return v.Members
 }
 
-// updateFleet tells the fleet the number of entries and the place of this one among
-// them. The caller holds mu.
-func (e *entryFollower) updateFleet() {
-	keys := slices.Sorted(maps.Keys(e.known))
-	index, _ := slices.BinarySearch(keys, e.self)
-	e.fleet.SetEntries(len(keys), index)
+// registered returns the number of entries that have a record.
+func (e *entryFollower) registered() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.known)
 }
 
 // all returns a copy of the records by store key.
--- a/node/ratelimit_test.go
+++ b/node/ratelimit_test.go
@@ -17,6 +17,7 @@
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/lab/platformsim"
 	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/share"
 	"github.com/wasabinotch/wasabinotch/store"
 )
 
@@ -30,7 +31,7 @@
 			f := fleet.New("z1", nil)
 			f.Update(fleet.Record{ID: "i-1", Service: "s", Address: "10.0.0.1:1", Zone: "z1", Slots: 4})
 			f.RecordRateLimit("i-1", fleet.RateLimit{PerSecond: 1, Named: true})
-			follower := newEntryFollower(f, self, &storeHealth{}, logr.Discard())
+			follower := newEntryFollower(f, share.Member{ID: self, Weight: 1}, settings.Bounds{GracePeriodS: 8, RetryWindowS: 10}, &storeHealth{}, logr.Discard())
 			for _, key := range keys {
 				follower.Apply(store.Event{KeyValue: store.KeyValue{Key: key, Value: []byte(`{"callers":"10.0.0.2:1","peer":"10.0.0.2:2"}`)}})
 			}
--- /dev/null
+++ b/node/shares_test.go
@@ -0,0 +1,269 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/share"
+	"github.com/wasabinotch/wasabinotch/store"
+)
+
+const (
+	sharesEntries = 17
+	sharesLag     = 300 * time.Millisecond // longest time until an entry sees a change of the store
+	sharesStep    = 100 * time.Millisecond
+)
+
+// sharingEntries plays entries that share limits: what each of them knows comes from
+// changes of the store that reach it with a delay of its own.
+type sharingEntries struct {
+	t      *testing.T
+	rand   *rand.Rand
+	began  time.Time
+	all    []*sharingEntry
+	delays []delayedChange
+	ratio  float64
+	slack  float64
+	window time.Duration
+	// requests and retries are the times of all of them.
+	requests, retries []time.Time
+	// sent are the times of the requests to the endpoint with a cold limit.
+	sent []time.Time
+}
+
+type sharingEntry struct {
+	key      string
+	fleet    *fleet.Fleet
+	follower *entryFollower
+	budget   *fleet.RetryBudget
+	running  bool
+}
+
+type delayedChange struct {
+	at    time.Time
+	to    *entryFollower
+	event store.Event
+}
+
+func newSharingEntries(t *testing.T, n int, seed uint64) *sharingEntries {
+	s := &sharingEntries{t: t, rand: rand.New(rand.NewPCG(seed, 1)), began: time.Now(), ratio: 0.2, slack: 196, window: 10 * time.Second}
+	for i := range n {
+		s.all = append(s.all, &sharingEntry{key: fmt.Sprintf("entries/e%02d", i)})
+	}
+	for _, e := range s.all {
+		s.start(e)
+	}
+	for _, e := range s.all {
+		s.register(e)
+	}
+	return s
+}
+
+// start begins a new run of an entry, which lists the records of the others.
+func (s *sharingEntries) start(e *sharingEntry) {
+	e.fleet = fleet.New("z1", nil)
+	e.fleet.SetLimits("s", fleet.Limits{ColdPerSecond: 15, ColdBurst: 27.5})
+	e.fleet.Update(fleet.Record{ID: "i-1", Service: "s", Address: "10.0.0.1:1", Zone: "z1", Slots: 1000})
+	e.follower = newEntryFollower(e.fleet, share.Member{ID: e.key, Weight: 1}, settings.Bounds{GracePeriodS: 8, RetryWindowS: 10}, &storeHealth{}, logr.Discard())
+	e.budget = fleet.NewRetryBudget(s.ratio, s.slack, s.window)
+	for _, other := range s.all {
+		if other.running {
+			e.follower.Apply(written(other.key))
+		}
+	}
+	e.running = true
+}
+
+func written(key string) store.Event {
+	return store.Event{KeyValue: store.KeyValue{Key: key, Value: []byte(`{"callers":"10.0.0.2:1","peer":"10.0.0.2:2","zone":"z1"}`)}}
+}
+
+func (s *sharingEntries) register(e *sharingEntry) { s.broadcast(written(e.key)) }
+
+// lapse removes an entry's record.
+func (s *sharingEntries) lapse(e *sharingEntry) {
+	s.broadcast(store.Event{KeyValue: store.KeyValue{Key: e.key}, Deleted: true})
+}
+
+func (s *sharingEntries) broadcast(change store.Event) {
+	for _, e := range s.all {
+		if e.running {
+			s.delays = append(s.delays, delayedChange{time.Now().Add(time.Duration(s.rand.Float64() * float64(sharesLag))), e.follower, change})
+		}
+	}
+}
+
+// step lets a step of time pass, in which each running entry gets the given number of
+// requests on average and retries as many as its budget allows.
+func (s *sharingEntries) step(requestsEach float64) {
+	time.Sleep(sharesStep)
+	now := time.Now()
+	s.delays = slices.DeleteFunc(s.delays, func(d delayedChange) bool {
+		if d.at.After(now) {
+			return false
+		}
+		d.to.Apply(d.event)
+		return true
+	})
+	for _, e := range s.all {
+		if !e.running {
+			continue
+		}
+		e.follower.refresh(now)
+		for s.rand.Float64() < requestsEach/(1+requestsEach) {
+			s.requests = append(s.requests, now)
+			e.budget.RecordRequest()
+		}
+		for e.budget.TakeRetry(e.fleet.RetryPart()) {
+			s.retries = append(s.retries, now)
+		}
+		for {
+			p, _ := e.fleet.Acquire(s.t.Context(), &fleet.Request{Service: "s"})
+			if p == nil {
+				break
+			}
+			s.sent = append(s.sent, now)
+			p.EndSucceeded()
+		}
+	}
+}
+
+func (s *sharingEntries) steps(d time.Duration, requestsEach float64) {
+	for range d / sharesStep {
+		s.step(requestsEach)
+	}
+}
+
+// restart ends an entry's process and starts it again after a pause. A process that is
+// killed leaves its record until the lease expires.
+func (s *sharingEntries) restart(e *sharingEntry, pause time.Duration, requestsEach float64) {
+	e.running = false
+	s.steps(pause, requestsEach)
+	s.start(e)
+	s.register(e)
+}
+
+func countBetween(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, t := range times {
+		if !t.Before(from) && t.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// check compares the retries of each window with the bound, and returns the most that it
+// found.
+func (s *sharingEntries) check() (most int) {
+	for from := s.began; from.Before(time.Now()); from = from.Add(sharesStep) {
+		to := from.Add(s.window)
+		retries := countBetween(s.retries, from, to)
+		requests := countBetween(s.requests, from, to)
+		for _, earlier := range []time.Duration{s.window, s.window / 2} {
+			requests = max(requests, countBetween(s.requests, from.Add(-earlier), to.Add(-earlier)))
+		}
+		most = max(most, retries)
+		if bound := s.ratio*float64(requests) + s.slack; float64(retries) > bound {
+			s.t.Fatalf("%d retries for %d requests in the window from %v; allowed %.0f", retries, requests, from.Sub(s.began), bound)
+		}
+	}
+	return most
+}
+
+// checkCold compares the requests of each second to the endpoint with its limit.
+func (s *sharingEntries) checkCold(bound float64) (most int) {
+	for from := s.began; from.Before(time.Now()); from = from.Add(sharesStep) {
+		n := countBetween(s.sent, from, from.Add(time.Second))
+		most = max(most, n)
+		if float64(n) > bound {
+			s.t.Fatalf("%d requests in the second from %v; allowed %v", n, from.Sub(s.began), bound)
+		}
+	}
+	return most
+}
+
+// Guards against entries that together exceed the retry budget while all are stopped and started in turn, most are killed
+// at once, and others lose their records and serve on (BUDGET on the users' day deadly).
+func TestRetryBudgetHoldsWhileEntriesLapseDrainAndRestart(t *testing.T) {
+	for _, requests := range []float64{0.1, 0.6} { // an entry and step
+		seed := uint64(requests * 10)
+		synctest.Test(t, func(t *testing.T) {
+			s := newSharingEntries(t, sharesEntries, seed)
+			s.steps(12*time.Second, requests)
+			for _, e := range s.all[:6] { // the store rejects their VMs
+				s.lapse(e)
+			}
+			s.steps(3*time.Second, requests)
+			for i, e := range s.all { // stopped in turn: off the directory at once, serving on for two seconds
+				s.lapse(e)
+				s.steps(2*time.Second, requests)
+				s.restart(e, 500*time.Millisecond, requests)
+				if i == 5 {
+					for _, killed := range s.all[6:] {
+						killed.running = false
+					}
+					s.steps(3*time.Second, requests) // their leases expire
+					for _, killed := range s.all[6:] {
+						s.lapse(killed)
+					}
+					s.steps(time.Second, requests)
+					for _, killed := range s.all[6:] {
+						s.start(killed)
+						s.register(killed)
+					}
+				}
+			}
+			s.steps(12*time.Second, requests)
+			most := s.check()
+			t.Logf("%.1f requests a step: at most %d retries in a window", requests, most)
+		})
+	}
+}
+
+// Guards against entries that together send a cold endpoint more than it bears while a zone has lost power and each entry
+// learns of the end of others at another moment, or while lapsed entries serve on (FAILBACK on the users' day changes).
+func TestColdLimitHoldsWhileViewsDiffer(t *testing.T) {
+	for _, n := range []int{17, 49} {
+		for seed := range uint64(4) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSharingEntries(t, n, seed)
+				s.steps(6*time.Second, 0)
+				for _, e := range s.all[:n/3] { // power is lost
+					e.running = false
+				}
+				s.steps(2*time.Second, 0)
+				for _, e := range s.all[:n/3] { // leases end one by one
+					s.lapse(e)
+					s.step(0)
+				}
+				s.steps(2*time.Second, 0)
+				for _, e := range s.all[:n/3] {
+					s.start(e)
+					s.register(e)
+				}
+				s.steps(2*time.Second, 0)
+				for _, e := range s.all[n/2:] { // the store rejects their VMs, which serve on
+					s.lapse(e)
+					s.step(0)
+				}
+				s.steps(3*time.Second, 0)
+				for _, e := range s.all[n/2:] {
+					s.register(e)
+					s.step(0)
+				}
+				s.steps(2*time.Second, 0)
+				most := s.checkCold(27.5)
+				t.Logf("%d entries, seed %d: at most %d requests in a second, %d in all", n, seed, most, len(s.sent))
+			})
+		}
+	}
+}
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/share"
 )
 
 // PlatformNode holds the settings common to entries and agents that run on the
@@ -36,8 +38,16 @@
 	MetricsAddr string `json:"metrics_addr"`
 	// MemoryLimitMB is the memory in megabytes (2^20 bytes) beyond which the
 	// platform ends the process; 0 for no limit.
-	MemoryLimitMB int    `json:"memory_mb"`
-	Bounds        Bounds `json:"bounds"`
+	MemoryLimitMB int `json:"memory_mb"`
+	// CPUShare is the part of a core that the VM gives the process, CPUSpeed its speed in
+	// multiples of a core. FileDescriptors and LinkMbps (megabits a second) are the other
+	// limits of the VM. Callers are sent to entries by what their VMs bear. Default 0:
+	// unknown; without any of them and MemoryLimitMB, the VM counts as an average one.
+	CPUShare        float64 `json:"cpu_share"`
+	CPUSpeed        float64 `json:"cpu_cores"`
+	FileDescriptors int     `json:"file_descriptors"`
+	LinkMbps        float64 `json:"link_mbps"`
+	Bounds          Bounds  `json:"bounds"`
 }
 
 // Bounds are the limits that the operators guarantee for the whole system.
@@ -89,6 +99,17 @@
 	if _, err := n.SourceAddr(); err != nil {
 		return &Error{Field: "dial_from", Reason: fmt.Sprintf("%q is not an IP address", n.SourceIP), Remedy: "use an IP address of this machine, or leave it out"}
 	}
+	for _, f := range []struct {
+		name  string
+		value float64
+	}{
+		{"memory_mb", float64(n.MemoryLimitMB)}, {"cpu_share", n.CPUShare}, {"cpu_cores", n.CPUSpeed},
+		{"file_descriptors", float64(n.FileDescriptors)}, {"link_mbps", n.LinkMbps},
+	} {
+		if f.value < 0 {
+			return &Error{Field: f.name, Reason: "is negative", Remedy: "set what the VM has, or 0 if it is unknown"}
+		}
+	}
 	const lastPort = 65535 - 3
 	if n.PeerPort <= 0 || n.PeerPort > lastPort {
 		return &Error{Field: "peer_port", Reason: "is out of range", Remedy: "use the first of four consecutive free ports"}
@@ -104,6 +125,15 @@
 	return checkAddr("store_addr", n.StoreAddr)
 }
 
+// Resources returns what the settings say about the VM.
+func (n *PlatformNode) Resources() share.Resources {
+	speed := n.CPUSpeed
+	if speed == 0 {
+		speed = 1
+	}
+	return share.Resources{Cores: n.CPUShare * speed, MemoryMB: float64(n.MemoryLimitMB), Descriptors: float64(n.FileDescriptors), LinkMbps: n.LinkMbps}
+}
+
 // SourceAddr returns SourceIP parsed, or the zero Addr if it is empty.
 func (n *PlatformNode) SourceAddr() (netip.Addr, error) {
 	if n.SourceIP == "" {
