--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -151,12 +151,14 @@
 	latestAtAddress map[string]*Endpoint
 	zonesOut        map[string]bool
 	limits          map[string]Limits
-	// entries is the number of entries that may send requests to the endpoints; view is what
-	// this one knows of them, and ring their turns, nil until it is needed.
-	entries int
-	view    share.View
-	ring    *share.Ring
-	queues  map[string]*queue
+	// entries is the number of entries that may send requests to the endpoints, entryIndex
+	// the place of this one among them; view is what this one knows of them, and ring their
+	// turns, nil until it is needed.
+	entries    int
+	entryIndex int
+	view       share.View
+	ring       *share.Ring
+	queues     map[string]*queue
 	// notices holds what endpoints have said of themselves, by ID. They outlast records
 	// that expire or are outdated.
 	notices  map[string]*notice
@@ -312,6 +314,7 @@
 	}
 	f.view = v
 	f.entries = max(1, len(v.Members))
+	f.entryIndex = max(0, slices.IndexFunc(v.Members, func(m share.Member) bool { return m.ID == v.Self.ID }))
 	if f.ring != nil {
 		f.ring.Set(v.Members)
 	}
