fleet, share, node: entries that use few of their turns lend them to those that need more

Answers demand that moves from zone to zone: a quiet entry's turns at endpoints that may be cold were lost. A loan names turns by slot and opening time, so that each turn has one user whatever the clocks say.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -158,6 +158,7 @@
 	entryIndex int
 	view       share.View
 	ring       *share.Ring
+	turnUse    turnUse
 	queues     map[string]*queue
 	// notices holds what endpoints have said of themselves, by ID. They outlast records
 	// that expire or are outdated.
@@ -551,6 +552,7 @@
 	}
 	if allowed := ep.coldRate(l, now); f.takesTurns(allowed, now) {
 		ep.lastColdTurn = f.nextTurn(ep, coldTurns(allowed), ep.lastColdTurn, now)
+		f.turnUse.used++
 	}
 	ep.sentAt = slices.DeleteFunc(ep.sentAt, func(t time.Time) bool { return now.Sub(t) > time.Second })
 	ep.sentAt = append(ep.sentAt, now)
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/share"
 )
 
 const (
@@ -106,8 +108,7 @@
 	}
 	turn := from.UnixNano()/interval + 1
 	ring, cautious := f.shares(now)
-	// The endpoint's offset keeps an entry's turns at different endpoints apart.
-	turn = ring.Next(turn+ep.turnOffset, cautious) - ep.turnOffset
+	turn = ring.Next(share.Sequence{Interval: t.interval, Offset: ep.turnOffset}, turn, cautious)
 	return time.Unix(0, turn*interval)
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -61,7 +61,7 @@
 	headerNewestChangeEra = "Newest-Change-Era"
 	// peerPollInterval is the interval at which an entry polls another entry for
 	// the operator's state, unstablePollInterval the interval while the store fails
-	// and for unstableWindow afterwards. With staleWatchTimeout, a silent watch
+	// and for unstableWindow afterwards, or while the entry asks others for turns. With staleWatchTimeout, a silent watch
 	// delays a change by about a second.
 	peerPollInterval     = 500 * time.Millisecond
 	unstablePollInterval = 250 * time.Millisecond
@@ -117,6 +117,7 @@
 	peers      *entryFollower
 	holds      *holdSharer
 	notices    *noticeSharer
+	turns      *turnLender
 	// partialAnswers counts the responses of the directory that name some entries only.
 	partialAnswers *metrics.Counter
 	// ready is true while the entry accepts callers and is not draining.
@@ -135,6 +136,8 @@
 	e.fleet = fleet.New(s.Zone, e.client.CloseIdle)
 	e.holds = newHoldSharer(e.store, e.client, e.otherEntries, e.log.WithName("quarantine"))
 	e.notices = newNoticeSharer(e.fleet, e.otherEntries, e.metrics, log.WithName("endpoints"))
+	e.turns = &turnLender{fleet: e.fleet, lent: e.metrics.NewCounter("wasabinotch_turns_lent_total"), borrowed: e.metrics.NewCounter("wasabinotch_turns_borrowed_total"),
+		log: logs.Limit(log.WithName("turns"), faultLinesPerSecond, faultLineBurst)}
 	e.handler = forward.New(forward.Config{
 		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, ParseWork: platform.ParseWork,
 		ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.notices.tellRateLimit,
@@ -375,6 +378,7 @@
 	state, version := e.operator.storedState(), e.operator.configVersion()
 	query := r.URL.Query()
 	e.notices.answerLeaving(w, query.Get("leaving"))
+	e.turns.answer(w, query.Get(queryTurns))
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after is not a revision; send a whole number", http.StatusBadRequest)
@@ -405,7 +409,7 @@
 func (e *Entry) pollPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := peerPollInterval
-		if e.health.failedWithin(unstableWindow) {
+		if e.health.failedWithin(unstableWindow) || e.fleet.WantsTurns(time.Now()) {
 			interval = unstablePollInterval
 		}
 		pause.For(ctx, interval)
@@ -432,6 +436,9 @@
 	defer cancel()
 	known := position(e.operator.snapshot())
 	target := fmt.Sprintf("%s?after=%d&era=%d&version=%d&leaving=%s", pathOperator, known.Revision, known.Era, e.operator.configVersion(), e.notices.leavingChecksum())
+	if e.fleet.WantsTurns(time.Now()) {
+		target += "&" + queryTurns + "=1"
+	}
 	// A kept connection could be silent like that of the watch.
 	header := http.Header{"Connection": {"close"}}
 	resp, err := e.client.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: header})
@@ -453,6 +460,7 @@
 		return fmt.Errorf("peer responded with status %d; it may run another version", resp.Status)
 	}
 	e.notices.mergeLeaving(resp.Header.Get(headerLeaving))
+	e.turns.borrow(addr, resp.Header.Get(headerTurns))
 	// Entries of earlier versions don't send the headers.
 	revision, err := strconv.ParseUint(resp.Header.Get(headerNewestChange), 10, 64)
 	era, eraErr := strconv.ParseUint(resp.Header.Get(headerNewestChangeEra), 10, 64)
@@ -478,7 +486,9 @@
 		e.applyHeldBack()
 		if round%roundsPerSweep == 0 {
 			e.client.CloseExpired()
-			e.peers.refresh(time.Now())
+			now := time.Now()
+			e.peers.refresh(now)
+			e.fleet.MeasureTurns(now)
 		}
 	}
 }
--- a/node/shares_test.go
+++ b/node/shares_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/matryer/is"
 
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/settings"
@@ -267,3 +268,17 @@
 		}
 	}
 }
+
+// Guards against a loan that changes on its way between entries, and against odd values that are used.
+func TestLoansOfTurnsAreDecodedAsSent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1e9, 5)
+	l := share.Loan{Slots: []int32{0, 7, 4000}, From: now, To: now.Add(share.LoanTime)}
+	got, ok := decodeLoan(encodeLoan(l))
+	is.True(ok)
+	is.Equal(got, l)
+	for _, odd := range []string{"", ",", "1,2", "1,2,3,x", "1,2,-3", "1,99999999999999999999,3", "1,2,4294967296", "5,4,1", "1,9999999999999999,1", encodeLoan(l) + ",1"} {
+		_, ok := decodeLoan(odd)
+		is.True(!ok)
+	}
+}
--- a/share/ring.go
+++ b/share/ring.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -33,6 +34,34 @@
 	// entries were at least cautiousMembers. They are valid if changed is false.
 	own, cautious []int32
 	changed       bool
+	// lent and borrowed are the loans to and from other entries, with some that have ended.
+	lent, borrowed []Loan
+}
+
+// Sequence is the sequence of turns at one endpoint. Turn k opens k intervals after the Unix
+// epoch. The offset keeps an entry's turns at different endpoints apart.
+type Sequence struct {
+	Interval time.Duration
+	Offset   int64
+}
+
+// slot returns the slot of a turn.
+func (s Sequence) slot(turn int64) int64 {
+	return ((turn+s.Offset)%ringSlots + ringSlots) % ringSlots
+}
+
+// nextAt returns the first turn from the given one on that is at one of the slots, which are
+// sorted; ok is false if there are none.
+func (s Sequence) nextAt(slots []int32, turn int64) (next int64, ok bool) {
+	if len(slots) == 0 {
+		return 0, false
+	}
+	slot := s.slot(turn)
+	i, _ := slices.BinarySearch(slots, int32(slot))
+	if i == len(slots) {
+		return turn - slot + ringSlots + int64(slots[0]), true
+	}
+	return turn - slot + int64(slots[i]), true
 }
 
 // NewRing returns a ring for the entry self, which owns all turns until others are set.
@@ -58,23 +87,47 @@
 
 // Next returns the first turn of this entry from the given one on. A cautious entry assumes
 // at least cautiousMembers entries, since it may not know all yet.
-func (r *Ring) Next(turn int64, cautious bool) int64 {
+func (r *Ring) Next(s Sequence, turn int64, cautious bool) int64 {
 	r.update()
 	own := r.own
 	if cautious {
 		own = r.cautious
 	}
-	if len(own) == 0 {
-		return turn + ringSlots
+	next, ok := r.nextKept(s, own, turn)
+	if !ok {
+		next = turn + ringSlots
 	}
-	slot := (turn%ringSlots + ringSlots) % ringSlots
-	i, _ := slices.BinarySearch(own, int32(slot))
-	if i == len(own) {
-		return turn - slot + ringSlots + int64(own[0])
+	for i := range r.borrowed {
+		l := &r.borrowed[i]
+		// The first turn that opens at From or later.
+		from := (l.From.UnixNano() + int64(s.Interval) - 1) / int64(s.Interval)
+		if t, ok := s.nextAt(l.Slots, max(turn, from)); ok && t < next && t*int64(s.Interval) < l.To.UnixNano() {
+			next = t
+		}
 	}
-	return turn - slot + int64(own[i])
+	return next
 }
 
+// nextKept returns the first turn at one of this entry's own slots that isn't lent.
+func (r *Ring) nextKept(s Sequence, own []int32, turn int64) (next int64, ok bool) {
+	next, ok = s.nextAt(own, turn)
+	for tries := 0; ok; tries++ {
+		i := slices.IndexFunc(r.lent, func(l Loan) bool { return l.covers(int32(s.slot(next)), next*int64(s.Interval)) })
+		if i < 0 {
+			break
+		}
+		from := next + 1
+		if tries > maxLentTries { // turns in very short intervals; go on after the loan
+			from = r.lent[i].To.UnixNano()/int64(s.Interval) + 1
+		}
+		next, ok = s.nextAt(own, from)
+	}
+	return next, ok
+}
+
+// maxLentTries is the number of lent turns that are passed over one by one.
+const maxLentTries = 64
+
 // Fraction returns this entry's part of the weights of all.
 func (r *Ring) Fraction(cautious bool) float64 { return r.self.Weight / r.total(cautious) }
 
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -18,6 +18,8 @@
 	return all
 }
 
+var anySequence = Sequence{Interval: 50 * time.Millisecond}
+
 func equal(n int) []Member {
 	weights := make([]float64, n)
 	for i := range weights {
@@ -35,7 +37,7 @@
 			r := NewRing(m)
 			r.Set(all)
 			n := 0
-			for turn := r.Next(1e9, false); turn < 1e9+ringSlots; turn = r.Next(turn+1, false) {
+			for turn := r.Next(anySequence, 1e9, false); turn < 1e9+ringSlots; turn = r.Next(anySequence, turn+1, false) {
 				owners[turn]++
 				n++
 			}
@@ -71,7 +73,7 @@
 		}
 		r := NewRing(m)
 		r.Set(known)
-		for turn := r.Next(0, false); turn < ringSlots; turn = r.Next(turn+1, false) {
+		for turn := r.Next(anySequence, 0, false); turn < ringSlots; turn = r.Next(anySequence, turn+1, false) {
 			if owners[turn]++; owners[turn] > 1 {
 				t.Fatalf("turn %d has two owners", turn)
 			}
@@ -86,7 +88,7 @@
 	for _, m := range equal(40) {
 		r := NewRing(m)
 		is.Equal(r.Fraction(true), 1.0/cautiousMembers)
-		for turn := r.Next(0, true); turn < ringSlots; turn = r.Next(turn+1, true) {
+		for turn := r.Next(anySequence, 0, true); turn < ringSlots; turn = r.Next(anySequence, turn+1, true) {
 			taken++
 		}
 	}
@@ -261,13 +263,90 @@
 	is.Equal(Weight(math.Inf(1)), float64(maxWeight))
 }
 
+// Guards against turns that lender and borrower both use, or neither, and against loans of more than the lender can spare.
+func TestLentTurnsAreUsedByTheBorrowerAlone(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	all := equal(20)
+	s := Sequence{Interval: 7 * time.Millisecond, Offset: 12345}
+	rings := make([]*Ring, len(all))
+	for i, m := range all {
+		rings[i] = NewRing(m)
+		rings[i].Set(all)
+	}
+	start := time.Unix(1e9, 0)
+	first := start.UnixNano() / int64(s.Interval)
+	taken := make(map[int64]int)
+	last := make([]int64, len(all))
+	for i := range last {
+		last[i] = first
+	}
+	const turns = 4000
+	end := first + turns
+	for at := start; at.UnixNano() < (end+1)*int64(s.Interval); at = at.Add(20 * time.Millisecond) {
+		if lender, borrower := random.IntN(10), 10+random.IntN(10); random.IntN(5) == 0 {
+			if l, ok := rings[lender].Lend(Lendable(0.1), at); ok {
+				own, usable := rings[lender].Own(at)
+				if usable < keptAtLeast*own-1e-9 {
+					t.Fatalf("the lender is left %.4f of %.4f", usable, own)
+				}
+				if !l.Valid() {
+					t.Fatalf("loan %v isn't valid", l)
+				}
+				rings[borrower].Borrow(l, at)
+			}
+		}
+		for i, r := range rings { // each entry uses all turns that have opened
+			for turn := r.Next(s, last[i]+1, false); turn*int64(s.Interval) <= at.UnixNano(); turn = r.Next(s, turn+1, false) {
+				taken[turn]++
+				last[i] = turn
+			}
+		}
+	}
+	borrowers := 0
+	for turn := first + 1; turn < end; turn++ {
+		if taken[turn] != 1 {
+			t.Fatalf("turn %d is used %d times", turn-first, taken[turn])
+		}
+	}
+	for i := range rings[10:] {
+		_, usable := rings[10+i].Own(start.Add(turns * s.Interval))
+		own, _ := rings[10+i].Own(start)
+		if usable > own {
+			borrowers++
+		}
+	}
+	if borrowers == 0 {
+		t.Error("no entry has more than its part")
+	}
+}
+
+// Guards against a loan that another entry encoded wrongly and that would be used for good or out of range.
+func TestOddLoansAreInvalid(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1e9, 0)
+	is.True((&Loan{Slots: []int32{0, ringSlots - 1}, From: now, To: now.Add(LoanTime)}).Valid())
+	for _, l := range []Loan{
+		{},
+		{Slots: []int32{3, 2}, From: now, To: now.Add(LoanTime)},
+		{Slots: []int32{-1}, From: now, To: now.Add(LoanTime)},
+		{Slots: []int32{ringSlots}, From: now, To: now.Add(LoanTime)},
+		{Slots: []int32{1}, From: now, To: now},
+		{Slots: []int32{1}, From: now, To: now.Add(time.Hour)},
+	} {
+		is.True(!l.Valid())
+	}
+	is.Equal(Lendable(0), 1-keptAtLeast)
+	is.Equal(Lendable(0.9), 0.0)
+	is.True(!Pressed(0.3) && Pressed(0.8))
+}
+
 func BenchmarkRingUpdate(b *testing.B) {
 	all := equal(300)
 	r := NewRing(all[0])
 	for b.Loop() {
 		r.Set(all)
 		r.changed = true
-		r.Next(0, false)
+		r.Next(anySequence, 0, false)
 	}
 }
 
@@ -275,7 +354,7 @@
 	r := NewRing(equal(300)[0])
 	r.Set(equal(300))
 	for i := int64(0); b.Loop(); i++ {
-		r.Next(i, false)
+		r.Next(anySequence, i, false)
 	}
 }
 
