--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -318,6 +318,7 @@
 	f.entryIndex = max(0, slices.IndexFunc(v.Members, func(m share.Member) bool { return m.ID == v.Self.ID }))
 	if f.ring != nil {
 		f.ring.Set(v.Members)
+		f.ring.AssumeAtLeast(v.AtLeast)
 	}
 }
 
@@ -327,6 +328,7 @@
 	if f.ring == nil {
 		f.ring = share.NewRing(f.view.Self)
 		f.ring.Set(f.view.Members)
+		f.ring.AssumeAtLeast(f.view.AtLeast)
 	}
 	return f.ring, now.Before(f.view.CautiousUntil)
 }
--- a/fleet/turnloan.go
+++ b/fleet/turnloan.go
@@ -53,6 +53,19 @@
 	return available > 0 && share.Pressed(f.turnUse.perSecond/available)
 }
 
+// Turns returns the parts of all turns that are this entry's by weight, and that it may use
+// now with those that it has lent and borrowed.
+func (f *Fleet) Turns(now time.Time) (own, usable float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ring, cautious := f.shares(now)
+	own, usable = ring.Own(now)
+	if part := ring.Fraction(cautious); cautious && part < own {
+		return part, usable + part - own
+	}
+	return own, usable
+}
+
 // LendTurns lends turns that this entry doesn't need to another one. It returns false if
 // there are none.
 func (f *Fleet) LendTurns(now time.Time) (share.Loan, bool) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -59,6 +59,12 @@
 	// has seen.
 	headerNewestChange    = "Newest-Change"
 	headerNewestChangeEra = "Newest-Change-Era"
+	// queryCount is the query parameter at pathOperator with which an entry that has started
+	// lately asks how many entries share limits, headerCount the header of the answer.
+	// maxEntries bounds what is believed.
+	queryCount  = "sharing"
+	headerCount = "Entries-Sharing"
+	maxEntries  = 1 << 14
 	// peerPollInterval is the interval at which an entry polls another entry for
 	// the operator's state, unstablePollInterval the interval while the store fails
 	// and for unstableWindow afterwards, or while the entry asks others for turns. With staleWatchTimeout, a silent watch
@@ -379,6 +385,9 @@
 	query := r.URL.Query()
 	e.notices.answerLeaving(w, query.Get("leaving"))
 	e.turns.answer(w, query.Get(queryTurns))
+	if n := e.peers.count(time.Now()); n > 0 && query.Has(queryCount) {
+		w.Header().Set(headerCount, strconv.Itoa(n))
+	}
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after is not a revision; send a whole number", http.StatusBadRequest)
@@ -439,6 +448,9 @@
 	if e.fleet.WantsTurns(time.Now()) {
 		target += "&" + queryTurns + "=1"
 	}
+	if e.peers.wantsCount(time.Now()) {
+		target += "&" + queryCount + "=1"
+	}
 	// A kept connection could be silent like that of the watch.
 	header := http.Header{"Connection": {"close"}}
 	resp, err := e.client.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: header})
@@ -461,6 +473,9 @@
 	}
 	e.notices.mergeLeaving(resp.Header.Get(headerLeaving))
 	e.turns.borrow(addr, resp.Header.Get(headerTurns))
+	if n, err := strconv.Atoi(resp.Header.Get(headerCount)); err == nil && n > 0 && n <= maxEntries {
+		e.peers.tellCount(n)
+	}
 	// Entries of earlier versions don't send the headers.
 	revision, err := strconv.ParseUint(resp.Header.Get(headerNewestChange), 10, 64)
 	era, eraErr := strconv.ParseUint(resp.Header.Get(headerNewestChangeEra), 10, 64)
--- a/node/follow.go
+++ b/node/follow.go
@@ -366,6 +366,8 @@
 	members share.Members
 	// settled is when the others know this entry, the zero time if it isn't registered.
 	settled time.Time
+	// told is the number of entries that share limits according to another one, 0 for none.
+	told int
 	// loggedMembers is the number of members that was logged last.
 	loggedMembers int
 }
@@ -448,15 +450,48 @@
 // caller holds mu.
 func (e *entryFollower) updateFleet(now time.Time) []share.Member {
 	e.members.Join(e.self) // registered or not
-	v := share.View{Self: e.self, Members: e.members.Within(e.sendHold, now), CautiousUntil: e.settled}
-	if e.settled.IsZero() {
+	v := share.View{Self: e.self, Members: e.members.Within(e.sendHold, now), AtLeast: e.told, CautiousUntil: e.settled}
+	switch {
+	case e.settled.IsZero():
 		v.CautiousUntil = now.Add(settleDelay)
+	case e.told > 0 && now.Before(e.settled):
+		v.AtLeast++ // the others may not count this one
+	case e.told > 0:
+		v.CautiousUntil = e.knowsAll() // it doesn't know those that left before it started
 	}
 	v.Retry = share.Part{Fraction: e.self.Weight / share.Total(e.members.Within(e.retryHold, now)), Since: e.started}
 	e.fleet.SetView(v)
 	return v.Members
 }
 
+// knowsAll returns when this entry has seen the end of all that may serve on without a record.
+func (e *entryFollower) knowsAll() time.Time { return e.started.Add(e.sendHold) }
+
+// wantsCount reports whether this entry should ask others how many share the limits.
+func (e *entryFollower) wantsCount(now time.Time) bool { return now.Before(e.knowsAll()) }
+
+// tellCount records the number of entries that share limits according to another one.
+func (e *entryFollower) tellCount(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.told = n
+	e.updateFleet(time.Now())
+}
+
+// count returns the number of entries that share limits, 0 if this one can't tell yet.
+func (e *entryFollower) count(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.settled.IsZero() || now.Before(e.settled) {
+		return 0
+	}
+	n := len(e.members.Within(e.sendHold, now))
+	if e.wantsCount(now) {
+		n = max(n, e.told)
+	}
+	return n
+}
+
 // registered returns the number of entries that have a record.
 func (e *entryFollower) registered() int {
 	e.mu.Lock()
--- a/node/shares_test.go
+++ b/node/shares_test.go
@@ -119,6 +119,11 @@
 			continue
 		}
 		e.follower.refresh(now)
+		if peer := s.all[s.rand.IntN(len(s.all))]; peer.running && peer != e && e.follower.wantsCount(now) && s.rand.IntN(4) == 0 { // polls
+			if n := peer.follower.count(now); n > 0 {
+				e.follower.tellCount(n)
+			}
+		}
 		for s.rand.Float64() < requestsEach/(1+requestsEach) {
 			s.requests = append(s.requests, now)
 			e.budget.RecordRequest()
@@ -282,3 +287,37 @@
 		is.True(!ok)
 	}
 }
+
+// Guards against an entry that takes few turns for seconds after a restart although the others count it, and against one
+// that believes others which have started as well.
+func TestRestartedEntryLearnsHowManyShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSharingEntries(t, 6, 1)
+		is.Equal(s.all[0].follower.count(time.Now()), 0) // it has started itself
+		s.steps(12*time.Second, 0)
+		is.Equal(s.all[0].follower.count(time.Now()), 6)
+		is.True(!s.all[0].follower.wantsCount(time.Now()))
+		restarted, gone := s.all[1], s.all[2]
+		restarted.running, gone.running = false, false
+		s.lapse(restarted)
+		s.lapse(gone)
+		s.steps(time.Second, 0)
+		s.start(restarted)
+		f := restarted.follower
+		is.True(f.wantsCount(time.Now()))
+		f.tellCount(s.all[0].follower.count(time.Now()))
+		is.Equal(f.fleet.Entries(), 5) // it never knew the one that is gone
+		part := func() float64 {
+			own, _ := f.fleet.Turns(time.Now())
+			return own
+		}
+		is.True(part() > 1.0/9 && part() < 1.0/5) // a seventh, or more with luck
+		s.register(restarted)
+		s.steps(2*time.Second, 0)
+		is.True(part() > 1.0/8 && part() < 1.0/4.5) // a sixth: it counts the one that is gone
+		s.steps(15*time.Second, 0)
+		is.Equal(f.count(time.Now()), 5)
+		is.True(part() > 1.0/6 && part() < 1.0/4)
+	})
+}
--- a/share/ring.go
+++ b/share/ring.go
@@ -12,7 +12,8 @@
 	// ringSlots is the number of turns after which their owners repeat. With 300 entries,
 	// the turns of an entry differ from its part by a fifth (standard deviation).
 	ringSlots = 1 << 13
-	// cautiousMembers is the number of entries that a cautious entry assumes at least.
+	// cautiousMembers is the number of entries that a cautious entry assumes at least, unless
+	// another one has told how many share the limits.
 	cautiousMembers = 64
 )
 
@@ -28,10 +29,12 @@
 	self   Member
 	others []Member
 	seeds  []uint64 // of the others
+	// atLeast is the number of entries that a cautious entry assumes at least.
+	atLeast int
 	// sum and least are the total and the smallest of the weights.
 	sum, least float64
 	// own lists the slots of this entry; cautious those of them that it would have if the
-	// entries were at least cautiousMembers. They are valid if changed is false.
+	// entries were at least atLeast. They are valid if changed is false.
 	own, cautious []int32
 	changed       bool
 	// lent and borrowed are the loans to and from other entries, with some that have ended.
@@ -66,7 +69,7 @@
 
 // NewRing returns a ring for the entry self, which owns all turns until others are set.
 func NewRing(self Member) *Ring {
-	return &Ring{self: self, sum: self.Weight, least: self.Weight, changed: true}
+	return &Ring{self: self, sum: self.Weight, least: self.Weight, atLeast: cautiousMembers, changed: true}
 }
 
 // Set replaces the other entries. A member with the ID of this entry is ignored.
@@ -85,8 +88,19 @@
 	}
 }
 
+// AssumeAtLeast sets the number of entries that a cautious entry assumes at least; 0 means
+// that none has been told.
+func (r *Ring) AssumeAtLeast(n int) {
+	if n <= 0 {
+		n = cautiousMembers
+	}
+	if n != r.atLeast {
+		r.atLeast, r.changed = n, true
+	}
+}
+
 // Next returns the first turn of this entry from the given one on. A cautious entry assumes
-// at least cautiousMembers entries, since it may not know all yet.
+// a number of entries at least, since it may not know all yet.
 func (r *Ring) Next(s Sequence, turn int64, cautious bool) int64 {
 	r.update()
 	own := r.own
@@ -142,7 +156,7 @@
 }
 
 // missing returns the number of entries that a cautious entry assumes besides the known ones.
-func (r *Ring) missing() float64 { return float64(max(0, cautiousMembers-1-len(r.others))) }
+func (r *Ring) missing() float64 { return float64(max(0, r.atLeast-1-len(r.others))) }
 
 // update determines the slots of this entry. Most are decided by the first few others, so
 // that it takes little longer with many entries.
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -93,6 +93,12 @@
 		}
 	}
 	is.True(float64(taken) < 0.7*ringSlots && float64(taken) > 0.55*ringSlots) // 40 of 64
+	r := NewRing(Member{"a", 1})
+	r.AssumeAtLeast(17) // another entry has told so
+	is.Equal(r.Fraction(true), 1.0/17)
+	is.Equal(r.Fraction(false), 1.0)
+	r.AssumeAtLeast(0)
+	is.Equal(r.Fraction(true), 1.0/cautiousMembers)
 }
 
 // Guards against an entry that loses its part at once when its record lapses, and against one that is gone and counts for good.
--- a/share/view.go
+++ b/share/view.go
@@ -10,6 +10,8 @@
 	Members []Member
 	// Retry is the part of the retry budget.
 	Retry Part
-	// CautiousUntil is when this entry knows all others and is known to them.
+	// CautiousUntil is when this entry knows all others and is known to them. Until then it
+	// assumes AtLeast entries, or some number if AtLeast is 0.
 	CautiousUntil time.Time
+	AtLeast       int
 }
