node, settings, share: own names for the VM's resources; parts of young entries; a test of the directory

The retry part of an entry that has just started reckons with the entries that others count and it has never seen. A record's weight is at most that of 16 cores.

--- a/node/entry.go
+++ b/node/entry.go
@@ -67,8 +67,8 @@
 	maxEntries  = 1 << 14
 	// peerPollInterval is the interval at which an entry polls another entry for
 	// the operator's state, unstablePollInterval the interval while the store fails
-	// and for unstableWindow afterwards, or while the entry asks others for turns. With staleWatchTimeout, a silent watch
-	// delays a change by about a second.
+	// and for unstableWindow afterwards, or while the entry asks others for turns. With
+	// staleWatchTimeout, a silent watch delays a change by about a second.
 	peerPollInterval     = 500 * time.Millisecond
 	unstablePollInterval = 250 * time.Millisecond
 	unstableWindow       = 3 * time.Second
--- a/node/follow.go
+++ b/node/follow.go
@@ -393,8 +393,8 @@
 		e.departed.add(key, 0)
 		e.members.Leave(key, now)
 		e.log.Info("Entry removed.", "entry", key)
+		e.updateFleet(now)
 	}
-	e.updateFleet(now)
 }
 
 // Reset implements prefixFollower.
@@ -422,15 +422,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if old, ok := e.known[kv.Key]; !ok || old != r {
+	old, ok := e.known[kv.Key]
+	changed := !ok || old != r
+	if changed {
 		e.known[kv.Key] = r
 		e.members.Join(share.Member{ID: kv.Key, Weight: r.weight()})
 		e.log.Info("Entry added or changed.", "entry", kv.Key, "callers", r.Callers, "capacity", r.Capacity)
 	}
 	if kv.Key == e.self.ID && e.settled.IsZero() {
 		e.settled = now.Add(settleDelay)
+		changed = true
+	}
+	if changed {
+		e.updateFleet(now)
 	}
-	e.updateFleet(now)
 }
 
 // refresh tells the fleet which entries share the endpoints now: those that left count for
@@ -459,7 +464,11 @@
 	case e.told > 0:
 		v.CautiousUntil = e.knowsAll() // it doesn't know those that left before it started
 	}
-	v.Retry = share.Part{Fraction: e.self.Weight / share.Total(e.members.Within(e.retryHold, now)), Since: e.started}
+	retrying := e.members.Within(e.retryHold, now)
+	v.Retry = share.Part{Fraction: e.self.Weight / share.Total(retrying), Since: e.started}
+	if e.wantsCount(now) && e.told > len(retrying) {
+		v.Retry.Fraction *= float64(len(retrying)) / float64(e.told)
+	}
 	e.fleet.SetView(v)
 	return v.Members
 }
--- a/node/shares_test.go
+++ b/node/shares_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -12,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/settings"
 	"github.com/wasabinotch/wasabinotch/share"
 	"github.com/wasabinotch/wasabinotch/store"
@@ -321,3 +325,41 @@
 		is.True(part() > 1.0/6 && part() < 1.0/4)
 	})
 }
+
+// Guards against a directory that names the smallest VM as often as one that bears three times as much, or that counts
+// records of earlier versions, which tell no capacity, for nothing.
+func TestDirectoryNamesEntriesByCapacity(t *testing.T) {
+	is := is.New(t)
+	e := NewEntry(settings.PlatformEntry{PlatformNode: settings.PlatformNode{
+		ID: "e00", Zone: "z1", IP: "10.0.1.0", CallersAddr: "10.0.1.0:1", PeerPort: 7000, CoreShare: 0.8, Bounds: settings.Bounds{GracePeriodS: 8, DirectoryTTLS: 5, RetryWindowS: 10}}}, logr.Discard())
+	e.ready.Store(true)
+	for i := 1; i < 40; i++ {
+		capacity := `,"capacity":0.272`
+		if i < 5 {
+			capacity = `,"capacity":0.8`
+		} else if i == 5 {
+			capacity = ""
+		}
+		value := fmt.Sprintf(`{"callers":"10.0.1.%d:1","peer":"10.0.1.%d:2","zone":"z1"%s}`, i, i, capacity)
+		e.peers.Apply(store.Event{KeyValue: store.KeyValue{Key: fmt.Sprintf("%se%02d", platform.PrefixEntries, i), Value: []byte(value)}})
+	}
+	picked := make(map[string]float64)
+	const callers = 2000
+	for c := range callers {
+		r := httptest.NewRequest(http.MethodGet, platform.PathDirectory+"?name=h.example&zone=z1", nil)
+		r.RemoteAddr = fmt.Sprintf("10.9.%d.%d:4000", c/250, c%250)
+		w := httptest.NewRecorder()
+		e.serveDirectory(w, r)
+		var answer struct{ Addresses []string }
+		is.NoErr(json.Unmarshal(w.Body.Bytes(), &answer))
+		is.True(len(answer.Addresses) >= 8 && len(answer.Addresses) < 40)
+		for _, a := range answer.Addresses {
+			picked[a] += 1 / float64(len(answer.Addresses)) / callers
+		}
+	}
+	is.Equal(len(picked), 40)
+	large, small, unknown := picked["10.0.1.0:1"], picked["10.0.1.20:1"], picked["10.0.1.5:1"]
+	is.True(large > 2.6*small && large < 3.9*small) // weights 3.25 and 1
+	is.True(unknown > small && unknown < large)     // an average one
+	is.Equal(e.partialAnswers.Get(), uint64(callers))
+}
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -39,15 +39,15 @@
 	// MemoryLimitMB is the memory in megabytes (2^20 bytes) beyond which the
 	// platform ends the process; 0 for no limit.
 	MemoryLimitMB int `json:"memory_mb"`
-	// CPUShare is the part of a core that the VM gives the process, CPUSpeed its speed in
-	// multiples of a core. FileDescriptors and LinkMbps (megabits a second) are the other
+	// CoreShare is the part of a core that the VM gives the process, CoreSpeed its speed in
+	// multiples of a core. Descriptors and LinkMbps (megabits a second) are the other
 	// limits of the VM. Callers are sent to entries by what their VMs bear. Default 0:
 	// unknown; without any of them and MemoryLimitMB, the VM counts as an average one.
-	CPUShare        float64 `json:"cpu_share"`
-	CPUSpeed        float64 `json:"cpu_cores"`
-	FileDescriptors int     `json:"file_descriptors"`
-	LinkMbps        float64 `json:"link_mbps"`
-	Bounds          Bounds  `json:"bounds"`
+	CoreShare   float64 `json:"core_share"`
+	CoreSpeed   float64 `json:"core_speed"`
+	Descriptors int     `json:"descriptors"`
+	LinkMbps    float64 `json:"link_mbit_per_s"`
+	Bounds      Bounds  `json:"bounds"`
 }
 
 // Bounds are the limits that the operators guarantee for the whole system.
@@ -103,8 +103,8 @@
 		name  string
 		value float64
 	}{
-		{"memory_mb", float64(n.MemoryLimitMB)}, {"cpu_share", n.CPUShare}, {"cpu_cores", n.CPUSpeed},
-		{"file_descriptors", float64(n.FileDescriptors)}, {"link_mbps", n.LinkMbps},
+		{"memory_mb", float64(n.MemoryLimitMB)}, {"core_share", n.CoreShare}, {"core_speed", n.CoreSpeed},
+		{"descriptors", float64(n.Descriptors)}, {"link_mbit_per_s", n.LinkMbps},
 	} {
 		if f.value < 0 {
 			return &Error{Field: f.name, Reason: "is negative", Remedy: "set what the VM has, or 0 if it is unknown"}
@@ -127,11 +127,11 @@
 
 // Resources returns what the settings say about the VM.
 func (n *PlatformNode) Resources() share.Resources {
-	speed := n.CPUSpeed
+	speed := n.CoreSpeed
 	if speed == 0 {
 		speed = 1
 	}
-	return share.Resources{Cores: n.CPUShare * speed, MemoryMB: float64(n.MemoryLimitMB), Descriptors: float64(n.FileDescriptors), LinkMbps: n.LinkMbps}
+	return share.Resources{Cores: n.CoreShare * speed, MemoryMB: float64(n.MemoryLimitMB), Descriptors: float64(n.Descriptors), LinkMbps: n.LinkMbps}
 }
 
 // SourceAddr returns SourceIP parsed, or the zero Addr if it is empty.
--- a/share/capacity.go
+++ b/share/capacity.go
@@ -42,8 +42,8 @@
 	// weightStep is what weights are multiples of, so that VMs that differ little count the
 	// same.
 	weightStep = 0.25
-	// maxWeight bounds the effect of a mistaken setting.
-	maxWeight = 256
+	// maxWeight bounds the effect of a mistaken setting or record.
+	maxWeight = 64
 )
 
 // Weight returns the weight of an entry with the given capacity. One of unknown capacity
