node, share, wire: entries that can't reach the store tell the others that they serve

The parts of an entry whose record is gone were given to others after the grace period, also while the store rejected its VM for longer; 34 requests in a second then reached a cold endpoint, allowed 27.5 (TestColdLimitHoldsWhileViewsDiffer). A process that stood still for longer than that goes on like one that has just started.

--- a/node/entry.go
+++ b/node/entry.go
@@ -43,6 +43,10 @@
 	// roundsPerSweep is the number of expiry rounds between sweeps of idle
 	// connections and of entries that left.
 	roundsPerSweep = 10
+	// roundsPerNotice is the number of expiry rounds between two datagrams to the other
+	// entries while the store fails. Two may be lost before the others stop to count this
+	// entry.
+	roundsPerNotice = 25
 	// initialConfigTimeout is how long a starting entry waits for a configuration
 	// before it serves without one.
 	initialConfigTimeout = 5 * time.Second
@@ -156,6 +160,7 @@
 	e.operator = &operatorFollower{handler: e.handler, fleet: e.fleet, bounds: s.Bounds, outdated: outdatedKeys{window: reregisterGrace}, log: log.WithName("operator")}
 	e.endpoints = newEndpointFollower(e.fleet, s.Bounds.Heartbeat(), e.health, log.WithName("endpoints"))
 	e.peers = newEntryFollower(e.fleet, share.Member{ID: platform.PrefixEntries + s.ID, Weight: e.record().weight()}, s.Bounds, e.health, log.WithName("entries"))
+	e.notices.heard = e.peers.heard
 	e.partialAnswers = e.metrics.NewCounter("wasabinotch_directory_partial_total")
 	e.metrics.NewGauge("wasabinotch_requests_active", func() float64 { return float64(e.handler.Active()) })
 	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.peers.registered()) })
@@ -505,6 +510,9 @@
 			e.peers.refresh(now)
 			e.fleet.MeasureTurns(now)
 		}
+		if round%roundsPerNotice == 0 && e.health.failedWithin(0) {
+			e.notices.tellServing(e.peers.self)
+		}
 	}
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -357,10 +357,11 @@
 	// sendHold is how long an entry may send requests after its record is gone, and
 	// retryHold how long its retries count.
 	sendHold, retryHold time.Duration
-	// started is when this process started.
-	started time.Time
 
 	mu sync.Mutex
+	// started is when this process started, or went on after it had stood still for so long
+	// that others no longer counted it. refreshed is when refresh was called last.
+	started, refreshed time.Time
 	// known holds the records by store key.
 	known   map[string]entryRecord
 	members share.Members
@@ -438,11 +439,28 @@
 	}
 }
 
+// heard records that another entry serves although its record may be gone.
+func (e *entryFollower) heard(m share.Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m.ID == e.self.ID {
+		return
+	}
+	now := time.Now()
+	e.members.Heard(m, now)
+	e.updateFleet(now)
+}
+
 // refresh tells the fleet which entries share the endpoints now: those that left count for
 // some time.
 func (e *entryFollower) refresh(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.refreshed.IsZero() && now.UnixNano()-e.refreshed.UnixNano() > int64(e.sendHold) {
+		e.log.Info("This process stood still, or its clock was set; others may not count it.", "ms", (now.UnixNano()-e.refreshed.UnixNano())/1e6)
+		e.started, e.settled, e.told = now, now.Add(settleDelay), 0
+	}
+	e.refreshed = now
 	e.members.Forget(e.retryHold, now)
 	members := e.updateFleet(now)
 	if n := len(members); n != e.loggedMembers {
@@ -466,18 +484,23 @@
 	}
 	retrying := e.members.Within(e.retryHold, now)
 	v.Retry = share.Part{Fraction: e.self.Weight / share.Total(retrying), Since: e.started}
-	if e.wantsCount(now) && e.told > len(retrying) {
+	if now.Before(e.knowsAll()) && e.told > len(retrying) {
 		v.Retry.Fraction *= float64(len(retrying)) / float64(e.told)
 	}
 	e.fleet.SetView(v)
 	return v.Members
 }
 
-// knowsAll returns when this entry has seen the end of all that may serve on without a record.
+// knowsAll returns when this entry has seen the end of all that may serve on without a
+// record. The caller holds mu.
 func (e *entryFollower) knowsAll() time.Time { return e.started.Add(e.sendHold) }
 
 // wantsCount reports whether this entry should ask others how many share the limits.
-func (e *entryFollower) wantsCount(now time.Time) bool { return now.Before(e.knowsAll()) }
+func (e *entryFollower) wantsCount(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.knowsAll())
+}
 
 // tellCount records the number of entries that share limits according to another one.
 func (e *entryFollower) tellCount(n int) {
@@ -495,7 +518,7 @@
 		return 0
 	}
 	n := len(e.members.Within(e.sendHold, now))
-	if e.wantsCount(now) {
+	if now.Before(e.knowsAll()) {
 		n = max(n, e.told)
 	}
 	return n
--- a/node/notices.go
+++ b/node/notices.go
@@ -16,6 +16,7 @@
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/platform"
+	"github.com/wasabinotch/wasabinotch/share"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
@@ -44,6 +45,8 @@
 	// limitedLog is log with a rate limit, for faults that can occur very often.
 	limitedLog logr.Logger
 	pending    chan wire.EndpointNotice
+	// heard is called for an entry that tells that it serves.
+	heard func(share.Member)
 }
 
 func newNoticeSharer(f *fleet.Fleet, peers func() []string, set *metrics.Set, log logr.Logger) *noticeSharer {
@@ -61,6 +64,11 @@
 	s.tell(wire.EndpointNotice{Endpoint: r.ID, Leaving: true, Incarnation: r.Incarnation})
 }
 
+// tellServing passes this entry to run without blocking.
+func (s *noticeSharer) tellServing(m share.Member) {
+	s.tell(wire.EndpointNotice{Entry: m.ID, Weight: m.Weight})
+}
+
 func (s *noticeSharer) tell(n wire.EndpointNotice) {
 	select {
 	case s.pending <- n:
@@ -89,10 +97,14 @@
 // receive records what a datagram of another entry says.
 func (s *noticeSharer) receive(datagram []byte) {
 	var n wire.EndpointNotice
-	if err := json.Unmarshal(datagram, &n); err != nil || n.Endpoint == "" {
+	if err := json.Unmarshal(datagram, &n); err != nil || n.Endpoint == "" && n.Entry == "" {
 		s.limitedLog.Info("Malformed datagram ignored.")
 		return
 	}
+	if n.Entry != "" {
+		s.heard(share.Member{ID: n.Entry, Weight: share.Bounded(n.Weight)})
+		return
+	}
 	if n.Leaving {
 		s.recordLeaving(fleet.Run{ID: n.Endpoint, Incarnation: n.Incarnation}, "entry")
 	}
--- a/node/shares_test.go
+++ b/node/shares_test.go
@@ -98,6 +98,15 @@
 	s.broadcast(store.Event{KeyValue: store.KeyValue{Key: e.key}, Deleted: true})
 }
 
+// tellServing delivers the datagram of an entry that can't reach the store to the others.
+func (s *sharingEntries) tellServing(e *sharingEntry) {
+	for _, other := range s.all {
+		if other.running && s.rand.IntN(20) > 0 { // some are lost
+			other.follower.heard(e.follower.self)
+		}
+	}
+}
+
 func (s *sharingEntries) broadcast(change store.Event) {
 	for _, e := range s.all {
 		if e.running {
@@ -265,7 +274,12 @@
 					s.lapse(e)
 					s.step(0)
 				}
-				s.steps(3*time.Second, 0)
+				for range 6 { // longer than records are missed
+					s.steps(2500*time.Millisecond, 0)
+					for _, e := range s.all[n/2:] {
+						s.tellServing(e)
+					}
+				}
 				for _, e := range s.all[n/2:] {
 					s.register(e)
 					s.step(0)
@@ -278,6 +292,50 @@
 	}
 }
 
+// Guards against an entry that goes on with its full part after it has stood still, while the others have divided it.
+func TestEntryThatStoodStillIsCautious(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSharingEntries(t, 4, 1)
+		s.steps(20*time.Second, 0)
+		f := s.all[0].follower
+		window := 10 * time.Second
+		is.Equal(f.fleet.RetryPart().Use(window, time.Now()), 0.7/4)
+		time.Sleep(8 * time.Second)
+		f.refresh(time.Now())
+		is.Equal(f.fleet.RetryPart().Use(window, time.Now()), 0.7/4) // the others count it still
+		time.Sleep(13 * time.Second)
+		f.refresh(time.Now())
+		is.Equal(f.fleet.RetryPart().Use(window, time.Now()), 0.0)
+		_, usable := f.fleet.Turns(time.Now())
+		is.True(usable < 0.03)
+		time.Sleep(2 * time.Second)
+		f.refresh(time.Now())
+		_, usable = f.fleet.Turns(time.Now())
+		is.True(usable > 0.2)
+	})
+}
+
+// Guards against a datagram of an entry that the others don't take for one.
+func TestEntriesThatTellThatTheyServeAreCounted(t *testing.T) {
+	is := is.New(t)
+	entry := func(id string) *Entry {
+		return NewEntry(settings.PlatformEntry{PlatformNode: settings.PlatformNode{ID: id, Zone: "z1", IP: "10.0.1.0", CoreShare: 0.8, Bounds: settings.Bounds{GracePeriodS: 8, RetryWindowS: 10}}}, logr.Discard())
+	}
+	a, b := entry("a"), entry("b")
+	a.notices.tellServing(a.peers.self)
+	datagram, err := json.Marshal(<-a.notices.pending)
+	is.NoErr(err)
+	b.notices.receive(datagram)
+	is.Equal(b.fleet.Entries(), 2)
+	a.notices.receive(datagram) // its own
+	is.Equal(a.fleet.Entries(), 1)
+	own, _ := b.fleet.Turns(time.Now())
+	is.True(own < 0.03) // it is cautious, too
+	b.notices.receive([]byte(`{"entry":"x","weight":1e300}`))
+	is.Equal(b.fleet.Entries(), 3)
+}
+
 // Guards against a loan that changes on its way between entries, and against odd values that are used.
 func TestLoansOfTurnsAreDecodedAsSent(t *testing.T) {
 	is := is.New(t)
--- a/share/capacity.go
+++ b/share/capacity.go
@@ -52,5 +52,13 @@
 	if !(capacity > 0) {
 		return 1
 	}
-	return min(max(weightStep, math.Round(capacity/unitCapacity/weightStep)*weightStep), maxWeight)
+	return Bounded(capacity / unitCapacity)
+}
+
+// Bounded returns the weight nearest to one that another entry tells.
+func Bounded(weight float64) float64 {
+	if !(weight > 0) {
+		return 1
+	}
+	return min(max(weightStep, math.Round(weight/weightStep)*weightStep), maxWeight)
 }
--- a/share/members.go
+++ b/share/members.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// Heard records that an entry serves although its record may be gone: it counts as if its
+// record had just been removed.
+func (m *Members) Heard(e Member, now time.Time) {
+	if _, ok := m.present[e.ID]; ok {
+		return
+	}
+	m.Join(e)
+	m.Leave(e.ID, now)
+}
+
 // Forget drops the entries that left longer than hold ago.
 func (m *Members) Forget(hold time.Duration, now time.Time) {
 	for id, l := range m.lapsed {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -118,6 +118,12 @@
 	m.Leave("b", now)
 	m.Forget(time.Second, now.Add(time.Second))
 	is.Equal(len(m.Within(time.Hour, now)), 1)
+	m.Heard(Member{"a", 5}, now) // its record counts
+	m.Heard(Member{"c", 2}, now)
+	is.Equal(m.Within(time.Second, now), []Member{{"a", 1}, {"c", 2}})
+	m.Heard(Member{"c", 2}, now.Add(time.Second))
+	is.Equal(len(m.Within(time.Second, now.Add(1500*time.Millisecond))), 2)
+	is.Equal(len(m.Within(time.Second, now.Add(2*time.Second))), 1)
 }
 
 // Guards against an entry that uses more than its part over several runs within a window.
--- a/wire/loadreport.go
+++ b/wire/loadreport.go
@@ -41,6 +41,11 @@
 	// Leaving and Incarnation are as in LoadReport.
 	Leaving     bool  `json:"leaving,omitempty"`
 	Incarnation int64 `json:"incarnation,omitempty"`
+	// Entry and Weight are set instead of Endpoint in the datagrams of an entry that can't
+	// reach the store, so that the others go on to count it: its store key, and its weight
+	// among those that share limits.
+	Entry  string  `json:"entry,omitempty"`
+	Weight float64 `json:"weight,omitempty"`
 }
 
 // LoadSubscription is a datagram with which an entry subscribes to the load
