--- a/fleet/turnloan_test.go
+++ b/fleet/turnloan_test.go
@@ -116,3 +116,20 @@
 		}
 	})
 }
+
+// Measures a choice among endpoints at which entries take turns.
+func BenchmarkAcquireWithTurns(b *testing.B) {
+	f := New("z1", nil)
+	f.SetEntries(69, 3)
+	f.SetLimits(service, Limits{ColdPerSecond: 14, ColdBurst: 26})
+	for e := range 63 {
+		r := record(fmt.Sprint("e", e), fmt.Sprintf("10.0.0.%d:1", e), 1)
+		r.Slots = 1000
+		f.Update(r)
+	}
+	for b.Loop() {
+		if p, _ := f.Acquire(b.Context(), &Request{Service: service}); p != nil {
+			p.EndSucceeded()
+		}
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -165,6 +165,7 @@
 	e.metrics.NewGauge("wasabinotch_requests_active", func() float64 { return float64(e.handler.Active()) })
 	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.peers.registered()) })
 	e.metrics.NewGauge("wasabinotch_entries_sharing", func() float64 { return float64(e.fleet.Entries()) })
+	e.metrics.NewGauge("wasabinotch_turn_part", func() float64 { _, usable := e.fleet.Turns(time.Now()); return usable })
 	e.metrics.NewGauge("wasabinotch_retry_part", func() float64 { return e.fleet.RetryPart().Fraction })
 	e.metrics.NewGauge("wasabinotch_endpoints", func() float64 { return float64(len(e.fleet.Records())) })
 	e.metrics.NewGauge("wasabinotch_endpoints_rate_limited", func() float64 { return float64(e.fleet.RateLimited()) })
