--- a/fleet/placing.go
+++ b/fleet/placing.go
@@ -204,7 +204,7 @@
 	switch {
 	case a.load >= ep.usableSlots(p.limits, now):
 		return noSlot
-	case !f.belowConnectionLimit(ep, p.limits):
+	case !f.belowConnectionLimit(ep, p.limits, now):
 		return noConnection
 	case !ep.testedSincePause():
 		return untestedSincePause
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/share"
 )
 
 const (
@@ -15,9 +17,10 @@
 	// turnLifetime is how long an entry may use a turn at an endpoint that names a limit.
 	turnLifetime = 1500 * time.Millisecond
 	// coldTurnUse and coldTurnLifetime keep the turns that open within a second, and those
-	// that are still open from before, below the number that a cold endpoint bears.
-	coldTurnUse      = 0.5
-	coldTurnLifetime = 900 * time.Millisecond
+	// that are still open from before, below the number that a cold endpoint bears: 0.95 of
+	// it, which leaves room for clocks that differ.
+	coldTurnUse      = 0.95 / (1 + float64(coldTurnLifetime)/float64(time.Second))
+	coldTurnLifetime = 500 * time.Millisecond
 	// minTurnsPerSecond is the rate of turns to an endpoint with a limit of 0, whose
 	// responses show when the limit ends.
 	minTurnsPerSecond = 0.25
@@ -104,10 +107,8 @@
 		from = last
 	}
 	turn := from.UnixNano()/interval + 1
-	entries := int64(f.entries)
-	// The endpoint's offset keeps an entry's turns at different endpoints apart.
-	own := (int64(f.entryIndex) + ep.turnOffset) % entries
-	turn += ((own-turn)%entries + entries) % entries
+	ring, cautious := f.shares(now)
+	turn = ring.Next(share.Sequence{Interval: t.interval, Offset: ep.turnOffset}, turn, cautious)
 	return time.Unix(0, turn*interval)
 }
 
@@ -129,6 +130,8 @@
 // it returns math.MaxInt.
 func (f *Fleet) turnsBy(r *Request, now, until time.Time) int {
 	n := 0
+	ring, cautious := f.shares(now)
+	fraction := ring.Fraction(cautious)
 	for _, ep := range f.byService[r.Service] {
 		if !f.inService(ep, r.Exclude, now) || ep.notice.paused(until) {
 			continue
@@ -138,7 +141,7 @@
 		}
 		t := ep.rateLimit.turns()
 		if ahead := until.Sub(f.nextTurn(ep, t, ep.lastTurn, now)); ahead >= 0 {
-			n += 1 + int(ahead/(t.interval*time.Duration(f.entries)))
+			n += 1 + int(float64(ahead)/float64(t.interval)*fraction)
 		}
 	}
 	return n
--- a/node/entry.go
+++ b/node/entry.go
@@ -25,6 +25,7 @@
 	"github.com/wasabinotch/wasabinotch/placement"
 	"github.com/wasabinotch/wasabinotch/platform"
 	"github.com/wasabinotch/wasabinotch/settings"
+	"github.com/wasabinotch/wasabinotch/share"
 	"github.com/wasabinotch/wasabinotch/store"
 	"github.com/wasabinotch/wasabinotch/upstream"
 	"github.com/wasabinotch/wasabinotch/wire"
@@ -42,8 +43,12 @@
 	// expiryInterval is the interval at which deferred removals are attempted.
 	expiryInterval = 100 * time.Millisecond
 	// roundsPerSweep is the number of expiry rounds between sweeps of idle
-	// connections.
+	// connections and of entries that left.
 	roundsPerSweep = 10
+	// roundsPerNotice is the number of expiry rounds between two datagrams to the other
+	// entries while the store fails. Two may be lost before the others stop to count this
+	// entry.
+	roundsPerNotice = 25
 	// initialConfigTimeout is how long a starting entry waits for a configuration
 	// before it serves without one.
 	initialConfigTimeout = 5 * time.Second
@@ -60,10 +65,16 @@
 	// has seen.
 	headerNewestChange    = "Newest-Change"
 	headerNewestChangeEra = "Newest-Change-Era"
+	// queryCount is the query parameter at pathOperator with which an entry that has started
+	// lately asks how many entries share limits, headerCount the header of the answer.
+	// maxEntries bounds what is believed.
+	queryCount  = "sharing"
+	headerCount = "Entries-Sharing"
+	maxEntries  = 1 << 14
 	// peerPollInterval is the interval at which an entry polls another entry for
 	// the operator's state, unstablePollInterval the interval while the store fails
-	// and for unstableWindow afterwards. With staleWatchTimeout, a silent watch
-	// delays a change by about a second.
+	// and for unstableWindow afterwards, or while the entry asks others for turns. With
+	// staleWatchTimeout, a silent watch delays a change by about a second.
 	peerPollInterval     = 500 * time.Millisecond
 	unstablePollInterval = 250 * time.Millisecond
 	unstableWindow       = 3 * time.Second
@@ -126,6 +137,9 @@
 	notices    *noticeSharer
 	// longPrompts are those of which the endpoints' agents are to be told.
 	longPrompts chan longPrompt
+	turns       *turnLender
+	// partialAnswers counts the responses of the directory that name some entries only.
+	partialAnswers *metrics.Counter
 	// ready is true while the entry accepts callers and is not draining.
 	ready atomic.Bool
 	// servers are the internal HTTP servers; they run until the end of a drain.
@@ -144,6 +158,8 @@
 	e.fleet.TellReadings(e.queueReading)
 	e.holds = newHoldSharer(e.store, e.client, e.otherEntries, e.log.WithName("quarantine"))
 	e.notices = newNoticeSharer(e.fleet, e.otherEntries, e.metrics, log.WithName("endpoints"))
+	e.turns = &turnLender{fleet: e.fleet, lent: e.metrics.NewCounter("wasabinotch_turns_lent_total"), borrowed: e.metrics.NewCounter("wasabinotch_turns_borrowed_total"),
+		log: logs.Limit(log.WithName("turns"), faultLinesPerSecond, faultLineBurst)}
 	e.handler = forward.New(forward.Config{
 		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, ParseWork: platform.ParseWork,
 		ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.notices.tellRateLimit,
@@ -155,9 +171,14 @@
 	})
 	e.operator = &operatorFollower{handler: e.handler, fleet: e.fleet, bounds: s.Bounds, outdated: outdatedKeys{window: reregisterGrace}, log: log.WithName("operator")}
 	e.endpoints = newEndpointFollower(e.fleet, s.Bounds.Heartbeat(), e.health, log.WithName("endpoints"))
-	e.peers = newEntryFollower(e.fleet, platform.PrefixEntries+s.ID, e.health, log.WithName("entries"))
+	e.peers = newEntryFollower(e.fleet, share.Member{ID: platform.PrefixEntries + s.ID, Weight: e.record().weight()}, s.Bounds, e.health, log.WithName("entries"))
+	e.notices.heard = e.peers.heard
+	e.partialAnswers = e.metrics.NewCounter("wasabinotch_directory_partial_total")
 	e.metrics.NewGauge("wasabinotch_requests_active", func() float64 { return float64(e.handler.Active()) })
-	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.fleet.Entries()) })
+	e.metrics.NewGauge("wasabinotch_entries", func() float64 { return float64(e.peers.registered()) })
+	e.metrics.NewGauge("wasabinotch_entries_sharing", func() float64 { return float64(e.fleet.Entries()) })
+	e.metrics.NewGauge("wasabinotch_turn_part", func() float64 { _, usable := e.fleet.Turns(time.Now()); return usable })
+	e.metrics.NewGauge("wasabinotch_retry_part", func() float64 { return e.fleet.RetryPart().Fraction })
 	e.metrics.NewGauge("wasabinotch_endpoints", func() float64 { return float64(len(e.fleet.Records())) })
 	e.metrics.NewGauge("wasabinotch_endpoints_rate_limited", func() float64 { return float64(e.fleet.RateLimited()) })
 	e.metrics.NewGauge("wasabinotch_endpoints_leaving", func() float64 { n, _ := e.fleet.NoticeCounts(); return float64(n) })
@@ -221,12 +242,17 @@
 }
 
 func (e *Entry) registration() *registration {
-	value, _ := json.Marshal(entryRecord{Callers: e.cfg.CallersAddr, Peer: e.peerAddr(), Zone: e.cfg.Zone}) // strings always encode
+	value, _ := json.Marshal(e.record()) // strings and finite numbers always encode
 	// Renewals in shorter intervals than maxSilence show that the store answers.
 	interval := min(renewInterval, e.health.maxSilence*3/4)
 	return &registration{leaser: e.store, interval: interval, health: e.health, connectionLost: e.feed.connectionLost, key: platform.PrefixEntries + e.cfg.ID, value: value, log: e.log.WithName("register")}
 }
 
+// record returns the record of this entry.
+func (e *Entry) record() entryRecord {
+	return entryRecord{Callers: e.cfg.CallersAddr, Peer: e.peerAddr(), Zone: e.cfg.Zone, Capacity: e.cfg.Resources().Capacity()}
+}
+
 func (e *Entry) peerAddr() string { return net.JoinHostPort(e.cfg.IP, strconv.Itoa(e.cfg.PeerPort)) }
 
 // otherEntries returns the addresses at which the other entries serve each other.
@@ -339,21 +365,27 @@
 	}
 }
 
+// serveDirectory names entries to a caller (share.Named).
 func (e *Entry) serveDirectory(w http.ResponseWriter, r *http.Request) {
-	addresses := make([]string, 0, platform.MaxDirectoryAddresses)
+	all := e.peers.all()
 	self := platform.PrefixEntries + e.cfg.ID
+	delete(all, self)
 	if e.ready.Load() {
-		addresses = append(addresses, e.cfg.CallersAddr)
+		all[self] = e.record()
 	}
-	for key, record := range e.peers.all() {
-		if key != self {
-			addresses = append(addresses, record.Callers)
-		}
+	members := make([]share.Member, 0, len(all))
+	for key, record := range all {
+		members = append(members, share.Member{ID: key, Weight: record.namedWeight()})
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	if len(addresses) > platform.MaxDirectoryAddresses {
-		addresses = addresses[:platform.MaxDirectoryAddresses]
+	named := share.Named(members, callerHost(r)+"\n"+r.URL.RawQuery, platform.MaxDirectoryAddresses, time.Now())
+	if len(named) < len(all) {
+		e.partialAnswers.Inc()
 	}
+	addresses := make([]string, len(named))
+	for i, m := range named {
+		addresses[i] = all[m.ID].Callers
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	w.Header().Set("Content-Type", "application/json")
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -362,6 +394,14 @@
 	_, _ = w.Write(platform.EncodeDirectory(addresses, min(directoryTTLSeconds, e.cfg.Bounds.DirectoryTTLS))) // if this fails, the caller tries another entry
 }
 
+// callerHost returns the address of the caller without its port.
+func callerHost(r *http.Request) string {
+	if ap, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		return ap.Addr().String()
+	}
+	return r.RemoteAddr
+}
+
 // serveOperator serves the operator's state to other entries if it is newer than the
 // position in the query parameters "era" and "after", or has a newer configuration than
 // "version", and in any case the position of the newest change seen.
@@ -372,6 +412,10 @@
 	state, version := e.operator.storedState(), e.operator.configVersion()
 	query := r.URL.Query()
 	e.notices.answerLeaving(w, query.Get("leaving"))
+	e.turns.answer(w, query.Get(queryTurns))
+	if n := e.peers.count(time.Now()); n > 0 && query.Has(queryCount) {
+		w.Header().Set(headerCount, strconv.Itoa(n))
+	}
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after is not a revision; send a whole number", http.StatusBadRequest)
@@ -402,7 +446,7 @@
 func (e *Entry) pollPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := peerPollInterval
-		if e.health.failedWithin(unstableWindow) {
+		if e.health.failedWithin(unstableWindow) || e.fleet.WantsTurns(time.Now()) {
 			interval = unstablePollInterval
 		}
 		pause.For(ctx, interval)
@@ -429,6 +473,12 @@
 	defer cancel()
 	known := position(e.operator.snapshot())
 	target := fmt.Sprintf("%s?after=%d&era=%d&version=%d&leaving=%s", pathOperator, known.Revision, known.Era, e.operator.configVersion(), e.notices.leavingChecksum())
+	if e.fleet.WantsTurns(time.Now()) {
+		target += "&" + queryTurns + "=1"
+	}
+	if e.peers.wantsCount(time.Now()) {
+		target += "&" + queryCount + "=1"
+	}
 	// A kept connection could be silent like that of the watch.
 	header := http.Header{"Connection": {"close"}}
 	resp, err := e.client.Do(ctx, addr, &upstream.Request{Method: http.MethodGet, Target: target, Host: addr, Header: header})
@@ -451,6 +501,10 @@
 		return fmt.Errorf("peer responded with status %d; it may run another version", resp.Status)
 	}
 	e.notices.mergeLeaving(resp.Header.Get(headerLeaving))
+	e.turns.borrow(addr, resp.Header.Get(headerTurns))
+	if n, err := strconv.Atoi(resp.Header.Get(headerCount)); err == nil && n > 0 && n <= maxEntries {
+		e.peers.tellCount(n)
+	}
 	// Entries of earlier versions don't send the headers.
 	revision, err := strconv.ParseUint(resp.Header.Get(headerNewestChange), 10, 64)
 	era, eraErr := strconv.ParseUint(resp.Header.Get(headerNewestChangeEra), 10, 64)
@@ -476,6 +530,12 @@
 		e.applyHeldBack()
 		if round%roundsPerSweep == 0 {
 			e.client.CloseExpired()
+			now := time.Now()
+			e.peers.refresh(now)
+			e.fleet.MeasureTurns(now)
+		}
+		if round%roundsPerNotice == 0 && e.health.failedWithin(0) {
+			e.notices.tellServing(e.peers.self)
 		}
 	}
 }
