admission, fleet, forward: rank, fair shares and a forecast decide who gets a place

Cause: the queue was first in first out inside a priority and bounded by the target latency, so that bulk waited longer than urgent requests and took all slots before them. Endpoints' queues didn't know the priority, refusals came after a wait, and entries that saw the same free place all took it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/admission"
 )
 
 // Record is what an endpoint publishes about itself in the store.
@@ -94,6 +96,9 @@
 	report           Load
 	reportAt         time.Time
 	inFlightAtReport int
+	// claims is the number of places that waiting requests may still take of those that the
+	// last report shows as free.
+	claims int
 	// agentReportAt is when the endpoint's agent last reported, zero if it never did.
 	agentReportAt       time.Time
 	consecutiveFailures int
@@ -133,6 +138,9 @@
 	// TargetGap is the longest interval between two streamed events that meets the
 	// service's target, 0 for no target.
 	TargetGap time.Duration
+	// QueuesByPriority is set if the endpoints queue requests beyond their slots and start
+	// the most urgent one first, by the priority that is sent with each request.
+	QueuesByPriority bool
 }
 
 // Fleet holds the state of the endpoints. It is safe for concurrent use.
@@ -339,6 +347,7 @@
 		ep.stalled = make(chan struct{})
 	}
 	ep.report, ep.reportAt, ep.inFlightAtReport = l, now, ep.inFlight
+	f.renewClaims(ep, now)
 	if l.ColdFor > 0 {
 		ep.coldUntil = now.Add(l.ColdFor)
 	}
@@ -379,12 +388,25 @@
 	// Paused means that all endpoints that could take the request have asked for a pause
 	// that outlasts its MaxWait.
 	Paused
+	// NotInTime means that the usable endpoints are busy and none is expected to come free
+	// for the request within its MaxWait.
+	NotInTime
+	// Displaced means that the request was refused for more urgent ones since the queue was
+	// full.
+	Displaced
 )
 
+// String implements fmt.Stringer.
+func (a Availability) String() string {
+	return [...]string{"available", "all_busy", "unavailable", "rate_limited", "paused", "not_in_time", "displaced"}[a]
+}
+
 // choose returns the endpoint with the lowest cost among a random sample of a service's
-// endpoints, and counts the request there.
-func (f *Fleet) choose(service string, exclude []*Endpoint) (*Pick, Availability) {
+// endpoints, and counts the request there. room is how much of an endpoint the request may
+// use, queued whether it has waited in the queue.
+func (f *Fleet) choose(r *Request, room admission.Room, queued bool) (*Pick, Availability) {
 	now := time.Now()
+	service, exclude := r.Service, r.Exclude
 	limits := f.limits[service]
 	var best, fallback *Endpoint
 	var bestCost, fallbackCost float64
@@ -400,7 +422,7 @@
 			continue
 		}
 		load := ep.load(now)
-		if load >= ep.usableSlots(limits, now) || !f.belowConnectionLimit(ep, limits) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
+		if load >= room.Of(ep.usableSlots(limits, now)) || !f.belowConnectionLimit(ep, limits) || queued && !ep.mayClaim(now) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
 			availability = AllBusy
 			continue
 		}
@@ -482,6 +504,7 @@
 // recordSend counts a request that is sent to an endpoint.
 func (f *Fleet) recordSend(ep *Endpoint, l Limits, now time.Time) {
 	ep.inFlight++
+	ep.claims = max(0, ep.claims-1)
 	if ep.rateLimit.Named {
 		ep.lastTurn = f.nextTurn(ep, ep.rateLimit.turns(), ep.lastTurn, now)
 	}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -15,6 +15,9 @@
 	ReportAge time.Duration
 	// RateLimit is the limit that the endpoint had named when it was chosen.
 	RateLimit RateLimit
+	// Expedited is set if the request was chosen before more urgent ones and the endpoint
+	// must treat it as one of the most urgent.
+	Expedited bool
 	// Stalled is closed when the endpoint's group stalls, or waits for a slow endpoint in
 	// each step; a request that may be retried
 	// should then be sent to another endpoint.
@@ -43,6 +46,7 @@
 	}
 	p.finished = true
 	p.Endpoint.inFlight--
+	p.Endpoint.claims++
 	if f != nil {
 		f(p.Endpoint, time.Now())
 	}
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/admission"
 )
 
 // Request describes a request that needs an endpoint.
@@ -20,6 +22,10 @@
 	Organisation string
 	// Work is what the request is expected to cost the endpoint.
 	Work Work
+	// Kind names the kind of request, such as its route, and Cost is what it takes of an
+	// endpoint, in a unit that is the same for all requests of the service; 0 if unknown.
+	Kind string
+	Cost float64
 	// Aim is when a response is late, Deadline when the caller gives up. The zero time
 	// means unknown.
 	Aim, Deadline time.Time
@@ -27,54 +33,98 @@
 
 // waiter is a waiting request.
 type waiter struct {
-	request *Request
-	// assigned gets the chosen endpoint.
+	request   *Request
+	admission *admission.Request
+	// assigned gets the chosen endpoint, or nil if the request is refused in favour of
+	// another one.
 	assigned chan *Pick
 }
 
-// queue holds the waiting requests of one service, most urgent first.
+// queue holds the waiting requests of one service in the order of their arrival.
 type queue struct {
 	waiters []*waiter
+	control *admission.Controller
+	claims  admission.Claims
+	// triedAt is when assignWaiting last tried to assign endpoints.
+	triedAt time.Time
 }
 
-// maxQueueLength bounds the waiting requests of one service at one entry; more than
-// that can't be served within any useful wait.
+// maxQueueLength bounds the waiting requests of one service at one entry, and so the
+// memory of those that wait. Of more, the least urgent one is refused.
 const maxQueueLength = 64
 
+func (f *Fleet) queueOf(service string) *queue {
+	q := f.queues[service]
+	if q == nil {
+		q = &queue{control: admission.NewController()}
+		f.queues[service] = q
+	}
+	q.control.EngineQueuesByPriority = f.limits[service].QueuesByPriority
+	return q
+}
+
+// waiting returns the waiting requests in the order of their arrival.
+func (q *queue) waiting() []*admission.Request {
+	all := make([]*admission.Request, len(q.waiters))
+	for i, w := range q.waiters {
+		all[i] = w.admission
+	}
+	return all
+}
+
+// others returns the waiting requests except the last one that arrived.
+func (q *queue) others() []*admission.Request { return q.waiting()[:len(q.waiters)-1] }
+
+func (q *queue) remove(w *waiter, now time.Time) bool {
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return false
+	}
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	q.control.UpdateWaiting(len(q.waiters), now)
+	return true
+}
+
+// isRepeat reports whether the request was sent to another endpoint before.
+func (r *Request) isRepeat() bool { return len(r.Exclude) > 0 }
+
+func (r *Request) admission() *admission.Request {
+	return &admission.Request{Priority: r.Priority, Organisation: r.Organisation, Kind: r.Kind, Cost: r.Cost, Aim: r.Aim}
+}
+
 // Acquire chooses an endpoint for a request. If all are busy, it waits for one for at
-// most MaxWait, or until ctx ends; it returns AllBusy if there was none. If no endpoint
-// can take the request until then, because the rate limits that the endpoints name leave
-// no room, all asked for a longer pause or none is in service, it returns RateLimited,
-// Paused or Unavailable at once.
+// most MaxWait, or until ctx ends; it returns AllBusy if there was none, NotInTime at once
+// if none is expected in that time, and Displaced if the queue is full. If no endpoint can take the request until then, because
+// the rate limits that the endpoints name leave no room, all asked for a longer pause or
+// none is in service, it returns RateLimited, Paused or Unavailable at once.
 func (f *Fleet) Acquire(ctx context.Context, request *Request) (*Pick, Availability) {
 	f.mu.Lock()
-	q := f.queues[request.Service]
-	if q == nil {
-		q = &queue{}
-		f.queues[request.Service] = q
+	now := time.Now()
+	q := f.queueOf(request.Service)
+	w := &waiter{request: request, admission: request.admission(), assigned: make(chan *Pick, 1)}
+	if !request.isRepeat() {
+		q.control.Arrive(w.admission, now)
 	}
-	if !q.blocks(request) {
-		if p, availability := f.choose(request.Service, request.Exclude); p != nil {
+	if len(q.waiters) == 0 {
+		if p, availability := f.choose(request, q.control.Room(w.admission, now), false); p != nil {
+			q.control.Grant(w.admission, now)
 			f.mu.Unlock()
 			return p, availability
 		}
 	}
-	now := time.Now()
-	if availability := f.outlook(request, now); availability != AllBusy {
-		f.mu.Unlock()
-		return nil, availability
-	}
-	at := sort.Search(len(q.waiters), func(i int) bool { return q.waiters[i].request.Priority > request.Priority })
-	availability := AllBusy
-	if f.turnsBy(request, now, now.Add(max(0, request.MaxWait))) <= at {
-		availability = RateLimited
+	q.waiters = append(q.waiters, w)
+	if len(q.waiters) > 1 {
+		f.assignWaiting(request.Service)
 	}
-	if availability == RateLimited || request.MaxWait <= 0 || len(q.waiters) >= maxQueueLength {
-		f.mu.Unlock()
-		return nil, availability
+	if len(w.assigned) == 0 {
+		if availability := f.mayWait(q, w, now); availability != Available {
+			q.remove(w, now)
+			q.control.Refused(now)
+			f.mu.Unlock()
+			return nil, availability
+		}
 	}
-	w := &waiter{request: request, assigned: make(chan *Pick, 1)}
-	q.waiters = slices.Insert(q.waiters, at, w)
+	q.control.UpdateWaiting(len(q.waiters), now)
 	f.mu.Unlock()
 
 	timer := time.NewTimer(request.MaxWait)
@@ -84,17 +134,78 @@
 	for {
 		select {
 		case p := <-w.assigned:
+			if p == nil {
+				return nil, Displaced
+			}
 			return p, Available
 		case <-tick.C:
 			f.mu.Lock()
-			f.assignWaiting(request.Service)
+			if time.Since(q.triedAt) >= queueRetryInterval/2 {
+				f.assignWaiting(request.Service)
+			}
 			f.mu.Unlock()
 		case <-timer.C:
-			return f.cancelWait(q, w)
+			return f.cancelWait(q, w, true)
 		case <-ctx.Done():
-			return f.cancelWait(q, w)
+			return f.cancelWait(q, w, false)
+		}
+	}
+}
+
+// mayWait decides whether a request that has just joined the queue waits for an endpoint:
+// it returns Available if it does, else why it is refused. If the queue is too long, the
+// request that would go last is refused.
+func (f *Fleet) mayWait(q *queue, w *waiter, now time.Time) Availability {
+	r := w.request
+	if availability := f.outlook(r, now); availability != AllBusy {
+		return availability
+	}
+	order := q.control.Order(q.waiting(), now)
+	before := slices.IndexFunc(order, func(c admission.Candidate) bool { return c.Index == len(q.waiters)-1 })
+	switch {
+	case f.turnsBy(r, now, now.Add(max(0, r.MaxWait))) <= before:
+		return RateLimited
+	case r.MaxWait <= 0:
+		return AllBusy
+	case q.control.Hopeless(w.admission, q.others(), r.MaxWait, f.busyShare(r, now), now):
+		return NotInTime
+	case len(q.waiters) > maxQueueLength:
+		last := q.waiters[order[len(order)-1].Index]
+		if last == w {
+			return Displaced
 		}
+		q.remove(last, now)
+		q.control.Refused(now)
+		last.assigned <- nil
 	}
+	return Available
+}
+
+// busyShare returns the part of the usable slots of a service that is occupied.
+func (f *Fleet) busyShare(r *Request, now time.Time) float64 {
+	limits := f.limits[r.Service]
+	busy, slots := 0, 0
+	for _, ep := range f.byService[r.Service] {
+		if !f.usable(ep, r.Exclude, now) {
+			continue
+		}
+		n := ep.usableSlots(limits, now)
+		busy += min(n, ep.load(now))
+		slots += n
+	}
+	if slots == 0 {
+		return 0
+	}
+	return float64(busy) / float64(slots)
+}
+
+// RetryAfter returns the time after which a caller whose request was refused for the given
+// reason should return, at most limit.
+func (f *Fleet) RetryAfter(r *Request, why Availability, limit time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	q := f.queueOf(r.Service)
+	return q.control.ReturnAfter(r.admission(), q.waiting(), why == Unavailable, limit, rand.Float64(), time.Now())
 }
 
 // outlook says whether a request for which no endpoint is free may wait for one: AllBusy
@@ -118,46 +229,77 @@
 // endpoints may become usable merely through the passage of time.
 const queueRetryInterval = 40 * time.Millisecond
 
-// blocks reports whether a waiting request has precedence over a new one.
-func (q *queue) blocks(request *Request) bool {
-	return len(q.waiters) > 0 && q.waiters[0].request.Priority <= request.Priority
-}
-
 // cancelWait removes a waiter from the queue. If it was assigned an endpoint in the
-// meantime, that one is returned.
-func (f *Fleet) cancelWait(q *queue, w *waiter) (*Pick, Availability) {
+// meantime, that one is returned. refused is set if the wait was too long.
+func (f *Fleet) cancelWait(q *queue, w *waiter, refused bool) (*Pick, Availability) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if i := slices.Index(q.waiters, w); i >= 0 {
-		q.waiters = slices.Delete(q.waiters, i, i+1)
+	now := time.Now()
+	if q.remove(w, now) {
+		if refused {
+			q.control.Refused(now)
+		}
 		return nil, AllBusy
 	}
-	return <-w.assigned, Available
+	if p := <-w.assigned; p != nil {
+		return p, Available
+	}
+	return nil, Displaced
 }
 
 // assignWaiting assigns free endpoints to waiting requests. f.mu must be held.
 func (f *Fleet) assignWaiting(service string) {
 	q := f.queues[service]
-	if q == nil {
+	if q == nil || len(q.waiters) == 0 {
 		return
 	}
-	stillWaiting := q.waiters[:0]
-	for i, w := range q.waiters {
-		p, availability := f.choose(service, w.request.Exclude)
-		if p != nil {
-			w.assigned <- p
+	now := time.Now()
+	q.triedAt = now
+	for len(q.waiters) > 0 && f.assignNext(q, now) {
+	}
+	q.control.UpdateWaiting(len(q.waiters), now)
+}
+
+// assignNext assigns an endpoint to the first waiting request that can have one, and
+// reports whether there was any.
+func (f *Fleet) assignNext(q *queue, now time.Time) bool {
+	// Endpoints are too busy for requests with at most this room.
+	tooBusyFor := admission.Room(-1)
+	waiting := q.waiting()
+	for _, c := range q.control.Order(waiting, now) {
+		if c.Room <= tooBusyFor {
 			continue
 		}
-		stillWaiting = append(stillWaiting, w)
-		if availability == AllBusy && len(w.request.Exclude) == 0 {
-			stillWaiting = append(stillWaiting, q.waiters[i+1:]...)
-			break
+		w := q.waiters[c.Index]
+		if p, _ := f.choose(w.request, c.Room, true); p != nil {
+			p.Expedited = c.Expedited
+			w.assigned <- p
+			q.control.GrantWaiting(w.admission, waiting, now)
+			q.remove(w, now)
+			return true
+		}
+		if !w.request.isRepeat() {
+			tooBusyFor = c.Room
 		}
 	}
-	clear(q.waiters[len(stillWaiting):])
-	q.waiters = stillWaiting
+	return false
 }
 
+// renewClaims determines how many places at an endpoint that has just reported its load may
+// be taken by waiting requests.
+func (f *Fleet) renewClaims(ep *Endpoint, now time.Time) {
+	q := f.queueOf(ep.Service)
+	load, slots := ep.load(now), ep.usableSlots(f.limits[ep.Service], now)
+	if len(q.waiters) > 0 {
+		q.claims.Observe(load, slots, f.entries)
+	}
+	ep.claims = q.claims.Of(admission.MaxRoom.Of(slots)-load, rand.Float64)
+}
+
+// mayClaim reports whether a waiting request may take a place at the endpoint, as far as
+// other entries may see the same free places.
+func (ep *Endpoint) mayClaim(now time.Time) bool { return ep.claims > 0 || !ep.hasFreshReport(now) }
+
 // Waiting returns the number of waiting requests of a service.
 func (f *Fleet) Waiting(service string) int {
 	f.mu.Lock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,6 +88,9 @@
 	SharedParts func(string) []string
 	// ParseWork decodes the values of the headers TokenUsage, LengthHint and PromptParts.
 	ParseWork func(tokenUsage, lengthHint, promptParts string) fleet.Work
+	// FormatPriority encodes a request's place among the given number of priorities of its
+	// service, from 0 for the most urgent one, as the value of the Priority header.
+	FormatPriority func(place, priorities int, late bool) string
 	// Quarantine holds the prompt parts that crash endpoints.
 	Quarantine *quarantine.Tracker
 	Fleet      *fleet.Fleet
--- a/forward/send.go
+++ b/forward/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -39,13 +40,15 @@
 	// endpoint can have used the other half (see maxResponseWait), and the next
 	// event must still arrive before the caller gives up.
 	maxFailoverWait = 800 * time.Millisecond
-	// retryAfterPerWaiting is the time in which one queued request is served.
-	retryAfterPerWaiting = 50 * time.Millisecond
-	// baseRetryAfter is the Retry-After time if no request is queued, and
-	// maxRetryAfter the longest one. Close to the deadline, retryAfterDelay
-	// returns less.
+	// baseRetryAfter is the least range over which callers return after a pause.
 	baseRetryAfter = 300 * time.Millisecond
-	maxRetryAfter  = 2500 * time.Millisecond
+	// maxRetryAfter is the longest Retry-After time, and maxRetryAfterShare the longest one
+	// as a fraction of the time left, beyond which callers don't wait.
+	maxRetryAfter      = 2500 * time.Millisecond
+	maxRetryAfterShare = 0.3
+	// maxStreamStartWait bounds the time from the arrival of a request for a stream to its
+	// place at an endpoint; the first event must still arrive within streamSilence.
+	maxStreamStartWait = streamSilence / 2
 )
 
 // verdict classifies the result of one attempt at an endpoint.
@@ -137,32 +140,54 @@
 // acquire waits for an endpoint with capacity.
 func (x *exchange) acquire(ctx context.Context) (*fleet.Pick, fleet.Availability) {
 	began := time.Now()
+	pick, availability := x.handler.cfg.Fleet.Acquire(ctx, x.fleetRequest())
+	x.waited += time.Since(began)
+	x.handler.cfg.Stats.countAdmission(availability)
+	if pick != nil {
+		x.lastEndpoint, x.lastLoad, x.lastLoadAge, x.lastRateLimit = pick.Endpoint.ID, pick.Load, pick.ReportAge, pick.RateLimit
+	}
+	return pick, availability
+}
+
+// fleetRequest describes the request to the fleet.
+func (x *exchange) fleetRequest() *fleet.Request {
 	request := &fleet.Request{
 		Service: x.service, Priority: x.priority, Exclude: x.tried, MaxWait: x.maxAcquireWait(),
-		Work: x.work, Aim: x.arrived.Add(x.route.TargetLatency), Deadline: x.deadline,
+		Kind: x.route.Name, Cost: x.cost(), Work: x.work, Aim: x.aim(), Deadline: x.deadline,
 	}
 	if x.organisation != nil {
 		request.Organisation = x.organisation.Name
 	}
-	pick, availability := x.handler.cfg.Fleet.Acquire(ctx, request)
-	x.waited += time.Since(began)
-	if pick != nil {
-		x.lastEndpoint, x.lastLoad, x.lastLoadAge, x.lastRateLimit = pick.Endpoint.ID, pick.Load, pick.ReportAge, pick.RateLimit
+	return request
+}
+
+// aim returns the time from which the response is late.
+func (x *exchange) aim() time.Time { return x.arrived.Add(x.route.TargetLatency) }
+
+// cost returns the seconds for which the request is expected to occupy a slot of the
+// service's engines, 0 if unknown.
+func (x *exchange) cost() float64 {
+	service := x.config.Service(x.service)
+	if service == nil || service.Engine == nil {
+		return 0
 	}
-	return pick, availability
+	return service.Engine.SlotSeconds(x.work.PromptTokens, x.work.ResponseTokens)
 }
 
-// maxAcquireWait returns how long the request may wait for an endpoint: until the
-// target latency has passed since its arrival, but at most a quarter of the
-// time left, since a longer wait isn't worth it to the caller. A request that
-// may have run already, such as one on a group that stalled, can't be refused as
-// not run; for it a late response is better than none, so it waits up to
-// maxFailoverWait, whether or not the target latency has passed.
+// maxAcquireWait returns how long the request may wait for an endpoint. That is at most a
+// quarter of the time left, since a longer wait isn't worth it to the caller; a late
+// response is better than none, but for a stream it must begin within the time that
+// callers wait for its first event. A request that may have run already, such as one on a
+// group that stalled, can't be refused as not run; it waits up to maxFailoverWait.
 func (x *exchange) maxAcquireWait() time.Duration {
-	if x.mayHaveRun {
-		return min(maxFailoverWait, x.remaining()/4)
+	quarter := x.remaining() / 4
+	switch {
+	case x.mayHaveRun:
+		return min(maxFailoverWait, quarter)
+	case x.route.Kind == routing.Streaming:
+		return min(quarter, max(x.route.TargetLatency, maxStreamStartWait)-time.Since(x.arrived))
 	}
-	return min(x.route.TargetLatency-time.Since(x.arrived), x.remaining()/4)
+	return quarter
 }
 
 // refuseUnplaced returns the refusal of a request for which no endpoint could be
@@ -177,14 +202,17 @@
 	if x.callerDisconnected() {
 		return api.NotRun(api.KindCancelled, "the caller left", "none")
 	}
-	if availability == fleet.Unavailable {
-		x.setRetryAfter(x.retryAfterDelay())
+	x.setRetryAfter(x.retryAfterDelay(availability))
+	switch availability {
+	case fleet.Unavailable:
 		return api.NotRun(api.KindNoEndpoint, "no endpoint of the service can take the request", "try again after the given time")
-	}
-	x.setRetryAfter(x.retryAfterDelay())
-	if availability == fleet.RateLimited {
+	case fleet.RateLimited:
 		x.cause = errors.Join(x.cause, errRateLimited)
 		return api.NotRun(api.KindOverloaded, "all endpoints of the service are at their rate limits", "try again after the given time")
+	case fleet.NotInTime:
+		x.cause = errors.Join(x.cause, errNotInTime)
+	case fleet.Displaced:
+		x.cause = errors.Join(x.cause, errDisplaced)
 	}
 	return api.NotRun(api.KindOverloaded, "all endpoints of the service are busy", "try again after the given time")
 }
@@ -212,13 +240,18 @@
 // room for the request. Package explain recognises it by the words "rate limits".
 var errRateLimited = errors.New("all endpoints are at the rate limits that they named")
 
-// retryAfterDelay returns the Retry-After time of a refusal. It grows with the
-// number of requests that wait for an endpoint of the service, but is at most a
-// quarter of the time left to the deadline, so it can be below baseRetryAfter.
-func (x *exchange) retryAfterDelay() time.Duration {
-	waiting := x.handler.cfg.Fleet.Waiting(x.service)
-	d := baseRetryAfter + time.Duration(waiting)*retryAfterPerWaiting
-	return min(d, maxRetryAfter, x.remaining()/4)
+// errNotInTime and errDisplaced are the logged causes of refusals by the forecast and by a
+// full queue.
+var (
+	errNotInTime = errors.New("no endpoint is expected to come free in time")
+	errDisplaced = errors.New("the queue is full of requests that go first")
+)
+
+// retryAfterDelay returns the Retry-After time of a refusal: when the request can be
+// expected to be served, at most as long as the caller waits.
+func (x *exchange) retryAfterDelay(why fleet.Availability) time.Duration {
+	limit := time.Duration(maxRetryAfterShare * float64(x.remaining()))
+	return x.handler.cfg.Fleet.RetryAfter(x.fleetRequest(), why, min(maxRetryAfter, limit))
 }
 
 // giveUp returns the refusal of a request for which no endpoint gave a usable
@@ -231,7 +264,7 @@
 	case !x.mayHaveRun && x.remaining() < minRemaining:
 		return api.NotRun(api.KindOverloaded, "no endpoint could take the request in time", "send it again with a later deadline")
 	case !x.mayHaveRun:
-		x.setRetryAfter(x.retryAfterDelay())
+		x.setRetryAfter(x.retryAfterDelay(fleet.AllBusy))
 		return api.NotRun(api.KindOverloaded, "no endpoint took the request", "try again after the given time")
 	case x.remaining() < minRemaining:
 		return api.Unknown(api.KindTimeout, "no answer came in time", "check whether the request ran before sending it again")
@@ -251,7 +284,7 @@
 	}
 	defer guard.End()
 	go x.watch(ctx, pick, budget, x.mayFailOver(), time.Now().Add(x.maxResponseWait()), cancel)
-	resp, err := x.handler.cfg.Client.Do(ctx, pick.Endpoint.Address, x.endpointRequest(pick.Endpoint.ID))
+	resp, err := x.handler.cfg.Client.Do(ctx, pick.Endpoint.Address, x.endpointRequest(pick))
 	if err != nil {
 		x.cause = err
 		switch {
@@ -509,7 +542,7 @@
 }
 
 // endpointRequest builds the request to an endpoint.
-func (x *exchange) endpointRequest(endpoint string) *upstream.Request {
+func (x *exchange) endpointRequest(pick *fleet.Pick) *upstream.Request {
 	names := &x.handler.cfg.Headers
 	connectionListed := connectionTokens(x.r.Header)
 	header := make(http.Header, len(x.r.Header)+3)
@@ -521,11 +554,19 @@
 	}
 	header.Del("Authorization")
 	header.Del(names.Priority)
+	if priorities := x.config.Priorities(x.service); len(priorities) > 1 {
+		place, late := 0, false
+		if !pick.Expedited {
+			place, _ = slices.BinarySearch(priorities, x.priority)
+			late = !time.Now().Before(x.aim())
+		}
+		header.Set(names.Priority, x.handler.cfg.FormatPriority(place, len(priorities), late))
+	}
 	header.Del(names.Organisation)
 	if x.organisation != nil {
 		header.Set(names.Organisation, x.organisation.Name)
 	}
-	header.Set(names.Target, endpoint)
+	header.Set(names.Target, pick.Endpoint.ID)
 	header.Set(names.Deadline, strconv.FormatInt(max(1, x.remaining().Milliseconds()), 10))
 	if x.response.lastEventID != "" {
 		header.Set(names.LastEventID, x.response.lastEventID)
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/wasabinotch/wasabinotch/fleet"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms in seconds:
@@ -37,6 +39,11 @@
 	s.set.GetOrCreateCounter(`wasabinotch_attempts_total{verdict="` + v.String() + `"}`).Inc()
 }
 
+// countAdmission counts what came of the search for an endpoint.
+func (s *Stats) countAdmission(a fleet.Availability) {
+	s.set.GetOrCreateCounter(`wasabinotch_admission_total{outcome="` + a.String() + `"}`).Inc()
+}
+
 // finish counts a request and logs its outcome and how it was handled.
 func (x *exchange) finish() {
 	outcome := x.response.outcome
--- a/forward/testentry_test.go
+++ b/forward/testentry_test.go
@@ -82,8 +82,9 @@
 		Headers: testHeaders, ParseLoad: func(string) (fleet.Load, bool) { return fleet.Load{}, false },
 		ParseRateLimit: parseTestRateLimit, TellRateLimit: func(string, fleet.RateLimit) {},
 		ParseLeaving: func(v string) bool { return v == "1" }, TellLeaving: func(fleet.Run) {}, ParsePause: parseTestPause,
-		SharedParts: func(v string) []string { return strings.Split(v, ",") },
-		ParseWork:   func(string, string, string) fleet.Work { return fleet.Work{} }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
+		SharedParts:    func(v string) []string { return strings.Split(v, ",") },
+		FormatPriority: formatTestPriority,
+		ParseWork:      func(string, string, string) fleet.Work { return fleet.Work{} }, Quarantine: quarantine.New(func(wire.QuarantineReport) {}),
 		Fleet: f, Client: upstream.NewClient(time.Second), Log: logs.New(log), Stats: NewStats(metrics.NewSet()),
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 	})}
@@ -214,3 +215,10 @@
 	d, err := time.ParseDuration(v + "s")
 	return d, v == "" || err == nil
 }
+
+func formatTestPriority(place, priorities int, late bool) string {
+	if late {
+		return strconv.Itoa(place) + " late"
+	}
+	return strconv.Itoa(place)
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -133,7 +133,7 @@
 	e.holds = newHoldSharer(e.store, e.client, e.otherEntries, e.log.WithName("quarantine"))
 	e.notices = newNoticeSharer(e.fleet, e.otherEntries, e.metrics, log.WithName("endpoints"))
 	e.handler = forward.New(forward.Config{
-		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, ParseWork: platform.ParseWork,
+		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, ParseWork: platform.ParseWork, FormatPriority: platform.FormatPriority,
 		ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.notices.tellRateLimit,
 		ParseLeaving: platform.ParseLeaving, TellLeaving: e.notices.tellLeaving, ParsePause: platform.ParsePause,
 		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client,
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/maphash"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -86,6 +87,36 @@
 	ExpertBytes, LinkBytesPerSecond float64
 }
 
+// claimRange is how many times the usual cost a request may be counted as, or be counted
+// below it: what callers state of their requests are only claims.
+const claimRange = 8
+
+// SlotSeconds returns the seconds for which a request with the given numbers of prompt and
+// response tokens is expected to occupy a slot of a full engine, 0 if the engine's figures
+// are unknown. Numbers that are 0 are taken as the usual ones.
+func (e *Engine) SlotSeconds(promptTokens, responseTokens int) float64 {
+	if e.PromptTokensPerSecond <= 0 || e.StepTime <= 0 {
+		return 0
+	}
+	perResponseToken := (e.StepTime + time.Duration(e.Slots)*e.StepTimePerRequest).Seconds()
+	of := func(prompt, response float64) float64 {
+		return prompt/e.PromptTokensPerSecond + response*perResponseToken
+	}
+	usual := of(e.MeanPromptTokens, e.MeanResponseTokens)
+	prompt, response := float64(promptTokens), float64(responseTokens)
+	if prompt <= 0 {
+		prompt = e.MeanPromptTokens
+	}
+	if response <= 0 {
+		response = e.MeanResponseTokens
+	}
+	cost := of(prompt, response)
+	if usual <= 0 {
+		return cost
+	}
+	return min(max(cost, usual/claimRange), usual*claimRange)
+}
+
 // Limits bounds the requests that callers may send. A zero BodyBytes means no limit;
 // for other zero fields the entry's defaults apply.
 type Limits struct {
@@ -110,7 +141,9 @@
 	services map[string]*Service
 	hosts    map[string][]*Route
 	keys     map[string]*Organisation
-	seed     maphash.Seed
+	// priorities holds the priorities that a service's requests can have, in ascending order.
+	priorities map[string][]int
+	seed       maphash.Seed
 }
 
 // New builds a configuration. Without organisations, requests need no API key. It
@@ -144,9 +177,36 @@
 			c.keys[k] = o
 		}
 	}
+	c.priorities = servicePriorities(routes, organisations)
 	return c, nil
 }
 
+// servicePriorities returns, by service, the priorities that its requests can have, in
+// ascending order.
+func servicePriorities(routes []*Route, organisations []*Organisation) map[string][]int {
+	var fixed []int
+	for _, o := range organisations {
+		if o.Priority != nil {
+			fixed = append(fixed, *o.Priority)
+		}
+	}
+	byService := make(map[string][]int)
+	for _, r := range routes {
+		for _, t := range r.Targets {
+			byService[t.Service] = append(byService[t.Service], r.Priority)
+		}
+	}
+	for service, p := range byService {
+		p = append(p, fixed...)
+		slices.Sort(p)
+		byService[service] = slices.Compact(p)
+	}
+	return byService
+}
+
+// Priorities returns the priorities that a service's requests can have, in ascending order.
+func (c *Config) Priorities(service string) []int { return c.priorities[service] }
+
 // Match returns the route with the longest prefix of path for a host, or nil. The case
 // of the host and its port are ignored.
 func (c *Config) Match(host, path string) *Route {
