routing, forward: the route's priority decides among requests of equal organisations

Cause: an organisation's priority replaced the route's. Where nearly all organisations have the same one, urgent routes had no precedence over bulk.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -448,7 +448,7 @@
 	if best == nil {
 		return nil, availability
 	}
-	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), ReportAge: NoReport, RateLimit: best.rateLimit, Stalled: best.stalled}
+	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), ReportAge: NoReport, StepTime: best.report.StepTime, RateLimit: best.rateLimit, Stalled: best.stalled}
 	if !best.reportAt.IsZero() {
 		p.ReportAge = now.Sub(best.reportAt)
 	}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -13,6 +13,8 @@
 	// of its last load report, NoReport if there was none.
 	Load      int
 	ReportAge time.Duration
+	// StepTime is the duration of an engine step that its last load report named.
+	StepTime time.Duration
 	// RateLimit is the limit that the endpoint had named when it was chosen.
 	RateLimit RateLimit
 	// Expedited is set if the request was chosen before more urgent ones and the endpoint
--- a/forward/filters.go
+++ b/forward/filters.go
@@ -11,7 +11,7 @@
 	"github.com/wasabinotch/wasabinotch/api"
 )
 
-// identify determines the request's ID, route, service, priority and deadline. A draining
+// identify determines the request's ID, route, service and deadline. A draining
 // process then refuses what may outlast it.
 func (x *exchange) identify() *api.Refusal {
 	names := &x.handler.cfg.Headers
@@ -36,7 +36,6 @@
 		return api.NotRun(api.KindUnknownService, "no route matches host and path", "check the host and the path")
 	}
 	x.service = x.config.Target(x.route, x.requestID)
-	x.priority = x.route.Priority
 	if v := x.r.Header.Get(names.PromptParts); v != "" {
 		x.promptParts = x.handler.cfg.SharedParts(v)
 	}
@@ -68,8 +67,7 @@
 	bearer             = "Bearer "
 )
 
-// authorise finds the organisation that holds the caller's key, and its
-// priority.
+// authorise finds the organisation that holds the caller's key.
 func (x *exchange) authorise() *api.Refusal {
 	value := x.r.Header.Get("Authorization")
 	if key, ok := strings.CutPrefix(value, bearer); ok {
@@ -78,9 +76,6 @@
 	if x.organisation == nil && x.config.NeedsKey(x.route) {
 		return api.NotRun(api.KindUnauthenticated, "the API key is missing or unknown", "send a key of the current configuration as a bearer token")
 	}
-	if x.organisation != nil && x.organisation.Priority != nil {
-		x.priority = *x.organisation.Priority
-	}
 	return nil
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,9 +88,9 @@
 	SharedParts func(string) []string
 	// ParseWork decodes the values of the headers TokenUsage, LengthHint and PromptParts.
 	ParseWork func(tokenUsage, lengthHint, promptParts string) fleet.Work
-	// FormatPriority encodes a request's place among the given number of priorities of its
+	// FormatPriority encodes a request's place among the given number of ranks of its
 	// service, from 0 for the most urgent one, as the value of the Priority header.
-	FormatPriority func(place, priorities int, late bool) string
+	FormatPriority func(place, ranks int, late bool) string
 	// Quarantine holds the prompt parts that crash endpoints.
 	Quarantine *quarantine.Tracker
 	Fleet      *fleet.Fleet
@@ -177,7 +177,6 @@
 	organisation *routing.Organisation
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
-	priority int
 	body     []byte
 
 	// attempts counts the attempts that reached an endpoint, tried lists the endpoints
@@ -210,6 +209,8 @@
 	lastEndpoint string
 	lastLoad     int
 	lastLoadAge  time.Duration
+	// lastStepTime is the duration of an engine step there.
+	lastStepTime time.Duration
 	// lastRateLimit is the rate limit of the endpoint acquired last.
 	lastRateLimit fleet.RateLimit
 	cause         error
--- a/forward/send.go
+++ b/forward/send.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -145,6 +144,7 @@
 	x.handler.cfg.Stats.countAdmission(availability)
 	if pick != nil {
 		x.lastEndpoint, x.lastLoad, x.lastLoadAge, x.lastRateLimit = pick.Endpoint.ID, pick.Load, pick.ReportAge, pick.RateLimit
+		x.lastStepTime = pick.StepTime
 	}
 	return pick, availability
 }
@@ -152,7 +152,7 @@
 // fleetRequest describes the request to the fleet.
 func (x *exchange) fleetRequest() *fleet.Request {
 	request := &fleet.Request{
-		Service: x.service, Priority: x.priority, Exclude: x.tried, MaxWait: x.maxAcquireWait(),
+		Service: x.service, Priority: x.rank(), Exclude: x.tried, MaxWait: x.maxAcquireWait(),
 		Kind: x.route.Name, Cost: x.cost(), Work: x.work, Aim: x.aim(), Deadline: x.deadline,
 	}
 	if x.organisation != nil {
@@ -161,6 +161,9 @@
 	return request
 }
 
+// rank returns the request's place among the ranks of its service.
+func (x *exchange) rank() int { return x.config.Rank(x.service, x.route, x.organisation) }
+
 // aim returns the time from which the response is late.
 func (x *exchange) aim() time.Time { return x.arrived.Add(x.route.TargetLatency) }
 
@@ -554,13 +557,12 @@
 	}
 	header.Del("Authorization")
 	header.Del(names.Priority)
-	if priorities := x.config.Priorities(x.service); len(priorities) > 1 {
-		place, late := 0, false
-		if !pick.Expedited {
-			place, _ = slices.BinarySearch(priorities, x.priority)
-			late = !time.Now().Before(x.aim())
+	if ranks := x.config.Ranks(x.service); ranks > 1 {
+		place, late := x.rank(), !time.Now().Before(x.aim())
+		if pick.Expedited {
+			place, late = 0, false
 		}
-		header.Set(names.Priority, x.handler.cfg.FormatPriority(place, len(priorities), late))
+		header.Set(names.Priority, x.handler.cfg.FormatPriority(place, ranks, late))
 	}
 	header.Del(names.Organisation)
 	if x.organisation != nil {
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -61,7 +61,10 @@
 		"endpoint", x.lastEndpoint, "load", x.lastLoad, "load_age_ms", x.lastLoadAge.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
 		"attempts", x.attempts, "events", x.response.eventCount, "may_have_run", x.mayHaveRun}
 	if x.route != nil {
-		args = append(args, "route", x.route.Name, "service", x.service, "config", x.config.Version)
+		args = append(args, "route", x.route.Name, "rank", x.rank(), "service", x.service, "config", x.config.Version)
+	}
+	if x.lastStepTime > 0 {
+		args = append(args, "step_ms", x.lastStepTime.Milliseconds())
 	}
 	if x.lastRateLimit.Named {
 		args = append(args, "rate_limit", x.lastRateLimit.PerSecond)
--- a/node/follow.go
+++ b/node/follow.go
@@ -255,7 +255,7 @@
 			ColdPerSecond: s.ColdPerSecond, ColdBurst: s.ColdPerSecond*o.bounds.ColdBurstFactor + o.bounds.ColdBurstSlack,
 			MaxConnections: s.MaxConnections,
 			// Only model engines are known to start the most urgent waiting request first.
-			QueuesByPriority: s.Engine != nil && len(c.Priorities(s.Name)) > 1,
+			QueuesByPriority: s.Engine != nil && c.Ranks(s.Name) > 1,
 		})
 	})
 	if !o.handler.SetConfig(c) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"hash/maphash"
 	"net"
@@ -141,9 +142,9 @@
 	services map[string]*Service
 	hosts    map[string][]*Route
 	keys     map[string]*Organisation
-	// priorities holds the priorities that a service's requests can have, in ascending order.
-	priorities map[string][]int
-	seed       maphash.Seed
+	// ranks holds the ranks that a service's requests can have, most urgent first.
+	ranks map[string][]rank
+	seed  maphash.Seed
 }
 
 // New builds a configuration. Without organisations, requests need no API key. It
@@ -177,35 +178,67 @@
 			c.keys[k] = o
 		}
 	}
-	c.priorities = servicePriorities(routes, organisations)
+	c.ranks = serviceRanks(routes, organisations)
 	return c, nil
 }
 
-// servicePriorities returns, by service, the priorities that its requests can have, in
-// ascending order.
-func servicePriorities(routes []*Route, organisations []*Organisation) map[string][]int {
-	var fixed []int
+// rank orders the requests of a service. An organisation's priority takes precedence over
+// the route's, which decides among requests of equal organisations. Requests without an
+// organisation's priority have the route's in its place.
+type rank struct{ organisation, route int }
+
+func rankOf(r *Route, o *Organisation) rank {
+	if o != nil && o.Priority != nil {
+		return rank{*o.Priority, r.Priority}
+	}
+	return rank{r.Priority, r.Priority}
+}
+
+func (a rank) compare(b rank) int {
+	return cmp.Or(cmp.Compare(a.organisation, b.organisation), cmp.Compare(a.route, b.route))
+}
+
+// serviceRanks returns, by service, the ranks that its requests can have, most urgent
+// first.
+func serviceRanks(routes []*Route, organisations []*Organisation) map[string][]rank {
+	priorities := make(map[int]*Organisation)
+	plain := len(organisations) == 0
 	for _, o := range organisations {
-		if o.Priority != nil {
-			fixed = append(fixed, *o.Priority)
+		if o.Priority == nil {
+			plain = true
+		} else {
+			priorities[*o.Priority] = o
 		}
 	}
-	byService := make(map[string][]int)
+	byService := make(map[string][]rank)
 	for _, r := range routes {
+		var ranks []rank
+		if plain || r.AllowAnonymous {
+			ranks = append(ranks, rankOf(r, nil))
+		}
+		for _, o := range priorities {
+			ranks = append(ranks, rankOf(r, o))
+		}
 		for _, t := range r.Targets {
-			byService[t.Service] = append(byService[t.Service], r.Priority)
+			byService[t.Service] = append(byService[t.Service], ranks...)
 		}
 	}
-	for service, p := range byService {
-		p = append(p, fixed...)
-		slices.Sort(p)
-		byService[service] = slices.Compact(p)
+	for service, ranks := range byService {
+		slices.SortFunc(ranks, rank.compare)
+		byService[service] = slices.Compact(ranks)
 	}
 	return byService
 }
 
-// Priorities returns the priorities that a service's requests can have, in ascending order.
-func (c *Config) Priorities(service string) []int { return c.priorities[service] }
+// Ranks returns the number of different ranks that a service's requests can have.
+func (c *Config) Ranks(service string) int { return len(c.ranks[service]) }
+
+// Rank returns the place of a request among the ranks of its service, 0 for the most urgent
+// ones. o is nil for anonymous callers.
+func (c *Config) Rank(service string, r *Route, o *Organisation) int {
+	place, _ := slices.BinarySearchFunc(c.ranks[service], rankOf(r, o), rank.compare)
+	return place
+}
 
 // Match returns the route with the longest prefix of path for a host, or nil. The case
 // of the host and its port are ignored.
