--- a/admission/room.go
+++ b/admission/room.go
@@ -19,24 +19,39 @@
 	minShare = 0.05
 )
 
-// Room is how much of an endpoint a request may use, as a multiple of the slots that may be
-// occupied there.
-type Room float64
+// Room is how much of an endpoint a request may use.
+type Room struct {
+	// Share is the load up to which a request may be sent to the endpoint, as a multiple of
+	// the slots that may be occupied there, while its steps are short; SlowShare is the
+	// multiple when its steps take so long that streams miss their target gap.
+	Share, SlowShare float64
+}
 
 // Of returns the load up to which a request may be sent to an endpoint on which the given
-// number of slots may be occupied.
-func (r Room) Of(slots int) int {
-	if r >= 1 {
-		return slots + int((float64(r)-1)*float64(slots)+rounding)
+// number of slots may be occupied. stepShare is the part of the target gap between two
+// events of a stream that a step takes, 0 if unknown.
+func (r Room) Of(slots int, stepShare float64) int {
+	slow := min(max(0, (stepShare-maxCalmStep)/(maxStep-maxCalmStep)), 1)
+	share := r.Share + slow*(r.SlowShare-r.Share)
+	if share >= 1 {
+		return slots + int((share-1)*float64(slots)+rounding)
 	}
-	return max(1, slots-int((1-float64(r))*float64(slots)+rounding))
+	return max(1, slots-int((1-share)*float64(slots)+rounding))
 }
 
-// MaxRoom is the most that any request may use.
-const MaxRoom Room = 1 + queuedAtEngine
-
-// rounding keeps whole numbers of slots whole.
-const rounding = 1e-9
+const (
+	// maxCalmStep and maxStep are the parts of the target gap between which steps begin to
+	// delay streams: the gap is a bound for each of a stream's steps, and single ones take
+	// longer than the mean.
+	maxCalmStep = 0.6
+	maxStep     = 0.8
+	// slowShare is the part of the slots that less urgent requests may use in a group with
+	// long steps. All streams of a group share its steps, so that each further one delays
+	// the urgent ones too; but no request is refused while half of the slots are free.
+	slowShare = 0.5
+	// rounding keeps whole numbers of slots whole.
+	rounding = 1e-9
+)
 
 // Room returns the room of a request.
 //
@@ -62,15 +77,26 @@
 	if expedited {
 		less, more = more+less, 0
 	}
-	room := 1.0
+	room := Room{Share: 1, SlowShare: 1}
 	if more >= minShare*all && more > 0 {
-		room -= min(maxReserve, reserveByDemand*more/all)
+		room.Share -= min(maxReserve, reserveByDemand*more/all)
+		room.SlowShare = min(slowShare, room.Share)
 	}
 	switch {
 	case r.late(now) && !expedited:
-		room = min(room, 1-lateReserve)
+		room.Share = min(room.Share, 1-lateReserve)
+		room.SlowShare = min(room.SlowShare, room.Share)
 	case c.EngineQueuesByPriority && less >= minShare*all && less > 0:
-		room += queuedAtEngine
+		room.Share += queuedAtEngine
+		room.SlowShare += queuedAtEngine
 	}
-	return Room(room)
+	return room
 }
+
+// Within reports whether a room isn't larger than another one.
+func (r Room) Within(other Room) bool {
+	return r.Share <= other.Share && r.SlowShare <= other.SlowShare
+}
+
+// MaxRoom is the most that any request may use.
+var MaxRoom = Room{Share: 1 + queuedAtEngine, SlowShare: 1 + queuedAtEngine}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -422,7 +422,7 @@
 			continue
 		}
 		load := ep.load(now)
-		if load >= room.Of(ep.usableSlots(limits, now)) || !f.belowConnectionLimit(ep, limits) || queued && !ep.mayClaim(now) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
+		if load >= room.Of(ep.usableSlots(limits, now), ep.stepShare(limits, now)) || !f.belowConnectionLimit(ep, limits) || queued && !ep.mayClaim(now) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
 			availability = AllBusy
 			continue
 		}
@@ -470,6 +470,15 @@
 	return max(1, int(float64(ep.Slots)*max(share, minSlotShare)))
 }
 
+// stepShare returns the part of the target gap that a step of the endpoint takes, 0 if
+// unknown.
+func (ep *Endpoint) stepShare(l Limits, now time.Time) float64 {
+	if l.TargetGap <= 0 || !ep.hasFreshReport(now) {
+		return 0
+	}
+	return float64(ep.report.StepTime) / float64(l.TargetGap)
+}
+
 // belowConnectionLimit reports whether this entry's share of the connection limit
 // allows another request.
 func (f *Fleet) belowConnectionLimit(ep *Endpoint, l Limits) bool {
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -264,10 +264,10 @@
 // reports whether there was any.
 func (f *Fleet) assignNext(q *queue, now time.Time) bool {
 	// Endpoints are too busy for requests with at most this room.
-	tooBusyFor := admission.Room(-1)
+	var tooBusyFor admission.Room
 	waiting := q.waiting()
 	for _, c := range q.control.Order(waiting, now) {
-		if c.Room <= tooBusyFor {
+		if c.Room.Within(tooBusyFor) {
 			continue
 		}
 		w := q.waiters[c.Index]
@@ -293,7 +293,7 @@
 	if len(q.waiters) > 0 {
 		q.claims.Observe(load, slots, f.entries)
 	}
-	ep.claims = q.claims.Of(admission.MaxRoom.Of(slots)-load, rand.Float64)
+	ep.claims = q.claims.Of(admission.MaxRoom.Of(slots, 0)-load, rand.Float64)
 }
 
 // mayClaim reports whether a waiting request may take a place at the endpoint, as far as
