--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -11,10 +11,6 @@
 	paceHalfLife = 2 * time.Second
 	// minObservation is the time with waiting requests from which the pace is known.
 	minObservation = 250 * time.Millisecond
-	// forecastMargin is how many times longer than allowed the forecast wait must be for a
-	// request to be refused at once. Forecasts are about right in the median only, and a
-	// needless refusal costs the caller more than a wait.
-	forecastMargin = 1.5
 )
 
 // pace is the cost that is granted to waiting requests for each second in which some wait.
@@ -34,6 +30,15 @@
 	}
 }
 
+// observed returns the seconds in which requests waited, after decay.
+func (p *pace) observed(now time.Time) float64 {
+	seconds := p.seconds.get(now, paceHalfLife)
+	if !p.waitingSince.IsZero() {
+		seconds += max(0, now.Sub(p.waitingSince).Seconds())
+	}
+	return seconds
+}
+
 func (p *pace) granted(cost float64, now time.Time) {
 	p.cost.add(cost, now, paceHalfLife)
 	p.grants.add(1, now, paceHalfLife)
@@ -42,32 +47,28 @@
 // UpdateWaiting must be called whenever the number of waiting requests has changed.
 func (c *Controller) UpdateWaiting(waiting int, now time.Time) { c.pace.update(waiting, now) }
 
-// Wait forecasts how long a request would wait for a place behind those waiting requests
+// Wait forecasts how long a request would wait for a place after those waiting requests
 // that go before it. known is false if too little was seen for a forecast.
-func (c *Controller) Wait(r *Request, waiting []*Request, now time.Time) (d time.Duration, known bool) {
-	c.pace.update(len(waiting), now)
-	seconds := c.pace.seconds.get(now, paceHalfLife)
+func (c *Controller) Wait(r *Request, before []*Request, now time.Time) (d time.Duration, known bool) {
+	seconds := c.pace.observed(now)
 	if seconds < minObservation.Seconds() {
 		return 0, false
 	}
-	ahead, costs := 0.0, r.cost()
-	for _, w := range waiting {
-		costs += w.cost()
-		if w.Priority < r.Priority || w.Priority == r.Priority && !w.late(now) {
-			ahead += w.cost()
-		}
+	ahead := 0.0
+	for _, w := range before {
+		ahead += w.cost()
 	}
-	mean := costs / float64(len(waiting)+1)
+	mean := (ahead + r.cost()) / float64(len(before)+1)
 	if n := c.pace.grants.get(now, paceHalfLife); n >= 1 {
 		mean = c.pace.cost.get(now, paceHalfLife) / n
 	}
 	// One more grant than seen keeps the pace above zero while places are only about to
 	// come free.
 	perSecond := (c.pace.cost.get(now, paceHalfLife) + mean) / seconds
-	return seconds2Duration((ahead + mean) / perSecond), true
+	return secondsToDuration((ahead + mean) / perSecond), true
 }
 
-func seconds2Duration(s float64) time.Duration {
+func secondsToDuration(s float64) time.Duration {
 	return time.Duration(min(s, math.MaxInt32) * float64(time.Second))
 }
 
@@ -79,12 +80,12 @@
 // would wait in vain are told at once. While half of the slots are free nothing is
 // refused; what holds requests up then is not a lack of room. Nor is a request whose kind or
 // organisation would be starved: Order lets it go before others.
-func (c *Controller) Hopeless(r *Request, waiting []*Request, within time.Duration, busyShare float64, now time.Time) bool {
+func (c *Controller) Hopeless(r *Request, before []*Request, within time.Duration, busyShare float64, now time.Time) bool {
 	if busyShare < minBusyShare || c.underserved(r, now) {
 		return false
 	}
-	d, known := c.Wait(r, waiting, now)
-	return known && float64(d) > forecastMargin*float64(within)
+	d, known := c.Wait(r, before, now)
+	return known && d > within
 }
 
 // minBusyShare is the part of the slots that must be occupied for a forecast to refuse.
--- a/admission/order.go
+++ b/admission/order.go
@@ -21,9 +21,10 @@
 	// served at least, as a fraction of the share of all requests. A quarter is what
 	// operators are promised; the rest covers what entries see differently.
 	minServedShare = 0.4
-	// minOffered is the least number of requests, after decay, from which the share of a
-	// kind or an organisation is known.
-	minOffered = 4
+	// minExpected is the number of requests, after decay, that a kind or an organisation
+	// must expect to be served at that share; with fewer, chance would decide who is
+	// underserved.
+	minExpected = 1
 	// ratioHalfLife is the half-life of a request in these shares.
 	ratioHalfLife = 5 * time.Second
 )
@@ -47,7 +48,7 @@
 // less often than all requests.
 func (c *Controller) underserved(r *Request, now time.Time) bool {
 	offered := c.all.offered.get(now, ratioHalfLife)
-	if offered < minOffered {
+	if offered < minExpected {
 		return false
 	}
 	share := minServedShare * c.all.served.get(now, ratioHalfLife) / offered
@@ -55,7 +56,7 @@
 		if s == nil {
 			continue
 		}
-		if o := s.offered.get(now, ratioHalfLife); o >= minOffered && s.served.get(now, ratioHalfLife) < share*o {
+		if expected := share * s.offered.get(now, ratioHalfLife); expected >= minExpected && s.served.get(now, ratioHalfLife) < expected {
 			return true
 		}
 	}
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -72,9 +73,6 @@
 	return all
 }
 
-// others returns the waiting requests except the last one that arrived.
-func (q *queue) others() []*admission.Request { return q.waiting()[:len(q.waiters)-1] }
-
 func (q *queue) remove(w *waiter, now time.Time) bool {
 	i := slices.Index(q.waiters, w)
 	if i < 0 {
@@ -160,14 +158,19 @@
 	if availability := f.outlook(r, now); availability != AllBusy {
 		return availability
 	}
-	order := q.control.Order(q.waiting(), now)
-	before := slices.IndexFunc(order, func(c admission.Candidate) bool { return c.Index == len(q.waiters)-1 })
+	waiting := q.waiting()
+	order := q.control.Order(waiting, now)
+	place := slices.IndexFunc(order, func(c admission.Candidate) bool { return c.Index == len(q.waiters)-1 })
+	before := make([]*admission.Request, place)
+	for i, c := range order[:place] {
+		before[i] = waiting[c.Index]
+	}
 	switch {
-	case f.turnsBy(r, now, now.Add(max(0, r.MaxWait))) <= before:
+	case f.turnsBy(r, now, now.Add(max(0, r.MaxWait))) <= place:
 		return RateLimited
 	case r.MaxWait <= 0:
 		return AllBusy
-	case q.control.Hopeless(w.admission, q.others(), r.MaxWait, f.busyShare(r, now), now):
+	case q.control.Hopeless(w.admission, before, r.MaxWait, f.busyShare(r, now), now):
 		return NotInTime
 	case len(q.waiters) > maxQueueLength:
 		last := q.waiters[order[len(order)-1].Index]
@@ -199,6 +202,50 @@
 	return float64(busy) / float64(slots)
 }
 
+// Obstacles counts the endpoints of a service by what keeps a request from them.
+type Obstacles struct {
+	// OutOfService endpoints drain, leave, pause or stall, or their zone is out of service.
+	OutOfService int
+	// Full endpoints have no room, Limited ones are at a limit of rate or connections, and
+	// BackedOff ones are avoided after failures, or since they are slow or silent.
+	Full, Limited, BackedOff int
+	// Unclaimed endpoints have room that this entry leaves to the queues of other ones.
+	Unclaimed int
+	// Free endpoints could take the request.
+	Free int
+}
+
+// String implements fmt.Stringer.
+func (o Obstacles) String() string {
+	return fmt.Sprintf("endpoints: %d out of service, %d full, %d limited, %d backed off, %d unclaimed, %d free", o.OutOfService, o.Full, o.Limited, o.BackedOff, o.Unclaimed, o.Free)
+}
+
+// Obstacles returns what keeps a request from the endpoints of its service now.
+func (f *Fleet) Obstacles(r *Request) Obstacles {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, limits := time.Now(), f.limits[r.Service]
+	room := f.queueOf(r.Service).control.Room(r.admission(), now)
+	var o Obstacles
+	for _, ep := range f.byService[r.Service] {
+		switch {
+		case !f.usable(ep, r.Exclude, now):
+			o.OutOfService++
+		case ep.load(now) >= room.Of(ep.usableSlots(limits, now), ep.stepShare(limits, now)):
+			o.Full++
+		case !f.belowConnectionLimit(ep, limits) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now):
+			o.Limited++
+		case now.Before(ep.backoffUntil) || ep.isSlow(now) || f.isSilent(ep, now):
+			o.BackedOff++
+		case !ep.mayClaim(now):
+			o.Unclaimed++
+		default:
+			o.Free++
+		}
+	}
+	return o
+}
+
 // RetryAfter returns the time after which a caller whose request was refused for the given
 // reason should return, at most limit.
 func (f *Fleet) RetryAfter(r *Request, why Availability, limit time.Duration) time.Duration {
--- a/forward/send.go
+++ b/forward/send.go
@@ -206,6 +206,7 @@
 		return api.NotRun(api.KindCancelled, "the caller left", "none")
 	}
 	x.setRetryAfter(x.retryAfterDelay(availability))
+	x.cause = errors.Join(x.cause, errors.New(x.handler.cfg.Fleet.Obstacles(x.fleetRequest()).String()))
 	switch availability {
 	case fleet.Unavailable:
 		return api.NotRun(api.KindNoEndpoint, "no endpoint of the service can take the request", "try again after the given time")
