--- a/admission/admission.go
+++ b/admission/admission.go
@@ -14,8 +14,9 @@
 	// Cost is what the request takes of an endpoint, in any unit that is the same for all
 	// requests of a service. Values that aren't positive count as 1.
 	Cost float64
-	// Aim is when the response is late; the zero time means never.
-	Aim time.Time
+	// Arrived is when the request arrived, Aim when the response is late; the zero time means
+	// never.
+	Arrived, Aim time.Time
 }
 
 func (r *Request) cost() float64 {
@@ -25,7 +26,25 @@
 	return 1
 }
 
-func (r *Request) late(now time.Time) bool { return !r.Aim.IsZero() && !now.Before(r.Aim) }
+// late reports whether the response would be late if the request got a place now.
+func (c *Controller) late(r *Request, now time.Time) bool {
+	if r.Aim.IsZero() {
+		return false
+	}
+	// Endpoints that are slow to begin must not make all requests late at their arrival.
+	begin := min(c.timeToBegin, max(0, r.Aim.Sub(r.Arrived)/2))
+	return !now.Add(begin).Before(r.Aim)
+}
+
+// Began records the time from a request's place at an endpoint to the begin of its
+// response.
+func (c *Controller) Began(d time.Duration) {
+	if c.timeToBegin == 0 {
+		c.timeToBegin = d
+		return
+	}
+	c.timeToBegin += time.Duration(beginWeight * float64(d-c.timeToBegin))
+}
 
 // Controller decides for the requests of one service at one entry. It is not safe for
 // concurrent use.
@@ -44,6 +63,9 @@
 	// late request before one in time, or out of order to an underserved one.
 	sinceLate, sinceUnderserved int
 
+	// timeToBegin is the moving average of the time to the begin of a response.
+	timeToBegin time.Duration
+
 	pace     pace
 	pressure pressure
 }
@@ -85,6 +107,8 @@
 }
 
 const (
+	// beginWeight is the weight of one response in the average of the times to their begin.
+	beginWeight = 0.1
 	// demandHalfLife is the half-life of an arrival in the demand by priority. Requests last
 	// about a second; room that is kept for urgent ones must be given back within a few.
 	demandHalfLife = 2 * time.Second
--- a/admission/order.go
+++ b/admission/order.go
@@ -13,7 +13,7 @@
 	// lateInterval is the number of grants of which one goes to a late request of a
 	// priority while requests in time wait. A late response is worth less to its caller,
 	// but more than none.
-	lateInterval = 4
+	lateInterval = 8
 	// underservedInterval is the number of grants of which one may go to an underserved
 	// request before more urgent ones.
 	underservedInterval = 4
@@ -92,7 +92,7 @@
 	mayOvertake := c.sinceUnderserved >= underservedInterval-1
 	entries := make([]entry, len(waiting))
 	for i, r := range waiting {
-		e := entry{index: i, late: r.late(now), underserved: mayOvertake && c.underserved(r, now)}
+		e := entry{index: i, late: c.late(r, now), underserved: mayOvertake && c.underserved(r, now)}
 		if u := c.usage[r.Organisation]; u != nil {
 			e.usage = u.get(now, usageHalfLife)
 		}
@@ -135,11 +135,11 @@
 		if w == r {
 			continue
 		}
-		otherInTime = otherInTime || w.Priority == r.Priority && !w.late(now)
+		otherInTime = otherInTime || w.Priority == r.Priority && !c.late(w, now)
 		moreUrgent = moreUrgent || w.Priority < r.Priority
 	}
 	c.sinceLate++
-	if r.late(now) && otherInTime {
+	if c.late(r, now) && otherInTime {
 		c.sinceLate = 0
 	}
 	c.sinceUnderserved++
--- a/admission/room.go
+++ b/admission/room.go
@@ -6,12 +6,13 @@
 	// maxReserve bounds the fraction of an endpoint's slots that is kept from less urgent
 	// requests.
 	maxReserve = 0.2
-	// reserveByDemand is the reserve as a fraction of the demand's part that is more urgent.
-	reserveByDemand = 0.5
+	// reserveByDemand is the reserve as a fraction of the demand's part that is more urgent,
+	// and the room beyond the slots as a fraction of the part that is less urgent.
+	reserveByDemand = 1.0
 	// lateReserve is the fraction of the slots that late requests leave free for those that
 	// arrive in time, at this entry or another one.
 	lateReserve = 0.1
-	// queuedAtEngine is the fraction of the slots that more urgent requests may occupy
+	// queuedAtEngine bounds the fraction of the slots that more urgent requests may occupy
 	// beyond them, in the queue of an engine that starts the most urgent one first. With n
 	// slots, the next one comes free within 1/n of the duration of a request.
 	queuedAtEngine = 0.2
@@ -25,16 +26,20 @@
 	// the slots that may be occupied there, while its steps are short; SlowShare is the
 	// multiple when its steps take so long that streams miss their target gap.
 	Share, SlowShare float64
+	// Overtakes is the part of the requests in the endpoint's queue that the request is
+	// started before.
+	Overtakes float64
 }
 
 // Of returns the load up to which a request may be sent to an endpoint on which the given
 // number of slots may be occupied. stepShare is the part of the target gap between two
-// events of a stream that a step takes, 0 if unknown.
-func (r Room) Of(slots int, stepShare float64) int {
+// events of a stream that a step takes, 0 if unknown; waiting is the number of requests in
+// the endpoint's queue.
+func (r Room) Of(slots int, stepShare float64, waiting int) int {
 	slow := min(max(0, (stepShare-maxCalmStep)/(maxStep-maxCalmStep)), 1)
 	share := r.Share + slow*(r.SlowShare-r.Share)
 	if share >= 1 {
-		return slots + int((share-1)*float64(slots)+rounding)
+		return slots + int((share-1)*float64(slots)+r.Overtakes*float64(waiting)+rounding)
 	}
 	return max(1, slots-int((1-share)*float64(slots)+rounding))
 }
@@ -57,7 +62,7 @@
 //
 // It answers the load in which less urgent requests take all slots at all entries before
 // urgent ones arrive. The urgent ones get room beyond the slots, in the engine's queue,
-// from which they are started first; the less urgent ones leave a part of the slots free,
+// from which they are started first, however many less urgent ones wait there; the less urgent ones leave a part of the slots free,
 // but only in the proportion in which more urgent ones arrive. Without other priorities
 // the room is the slots, except for late requests.
 func (c *Controller) Room(r *Request, now time.Time) Room { return c.room(r, false, now) }
@@ -83,19 +88,21 @@
 		room.SlowShare = min(slowShare, room.Share)
 	}
 	switch {
-	case r.late(now) && !expedited:
+	case c.late(r, now) && !expedited:
 		room.Share = min(room.Share, 1-lateReserve)
 		room.SlowShare = min(room.SlowShare, room.Share)
 	case c.EngineQueuesByPriority && less >= minShare*all && less > 0:
-		room.Share += queuedAtEngine
-		room.SlowShare += queuedAtEngine
+		extra := min(queuedAtEngine, reserveByDemand*less/all)
+		room.Share += extra
+		room.SlowShare += extra
+		room.Overtakes = less / all
 	}
 	return room
 }
 
 // Within reports whether a room isn't larger than another one.
 func (r Room) Within(other Room) bool {
-	return r.Share <= other.Share && r.SlowShare <= other.SlowShare
+	return r.Share <= other.Share && r.SlowShare <= other.SlowShare && r.Overtakes <= other.Overtakes
 }
 
 // MaxRoom is the most that any request may use.
--- a/fleet/admission_test.go
+++ b/fleet/admission_test.go
@@ -70,7 +70,11 @@
 }
 
 // result counts what the callers of one kind got.
-type result struct{ sent, inTime, late, refused, refusedTwice int }
+type result struct {
+	sent, inTime, late, refused, refusedTwice int
+	// lateAtOnce counts late responses to requests that were never refused.
+	lateAtOnce int
+}
 
 func (r result) served() float64 { return float64(r.inTime+r.late) / float64(max(1, r.sent)) }
 
@@ -143,6 +147,8 @@
 								r.Priority = 0
 							}
 							all[p.Endpoint.ID].begin(r.Priority)
+							time.Sleep(50 * time.Millisecond) // the prompt is read
+							p.RecordBegin()
 						}
 						took := time.Since(sent)
 						mu.Lock()
@@ -154,6 +160,9 @@
 							results[i].inTime++
 						default:
 							results[i].late++
+							if first {
+								results[i].lateAtOnce++
+							}
 						}
 						mu.Unlock()
 						if p != nil {
@@ -237,3 +246,15 @@
 		t.Errorf("%d of %d refused callers were refused again", twice, refused)
 	}
 }
+
+// Guards against a backlog in which each request is served just after it has become late,
+// while later ones that could be served in time become late too. Requests ask for 1.5 times
+// what the engines can run. An eighth of what is granted may go to late ones, and as many
+// again may become late in an engine's queue, since loads are known 100 ms late.
+func TestOverloadDoesNotMakeAllRequestsLate(t *testing.T) {
+	r := play(t, 20, 20, 10*time.Second,
+		caller{request: Request{Kind: "all"}, every: 3300 * time.Microsecond, duration: time.Second, aim: 400 * time.Millisecond})[0]
+	if served := r.inTime + r.lateAtOnce; r.lateAtOnce*4 > served {
+		t.Errorf("%d of %d requests were served late at once", r.lateAtOnce, served)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -422,7 +422,7 @@
 			continue
 		}
 		load := ep.load(now)
-		if load >= room.Of(ep.usableSlots(limits, now), ep.stepShare(limits, now)) || !f.belowConnectionLimit(ep, limits) || queued && !ep.mayClaim(now) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
+		if load >= f.roomAt(ep, room, limits, now) || !f.belowConnectionLimit(ep, limits) || queued && !ep.mayClaim(now) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now) {
 			availability = AllBusy
 			continue
 		}
@@ -448,7 +448,7 @@
 	if best == nil {
 		return nil, availability
 	}
-	p := &Pick{Endpoint: best, fleet: f, Load: best.load(now), ReportAge: NoReport, StepTime: best.report.StepTime, RateLimit: best.rateLimit, Stalled: best.stalled}
+	p := &Pick{Endpoint: best, fleet: f, chosenAt: now, Load: best.load(now), ReportAge: NoReport, StepTime: best.report.StepTime, RateLimit: best.rateLimit, Stalled: best.stalled}
 	if !best.reportAt.IsZero() {
 		p.ReportAge = now.Sub(best.reportAt)
 	}
@@ -470,6 +470,16 @@
 	return max(1, int(float64(ep.Slots)*max(share, minSlotShare)))
 }
 
+// roomAt returns the load up to which a request with the given room may be sent to an
+// endpoint.
+func (f *Fleet) roomAt(ep *Endpoint, room admission.Room, l Limits, now time.Time) int {
+	waiting := 0
+	if ep.hasFreshReport(now) {
+		waiting = ep.report.Waiting
+	}
+	return room.Of(ep.usableSlots(l, now), ep.stepShare(l, now), waiting)
+}
+
 // stepShare returns the part of the target gap that a step of the endpoint takes, 0 if
 // unknown.
 func (ep *Endpoint) stepShare(l Limits, now time.Time) float64 {
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -9,6 +9,8 @@
 	Endpoint *Endpoint
 	fleet    *Fleet
 	finished bool
+	// chosenAt is when the endpoint was chosen, the zero time once its response has begun.
+	chosenAt time.Time
 	// Load is the endpoint's estimated load when it was chosen. ReportAge is the age
 	// of its last load report, NoReport if there was none.
 	Load      int
@@ -71,6 +73,16 @@
 	})
 }
 
+// RecordBegin records that the response begins.
+func (p *Pick) RecordBegin() {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if !p.chosenAt.IsZero() {
+		p.fleet.queueOf(p.Endpoint.Service).control.Began(time.Since(p.chosenAt))
+		p.chosenAt = time.Time{}
+	}
+}
+
 // EndInconclusive ends a request whose result says nothing about the endpoint, such as
 // one that the caller cancelled.
 func (p *Pick) EndInconclusive() { p.finish(nil) }
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -86,8 +86,8 @@
 // isRepeat reports whether the request was sent to another endpoint before.
 func (r *Request) isRepeat() bool { return len(r.Exclude) > 0 }
 
-func (r *Request) admission() *admission.Request {
-	return &admission.Request{Priority: r.Priority, Organisation: r.Organisation, Kind: r.Kind, Cost: r.Cost, Aim: r.Aim}
+func (r *Request) admission(now time.Time) *admission.Request {
+	return &admission.Request{Arrived: now, Priority: r.Priority, Organisation: r.Organisation, Kind: r.Kind, Cost: r.Cost, Aim: r.Aim}
 }
 
 // Acquire chooses an endpoint for a request. If all are busy, it waits for one for at
@@ -99,7 +99,7 @@
 	f.mu.Lock()
 	now := time.Now()
 	q := f.queueOf(request.Service)
-	w := &waiter{request: request, admission: request.admission(), assigned: make(chan *Pick, 1)}
+	w := &waiter{request: request, admission: request.admission(now), assigned: make(chan *Pick, 1)}
 	if !request.isRepeat() {
 		q.control.Arrive(w.admission, now)
 	}
@@ -225,13 +225,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, limits := time.Now(), f.limits[r.Service]
-	room := f.queueOf(r.Service).control.Room(r.admission(), now)
+	room := f.queueOf(r.Service).control.Room(r.admission(now), now)
 	var o Obstacles
 	for _, ep := range f.byService[r.Service] {
 		switch {
 		case !f.usable(ep, r.Exclude, now):
 			o.OutOfService++
-		case ep.load(now) >= room.Of(ep.usableSlots(limits, now), ep.stepShare(limits, now)):
+		case ep.load(now) >= f.roomAt(ep, room, limits, now):
 			o.Full++
 		case !f.belowConnectionLimit(ep, limits) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now):
 			o.Limited++
@@ -252,7 +252,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := f.queueOf(r.Service)
-	return q.control.ReturnAfter(r.admission(), q.waiting(), why == Unavailable, limit, rand.Float64(), time.Now())
+	now := time.Now()
+	return q.control.ReturnAfter(r.admission(now), q.waiting(), why == Unavailable, limit, rand.Float64(), now)
 }
 
 // outlook says whether a request for which no endpoint is free may wait for one: AllBusy
@@ -340,7 +341,7 @@
 	if len(q.waiters) > 0 {
 		q.claims.Observe(load, slots, f.entries)
 	}
-	ep.claims = q.claims.Of(admission.MaxRoom.Of(slots, 0)-load, rand.Float64)
+	ep.claims = q.claims.Of(admission.MaxRoom.Of(slots, 0, 0)-load, rand.Float64)
 }
 
 // mayClaim reports whether a waiting request may take a place at the endpoint, as far as
--- a/forward/send.go
+++ b/forward/send.go
@@ -336,6 +336,7 @@
 		}
 		return rejected
 	}
+	pick.RecordBegin()
 	return x.deliver(ctx, pick, guard, resp)
 }
 
