--- a/admission/room.go
+++ b/admission/room.go
@@ -39,7 +39,7 @@
 	slow := min(max(0, (stepShare-maxCalmStep)/(maxStep-maxCalmStep)), 1)
 	share := r.Share + slow*(r.SlowShare-r.Share)
 	if share >= 1 {
-		return slots + int((share-1)*float64(slots)+r.Overtakes*float64(waiting)+rounding)
+		return slots + int((share-1)*float64(slots)+(1-slow)*r.Overtakes*float64(waiting)+rounding)
 	}
 	return max(1, slots-int((1-share)*float64(slots)+rounding))
 }
@@ -94,7 +94,6 @@
 	case c.EngineQueuesByPriority && less >= minShare*all && less > 0:
 		extra := min(queuedAtEngine, reserveByDemand*less/all)
 		room.Share += extra
-		room.SlowShare += extra
 		room.Overtakes = less / all
 	}
 	return room
