--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -63,7 +63,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	p := f.newPlacing(r, now)
+	q := f.queueOf(r.Service)
+	p := f.newPlacing(r, q.control.Room(r.admission(now), now), len(q.waiters) > 0, now)
 	x := Explanation{Demand: p.demand, Waiting: waiting, Entries: f.entries}
 	chosen := make(map[*Endpoint]int)
 	for range explainDraws {
@@ -120,7 +121,7 @@
 
 // String implements fmt.Stringer.
 func (o obstacle) String() string {
-	return [...]string{none: "", notInService: "not in service", noSlot: "no free slot", noConnection: "connection limit", untestedSincePause: "untested since a pause",
+	return [...]string{none: "", notInService: "not in service", noSlot: "no free slot", unclaimed: "left to other entries' waiting requests", noConnection: "connection limit", untestedSincePause: "untested since a pause",
 		coldLimit: "rate while cold", namedLimit: "rate limit that it named", noMemory: "not enough memory"}[o]
 }
 
@@ -128,8 +129,3 @@
 func (r reason) String() string {
 	return [...]string{noReason: "", inBackoff: "backoff after a failure", slow: "slow", silent: "no reports"}[r]
 }
-
-// String implements fmt.Stringer.
-func (a Availability) String() string {
-	return [...]string{Available: "available", AllBusy: "all busy", Unavailable: "unavailable", RateLimited: "rate limited", Paused: "paused", OutOfMemory: "out of memory"}[a]
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabinotch/wasabinotch/admission"
 	"github.com/wasabinotch/wasabinotch/placement"
 	"github.com/wasabinotch/wasabinotch/share"
 )
@@ -108,6 +109,9 @@
 	reading endpointReading
 	// beginnings are the beginnings of prompts that the endpoint holds.
 	beginnings placement.Beginnings
+	// claims is the number of places that waiting requests may still take of those that the
+	// last report shows as free.
+	claims int
 	// agentReportAt is when the endpoint's agent last reported, zero if it never did.
 	agentReportAt       time.Time
 	consecutiveFailures int
@@ -149,6 +153,9 @@
 	TargetGap time.Duration
 	// Engine holds the figures by which requests differ in cost.
 	Engine placement.Engine
+	// QueuesByPriority is set if the endpoints queue requests beyond their slots and start
+	// the most urgent one first, by the priority that is sent with each request.
+	QueuesByPriority bool
 }
 
 // Fleet holds the state of the endpoints. It is safe for concurrent use.
@@ -403,6 +410,7 @@
 		ep.stalled = make(chan struct{})
 	}
 	ep.report, ep.reportAt, ep.inFlightAtReport = l, now, ep.inFlight
+	f.renewClaims(ep, now)
 	if l.ColdFor > 0 {
 		ep.coldUntil = now.Add(l.ColdFor)
 	}
@@ -446,13 +454,25 @@
 	// OutOfMemory means that an endpoint with a free slot lacks memory for the request.
 	// One that needs less may find room.
 	OutOfMemory
+	// NotInTime means that the usable endpoints are busy and none is expected to come free
+	// for the request within its MaxWait.
+	NotInTime
+	// Displaced means that the request was refused for more urgent ones since the queue was
+	// full.
+	Displaced
 )
 
+// String implements fmt.Stringer.
+func (a Availability) String() string {
+	return [...]string{"available", "all_busy", "unavailable", "rate_limited", "paused", "out_of_memory", "not_in_time", "displaced"}[a]
+}
+
 // choose returns the endpoint with the lowest cost among a random sample of a service's
-// endpoints, and counts the request there.
-func (f *Fleet) choose(request *Request) (*Pick, Availability) {
+// endpoints, and counts the request there. room is how much of an endpoint the request may
+// use, queued whether it has waited in the queue.
+func (f *Fleet) choose(request *Request, room admission.Room, queued bool) (*Pick, Availability) {
 	now := time.Now()
-	p := f.newPlacing(request, now)
+	p := f.newPlacing(request, room, queued, now)
 	best, availability := f.compare(p, now)
 	if availability == OutOfMemory {
 		f.counts.MemoryShort++
@@ -514,7 +534,7 @@
 // claim counts the request at the endpoint that was chosen for it.
 func (f *Fleet) claim(a *assessment, p *placing, now time.Time) *Pick {
 	ep := a.endpoint
-	pick := &Pick{Endpoint: ep, fleet: f, Load: a.load, ReportAge: NoReport, RateLimit: ep.rateLimit, Stalled: ep.stalled, Score: a.score}
+	pick := &Pick{Endpoint: ep, fleet: f, chosenAt: now, Load: a.load, ReportAge: NoReport, StepTime: ep.report.StepTime, RateLimit: ep.rateLimit, Stalled: ep.stalled, Score: a.score}
 	if !ep.reportAt.IsZero() {
 		pick.ReportAge = now.Sub(ep.reportAt)
 	}
@@ -540,6 +560,25 @@
 	return max(1, int(float64(ep.Slots)*max(share, minSlotShare)))
 }
 
+// roomAt returns the load up to which a request with the given room may be sent to an
+// endpoint.
+func (f *Fleet) roomAt(ep *Endpoint, room admission.Room, l Limits, now time.Time) int {
+	waiting := 0
+	if ep.hasFreshReport(now) {
+		waiting = ep.report.Waiting
+	}
+	return room.Of(ep.usableSlots(l, now), ep.stepShare(l, now), waiting)
+}
+
+// stepShare returns the part of the target gap that a step of the endpoint takes, 0 if
+// unknown.
+func (ep *Endpoint) stepShare(l Limits, now time.Time) float64 {
+	if l.TargetGap <= 0 || !ep.hasFreshReport(now) {
+		return 0
+	}
+	return float64(ep.report.StepTime) / float64(l.TargetGap)
+}
+
 // belowConnectionLimit reports whether this entry's share of the connection limit
 // allows another request.
 func (f *Fleet) belowConnectionLimit(ep *Endpoint, l Limits, now time.Time) bool {
@@ -592,6 +631,7 @@
 // recordSend counts a request that is sent to an endpoint.
 func (f *Fleet) recordSend(ep *Endpoint, l Limits, now time.Time) {
 	ep.inFlight++
+	ep.claims = max(0, ep.claims-1)
 	if ep.rateLimit.Named {
 		ep.lastTurn = f.nextTurn(ep, ep.rateLimit.turns(), ep.lastTurn, now)
 	}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -13,12 +13,19 @@
 	Endpoint *Endpoint
 	fleet    *Fleet
 	finished bool
+	// chosenAt is when the endpoint was chosen, the zero time once its response has begun.
+	chosenAt time.Time
 	// Load is the endpoint's estimated load when it was chosen. ReportAge is the age
 	// of its last load report, NoReport if there was none.
 	Load      int
 	ReportAge time.Duration
+	// StepTime is the duration of an engine step that its last load report named.
+	StepTime time.Duration
 	// RateLimit is the limit that the endpoint had named when it was chosen.
 	RateLimit RateLimit
+	// Expedited is set if the request was chosen before more urgent ones and the endpoint
+	// must treat it as one of the most urgent.
+	Expedited bool
 	// Stalled is closed when the endpoint's group stalls, or waits for a slow endpoint in
 	// each step; a request that may be retried
 	// should then be sent to another endpoint.
@@ -56,6 +63,7 @@
 	now := time.Now()
 	p.Endpoint.inFlight--
 	p.endWork(now)
+	p.Endpoint.claims++
 	if f != nil {
 		f(p.Endpoint, now)
 	}
@@ -78,6 +86,16 @@
 	})
 }
 
+// RecordBegin records that the response begins.
+func (p *Pick) RecordBegin() {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if !p.chosenAt.IsZero() {
+		p.fleet.queueOf(p.Endpoint.Service).control.Began(time.Since(p.chosenAt))
+		p.chosenAt = time.Time{}
+	}
+}
+
 // EndInconclusive ends a request whose result says nothing about the endpoint, such as
 // one that the caller cancelled.
 func (p *Pick) EndInconclusive() { p.finish(nil) }
--- a/fleet/placement_test.go
+++ b/fleet/placement_test.go
@@ -15,9 +15,9 @@
 
 var testEngine = placement.Engine{ReadPerSecond: 60_000, MeanPrompt: 2300, MeanResponse: 90}
 
-// fakeEngine reads prompts one after the other and writes each response at a fixed pace
+// sizedEngine reads prompts one after the other and writes each response at a fixed pace
 // beside others.
-type fakeEngine struct {
+type sizedEngine struct {
 	readPerSecond float64
 	tokenTime     time.Duration
 	busyUntil     time.Time
@@ -46,7 +46,7 @@
 }
 
 // serve returns the time until the first token of a request, and schedules its end.
-func (e *fakeEngine) serve(p *Pick, w Work) time.Duration {
+func (e *sizedEngine) serve(p *Pick, w Work) time.Duration {
 	now := time.Now()
 	if e.busyUntil.Before(now) {
 		e.busyUntil = now
@@ -79,7 +79,7 @@
 
 func playLongPrompts(t *testing.T, entries int) {
 	const endpoints, seconds, target = 8, 20, 200 * time.Millisecond
-	engines := make(map[string]*fakeEngine)
+	engines := make(map[string]*sizedEngine)
 	backlogs := make(map[string]*placement.Backlog)
 	told := make(map[string]bool) // agents that have been told of a long prompt since the last tick
 	var events []event
@@ -101,7 +101,7 @@
 		for _, f := range fleets {
 			f.Update(r)
 		}
-		engines[id] = &fakeEngine{readPerSecond: 60_000, tokenTime: 10 * time.Millisecond, events: &events}
+		engines[id] = &sizedEngine{readPerSecond: 60_000, tokenTime: 10 * time.Millisecond, events: &events}
 		backlogs[id] = &placement.Backlog{}
 	}
 	short, late := 0, 0
--- a/fleet/placing.go
+++ b/fleet/placing.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/wasabinotch/wasabinotch/admission"
 	"github.com/wasabinotch/wasabinotch/placement"
 )
 
@@ -113,12 +114,16 @@
 	limits     Limits
 	demand     placement.Demand
 	beginnings []placement.Beginning
+	// room is how much of an endpoint the request may use, queued whether it has waited in
+	// the queue.
+	room   admission.Room
+	queued bool
 	// explain is set if the request is only asked about.
 	explain bool
 }
 
-func (f *Fleet) newPlacing(r *Request, now time.Time) *placing {
-	p := &placing{request: r, limits: f.limits[r.Service]}
+func (f *Fleet) newPlacing(r *Request, room admission.Room, queued bool, now time.Time) *placing {
+	p := &placing{request: r, limits: f.limits[r.Service], room: room, queued: queued}
 	target := time.Duration(0)
 	if !r.Aim.IsZero() {
 		target = max(1, r.Aim.Sub(now))
@@ -136,6 +141,7 @@
 	none obstacle = iota
 	notInService
 	noSlot
+	unclaimed
 	noConnection
 	untestedSincePause
 	coldLimit
@@ -202,8 +208,10 @@
 		a.room = f.room(ep, p, now)
 	}
 	switch {
-	case a.load >= ep.usableSlots(p.limits, now):
+	case a.load >= f.roomAt(ep, p.room, p.limits, now):
 		return noSlot
+	case p.queued && !ep.mayClaim(now):
+		return unclaimed
 	case !f.belowConnectionLimit(ep, p.limits, now):
 		return noConnection
 	case !ep.testedSincePause():
--- a/forward/stats.go
+++ b/forward/stats.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/wasabinotch/wasabinotch/fleet"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms in seconds:
@@ -38,6 +40,11 @@
 	s.set.GetOrCreateCounter(`wasabinotch_attempts_total{verdict="` + v.String() + `"}`).Inc()
 }
 
+// countAdmission counts what came of the search for an endpoint.
+func (s *Stats) countAdmission(a fleet.Availability) {
+	s.set.GetOrCreateCounter(`wasabinotch_admission_total{outcome="` + a.String() + `"}`).Inc()
+}
+
 // finish counts a request and logs its outcome and how it was handled.
 func (x *exchange) finish() {
 	outcome := x.response.outcome
@@ -55,7 +62,10 @@
 		"endpoint", x.lastEndpoint, "load", x.lastLoad, "load_age_ms", x.lastLoadAge.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
 		"attempts", x.attempts, "events", x.response.eventCount, "may_have_run", x.mayHaveRun}
 	if x.route != nil {
-		args = append(args, "route", x.route.Name, "service", x.service, "config", x.config.Version)
+		args = append(args, "route", x.route.Name, "rank", x.rank(), "service", x.service, "config", x.config.Version)
+	}
+	if x.lastStepTime > 0 {
+		args = append(args, "step_ms", x.lastStepTime.Milliseconds())
 	}
 	if s := &x.lastScore; s.Reading >= notableReading || s.Held > 0 {
 		args = append(args, "reading_cost", round(s.Reading), "held_gain", round(s.Held))
--- a/node/entry.go
+++ b/node/entry.go
@@ -161,7 +161,7 @@
 	e.turns = &turnLender{fleet: e.fleet, lent: e.metrics.NewCounter("wasabinotch_turns_lent_total"), borrowed: e.metrics.NewCounter("wasabinotch_turns_borrowed_total"),
 		log: logs.Limit(log.WithName("turns"), faultLinesPerSecond, faultLineBurst)}
 	e.handler = forward.New(forward.Config{
-		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, ParseWork: platform.ParseWork,
+		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, ParseWork: platform.ParseWork, FormatPriority: platform.FormatPriority,
 		ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.notices.tellRateLimit,
 		ParseLeaving: platform.ParseLeaving, TellLeaving: e.notices.tellLeaving, ParsePause: platform.ParsePause,
 		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client,
--- a/node/placement.go
+++ b/node/placement.go
@@ -68,14 +68,18 @@
 			return nil, errNoRoute
 		}
 		reply.Route, reply.Service = route.Name, c.Target(route, q.RequestID)
-		request.Priority = route.Priority
+		request.Kind, request.Priority = route.Name, c.Rank(reply.Service, route, nil)
 		if target == 0 {
 			target = route.TargetLatency
 		}
 	}
-	if c.Service(reply.Service) == nil {
+	service := c.Service(reply.Service)
+	if service == nil {
 		return nil, errNoSuchService
 	}
+	if service.Engine != nil {
+		request.Cost = service.Engine.SlotSeconds(request.Work.PromptTokens, request.Work.ResponseTokens)
+	}
 	request.Service = reply.Service
 	if target > 0 {
 		request.Aim = time.Now().Add(target)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -3,9 +3,11 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"hash/maphash"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -86,6 +88,36 @@
 	ExpertBytes, LinkBytesPerSecond float64
 }
 
+// claimRange is how many times the usual cost a request may be counted as, or be counted
+// below it: what callers state of their requests are only claims.
+const claimRange = 8
+
+// SlotSeconds returns the seconds for which a request with the given numbers of prompt and
+// response tokens is expected to occupy a slot of a full engine, 0 if the engine's figures
+// are unknown. Numbers that are 0 are taken as the usual ones.
+func (e *Engine) SlotSeconds(promptTokens, responseTokens int) float64 {
+	if e.PromptTokensPerSecond <= 0 || e.StepTime <= 0 {
+		return 0
+	}
+	perResponseToken := (e.StepTime + time.Duration(e.Slots)*e.StepTimePerRequest).Seconds()
+	of := func(prompt, response float64) float64 {
+		return prompt/e.PromptTokensPerSecond + response*perResponseToken
+	}
+	usual := of(e.MeanPromptTokens, e.MeanResponseTokens)
+	prompt, response := float64(promptTokens), float64(responseTokens)
+	if prompt <= 0 {
+		prompt = e.MeanPromptTokens
+	}
+	if response <= 0 {
+		response = e.MeanResponseTokens
+	}
+	cost := of(prompt, response)
+	if usual <= 0 {
+		return cost
+	}
+	return min(max(cost, usual/claimRange), usual*claimRange)
+}
+
 // Limits bounds the requests that callers may send. A zero BodyBytes means no limit;
 // for other zero fields the entry's defaults apply.
 type Limits struct {
@@ -110,7 +142,9 @@
 	services map[string]*Service
 	hosts    map[string][]*Route
 	keys     map[string]*Organisation
-	seed     maphash.Seed
+	// ranks holds the ranks that a service's requests can have, most urgent first.
+	ranks map[string][]rank
+	seed  maphash.Seed
 }
 
 // New builds a configuration. Without organisations, requests need no API key. It
@@ -144,9 +178,68 @@
 			c.keys[k] = o
 		}
 	}
+	c.ranks = serviceRanks(routes, organisations)
 	return c, nil
 }
 
+// rank orders the requests of a service. An organisation's priority takes precedence over
+// the route's, which decides among requests of equal organisations. Requests without an
+// organisation's priority have the route's in its place.
+type rank struct{ organisation, route int }
+
+func rankOf(r *Route, o *Organisation) rank {
+	if o != nil && o.Priority != nil {
+		return rank{*o.Priority, r.Priority}
+	}
+	return rank{r.Priority, r.Priority}
+}
+
+func (a rank) compare(b rank) int {
+	return cmp.Or(cmp.Compare(a.organisation, b.organisation), cmp.Compare(a.route, b.route))
+}
+
+// serviceRanks returns, by service, the ranks that its requests can have, most urgent
+// first.
+func serviceRanks(routes []*Route, organisations []*Organisation) map[string][]rank {
+	priorities := make(map[int]*Organisation)
+	plain := len(organisations) == 0
+	for _, o := range organisations {
+		if o.Priority == nil {
+			plain = true
+		} else {
+			priorities[*o.Priority] = o
+		}
+	}
+	byService := make(map[string][]rank)
+	for _, r := range routes {
+		var ranks []rank
+		if plain || r.AllowAnonymous {
+			ranks = append(ranks, rankOf(r, nil))
+		}
+		for _, o := range priorities {
+			ranks = append(ranks, rankOf(r, o))
+		}
+		for _, t := range r.Targets {
+			byService[t.Service] = append(byService[t.Service], ranks...)
+		}
+	}
+	for service, ranks := range byService {
+		slices.SortFunc(ranks, rank.compare)
+		byService[service] = slices.Compact(ranks)
+	}
+	return byService
+}
+
+// Ranks returns the number of different ranks that a service's requests can have.
+func (c *Config) Ranks(service string) int { return len(c.ranks[service]) }
+
+// Rank returns the place of a request among the ranks of its service, 0 for the most urgent
+// ones. o is nil for anonymous callers.
+func (c *Config) Rank(service string, r *Route, o *Organisation) int {
+	place, _ := slices.BinarySearchFunc(c.ranks[service], rankOf(r, o), rank.compare)
+	return place
+}
+
 // Match returns the route with the longest prefix of path for a host, or nil. The case
 // of the host and its port are ignored.
 func (c *Config) Match(host, path string) *Route {
