quarantine, node: records of holds and suspects in any order; crashes sorted by time

A record of suspects that an entry read before that of a hold kept the hold from being restored, and a late report on an earlier crash counted two moments as one. TestSuspectsAreRestored ("0 != 1") and TestMomentsCountInAnyOrder fail without the change. A read of the operator's state that the end of its listing cancels is no failure and isn't logged.

--- a/node/follow.go
+++ b/node/follow.go
@@ -52,6 +52,9 @@
 	defer cancel()
 	e.metrics.GetOrCreateCounter("wasabinotch_store_urgent_reads_total").Inc()
 	kvs, at, err := e.store.List(ctx, platform.PrefixOperator)
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return // the listing has ended
+	}
 	if err != nil {
 		e.limitedLog.Info("Operator state not read during a long listing.", "cause", err.Error())
 		return
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -64,7 +64,7 @@
 // part is what is known of one part.
 type part struct {
 	provenAt time.Time
-	// crashes lists the crashes since the last answer.
+	// crashes lists the crashes since the last answer, oldest first.
 	crashes   []*crash
 	heldUntil time.Time
 	// trial is the attempt that tries the part after a hold, nil without one.
@@ -426,11 +426,17 @@
 		return false
 	}
 	p := t.part(id)
-	p.crashes = append(slices.DeleteFunc(p.crashes, (*crash).forgotten), c)
+	p.addCrashes(c)
 	c.parts = append(c.parts, id)
 	return true
 }
 
+// addCrashes adds crashes to those of the part, oldest first.
+func (p *part) addCrashes(crashes ...*crash) {
+	p.crashes = append(slices.DeleteFunc(p.crashes, (*crash).forgotten), crashes...)
+	slices.SortStableFunc(p.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+}
+
 // recordProven records that a part is proven sound at another entry, by an answer from
 // before its last crash.
 func (t *Tracker) recordProven(id partID) {
@@ -634,18 +640,20 @@
 }
 
 // Restore holds a part that another entry, or this one before a restart, held after crashes
-// at the given number of moments. It has no effect on a part that is known here.
+// at the given number of moments. It has no effect on a part of which more is known here
+// than RestoreSuspects says.
 func (t *Tracker) Restore(service, name string, crashes int, proven bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.part(partID{service, name})
-	if crashes <= 0 || !p.provenAt.IsZero() || len(p.crashes) > 0 {
+	known := func(c *crash) bool { return !c.restored }
+	if crashes <= 0 || !p.provenAt.IsZero() || slices.ContainsFunc(p.crashes, known) {
 		return
 	}
 	now := time.Now()
 	crashes = min(crashes, maxRestoredCrashes)
 	for i := range crashes {
-		p.crashes = append(p.crashes, &crash{at: now.Add(time.Duration(i+1-crashes) * crashMoment)})
+		p.addCrashes(&crash{at: now.Add(-time.Duration(i) * crashMoment)})
 	}
 	if proven {
 		p.provenAt = p.crashes[0].at
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -369,6 +369,20 @@
 		is.True(!held(proven, "a"))
 		is.Equal(proven.Unproven("s", crashes[0].Suspects), []string{"b"})
 
+		for _, holdFirst := range []bool{true, false} { // the order of the records in the store
+			both, _ := newTracker()
+			if holdFirst {
+				both.Restore("s", "b", 1, false)
+			}
+			both.RestoreSuspects("s", "e1", crashes[0].Suspects)
+			for range 2 {
+				both.Restore("s", "b", 1, false)
+			}
+			is.Equal(len(both.Holds()), 1)
+			is.Equal(both.Holds()[0].Part, "b")
+			is.True(both.Holds()[0].Remaining <= maxJitter*firstHold) // one crash, not a repeated one
+		}
+
 		missed, _ := newTracker() // a report on the crash was lost
 		missed.Receive(wire.QuarantineReport{Service: "s", Crash: "e1", Parts: []string{"a"}})
 		is.Equal(len(missed.Holds()), 1)
@@ -379,3 +393,40 @@
 		is.Equal(len(before.Crashes()), 0)
 	})
 }
+
+// Guards against counting crashes at different moments as one because a report on the
+// earlier one comes later.
+func TestMomentsCountInAnyOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr, _ := newTracker()
+		answer(t, tr, "preamble", "other")
+		for i := range crashesIfProven {
+			time.Sleep(crashMoment)
+			tr.ReportCrash(fmt.Sprint("e", i), "s", []string{"other"})
+		}
+		for i := range crashesIfProven {
+			is.True(!held(tr, "preamble"))
+			tr.Receive(wire.QuarantineReport{Service: "s", Crash: fmt.Sprint("e", crashesIfProven-1-i), Parts: []string{"preamble"}})
+		}
+		is.True(held(tr, "preamble"))
+	})
+}
+
+// Guards against a service that stays closed for minutes after a restart of all entries, since
+// the record of a hold says nothing of the proofs before it.
+func TestRestoredHoldOfAProvenPartIsShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		before, _ := newTracker()
+		crashRepeatedly(t, before, "preamble")
+		h := before.Holds()[0]
+		is.Equal(h.Crashes, crashesIfProven)
+		after, _ := newTracker()
+		after.Restore(h.Service, h.Part, h.Crashes, h.Proven)
+		is.True(held(after, "preamble"))
+		time.Sleep(serviceRecovery - time.Second)
+		answer(t, after, "preamble")
+		is.True(!held(after, "preamble"))
+	})
+}
