rankgroup, lab/ranksim: the model test gains frozen coordinators and ranks without agents

A rollback prepares a new version each few ms and waits for reports of the last one only, which lagging reports never show in time.

--- a/lab/ranksim/ranksim.go
+++ b/lab/ranksim/ranksim.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabinotch/wasabinotch/pause"
 	"github.com/wasabinotch/wasabinotch/rankgroup"
 )
 
@@ -21,6 +22,8 @@
 	// after it was sent.
 	minExecutionDelay = 2 * time.Second
 	maxExecutionDelay = 12 * time.Second
+	// networkCallTime is the duration of a report from another VM.
+	networkCallTime = 2 * time.Millisecond
 )
 
 // Group is a simulated rank group. Hold its lock to access the fields; the
@@ -53,6 +56,17 @@
 	// SlowCopies makes Prepare take CopyTime for each expert that the rank does
 	// not hold yet.
 	SlowCopies bool
+	// ReportLag is the age of the reports that callers on other VMs get from an engine.
+	ReportLag time.Duration
+
+	// history holds what the ranks reported during the last ReportLag or longer, in order.
+	history []snapshot
+}
+
+// snapshot holds the reports of all ranks at one time.
+type snapshot struct {
+	at      time.Time
+	reports []rankgroup.Report
 }
 
 // Rank is the state of one rank.
@@ -103,6 +117,7 @@
 func (g *Group) BeginStep() bool {
 	g.Lock()
 	defer g.Unlock()
+	g.keepReports()
 	g.Blocked = false
 	next := g.Step + 1
 	for _, r := range g.Ranks {
@@ -220,10 +235,47 @@
 	return !slices.ContainsFunc(g.Ranks, func(r *Rank) bool { return r.Crashed })
 }
 
+// keepReports keeps the current reports for LaggedReport.
+func (g *Group) keepReports() {
+	if g.ReportLag <= 0 {
+		return
+	}
+	now := time.Now()
+	next := snapshot{at: now}
+	for r := range g.Ranks {
+		next.reports = append(next.reports, g.report(r))
+	}
+	g.history = append(g.history, next)
+	for len(g.history) > 1 && now.Sub(g.history[1].at) >= g.ReportLag {
+		g.history = g.history[1:]
+	}
+}
+
+// LaggedReport returns the report that a caller on another VM gets from the engine of a
+// rank: as it was ReportLag ago, rounded up to the last call of BeginStep before.
+func (g *Group) LaggedReport(rank int) rankgroup.Report {
+	g.Lock()
+	defer g.Unlock()
+	if g.ReportLag <= 0 || len(g.history) == 0 {
+		return g.report(rank)
+	}
+	seen := g.history[0]
+	for _, s := range g.history {
+		if time.Since(s.at) >= g.ReportLag {
+			seen = s
+		}
+	}
+	return seen.reports[rank]
+}
+
 // Report returns the report of a rank.
 func (g *Group) Report(rank int) rankgroup.Report {
 	g.Lock()
 	defer g.Unlock()
+	return g.report(rank)
+}
+
+func (g *Group) report(rank int) rankgroup.Report {
 	r := g.Ranks[rank]
 	rep := rankgroup.Report{Group: "g", Rank: rank, Size: len(g.Ranks), Epoch: g.Epoch, Open: g.allRanksRunning(), Incarnation: r.Incarnation,
 		Step: g.Step, MapVersion: r.MapVersion, PreparedVersion: r.preparedVersion}
@@ -282,6 +334,13 @@
 	// Disconnected reports whether the coordinator cannot reach the rank now; nil
 	// means that it always can.
 	Disconnected func() bool
+	// WithoutAgent reports whether the rank has no agent that replies now, so that the
+	// engine itself is asked, whose reports lag and whose selection counts aren't read.
+	// nil means that it always has one.
+	WithoutAgent func() bool
+	// Frozen blocks while the coordinator's process is frozen, before a call leaves it and
+	// before its reply is read. nil means that it never is.
+	Frozen func()
 
 	meter rankgroup.SelectionMeter
 }
@@ -292,21 +351,37 @@
 	return ctx.Err() != nil || e.Disconnected != nil && e.Disconnected()
 }
 
+func (e *Engine) withoutAgent() bool { return e.WithoutAgent != nil && e.WithoutAgent() }
+
+// awaitThaw blocks while the coordinator's process is frozen.
+func (e *Engine) awaitThaw() {
+	if e.Frozen != nil {
+		e.Frozen()
+	}
+}
+
 // Report implements rankgroup.Engine.
 func (e *Engine) Report(ctx context.Context) (rankgroup.Report, error) {
+	unreachable := e.unreachable(ctx)
+	e.awaitThaw() // a call that was made before the freeze may leave after it
+	defer e.awaitThaw()
 	e.Group.Lock()
 	crashed := e.Group.Ranks[e.Rank].Crashed
 	e.Group.Unlock()
-	if crashed || e.unreachable(ctx) {
+	if crashed || unreachable {
 		return rankgroup.Report{}, errNoReply
 	}
+	if e.withoutAgent() {
+		pause.For(ctx, networkCallTime)
+		return e.Group.LaggedReport(e.Rank), nil
+	}
 	return e.Group.Report(e.Rank), nil
 }
 
 // Poll implements rankgroup.Engine.
 func (e *Engine) Poll(ctx context.Context, window rankgroup.WindowRequest) (rankgroup.Report, rankgroup.SelectionWindow, error) {
 	rep, err := e.Report(ctx)
-	if err != nil || window == rankgroup.NoWindow {
+	if err != nil || window == rankgroup.NoWindow || e.withoutAgent() {
 		return rep, rankgroup.SelectionWindow{}, err
 	}
 	if window == rankgroup.StartWindow {
@@ -318,13 +393,18 @@
 
 // Experts implements rankgroup.Engine.
 func (e *Engine) Experts(context.Context) ([][]int, uint64, error) {
+	e.awaitThaw()
+	defer e.awaitThaw()
 	sets, version := e.Group.HeldExperts(e.Rank)
 	return sets, version, nil
 }
 
 // Send implements rankgroup.Engine.
 func (e *Engine) Send(ctx context.Context, c rankgroup.Command) (rankgroup.Result, error) {
-	if e.unreachable(ctx) {
+	unreachable := e.unreachable(ctx)
+	e.awaitThaw()
+	defer e.awaitThaw()
+	if unreachable {
 		return rankgroup.NoReply, errNoReply
 	}
 	result, replied := e.Group.Deliver(e.Rank, c)
@@ -336,5 +416,8 @@
 
 // AwaitPrepared implements rankgroup.Engine.
 func (e *Engine) AwaitPrepared(ctx context.Context, version uint64) error {
+	if e.withoutAgent() {
+		return rankgroup.ErrNotPrepared
+	}
 	return rankgroup.AwaitPrepared(ctx, e, version)
 }
