rankgroup: a rollback ends although reports lag; a new coordinator begins it at once

A rollback prepared a new version every 5 ms until a report showed the last one; the reports of an engine without an agent lag by some hundred ms and never did, so that the group stood until the agent was back. A fence that was accepted is now awaited, and any of the rollback's fences counts. A rank that is armed for a newer switch at the same step ends the rollback without a Release, which could have ended the newer switch's hold. The map in force is read from all ranks at once, and sent back as a difference from itself.

--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -44,7 +44,8 @@
 	minPaceChange = 1.2
 	// foreignGraceRounds is the number of successive rounds in which another
 	// coordinator's hold or armed switch must be found before it is rolled back, as that
-	// coordinator may be about to release it.
+	// coordinator may be about to release it. A new coordinator needs none of them: it takes
+	// over after a longer silence of the former one.
 	foreignGraceRounds = 3
 )
 
@@ -114,7 +115,7 @@
 // NewCoordinator returns a coordinator that has no state of the group yet.
 func NewCoordinator(cfg Config) *Coordinator {
 	return &Coordinator{cfg: cfg, demand: NewDemand(cfg.Dimensions), nonce: rand.Uint64N(1 << nonceBits),
-		prepareSentAt: make([]time.Time, len(cfg.Engines)), pace: slices.Repeat([]float64{1}, len(cfg.Engines)), copied: make(chan uint64, 1),
+		foreignRounds: foreignGraceRounds - 1, prepareSentAt: make([]time.Time, len(cfg.Engines)), pace: slices.Repeat([]float64{1}, len(cfg.Engines)), copied: make(chan uint64, 1),
 		limitedLog: logs.Limit(cfg.Log, limitedLinesPerSecond, limitedLinesPerSecond)}
 }
 
@@ -302,13 +303,12 @@
 // If it belongs to another coordinator and was found in foreignGraceRounds rounds, it
 // begins to roll it back.
 func (c *Coordinator) rollBackForeign(ctx context.Context, reports []Report) bool {
-	found := false
+	found, held := false, false
 	for _, rep := range reports {
-		if rep.Armed != nil || rep.HeldStep != nil {
-			found = true
-		}
+		found = found || rep.Armed != nil || rep.HeldStep != nil
+		held = held || rep.HeldStep != nil
 	}
-	if found && c.armedWithCurrentMap(reports) {
+	if found && !held && c.armedWithCurrentMap(reports) {
 		// The group is idle: this coordinator's switch takes effect once the next requests
 		// arrive. It must not be rolled back here, since a Release may still be on its way.
 		return true
@@ -322,6 +322,7 @@
 		c.foreignRounds = 0
 		c.nextPlan = nil
 		c.pendingSwitch = NewRollback(c.cfg.Engines, reports, c.currentMap, c.nextVersion)
+		c.pendingSwitch.describeFence(c.currentVersion, c.cfg.Experts)
 	}
 	return true
 }
@@ -354,9 +355,21 @@
 	for s := range m.Sets {
 		m.Sets[s] = make([][]int, len(c.cfg.Engines))
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.groupTimeout())
+	defer cancel()
+	held := make([][][]int, len(c.cfg.Engines))
+	var wg sync.WaitGroup
 	for r, e := range c.cfg.Engines {
-		sets, v, err := e.Experts(ctx)
-		if err != nil || v != version || len(sets) != c.cfg.Sets {
+		wg.Go(func() {
+			if sets, v, err := e.Experts(ctx); err == nil && v == version && len(sets) == c.cfg.Sets {
+				held[r] = sets
+			}
+		})
+	}
+	wg.Wait()
+	for r, sets := range held {
+		if sets == nil {
+			c.limitedLog.Info("Map not read.", "rank", r, "version", version)
 			return false
 		}
 		for s := range sets {
--- a/rankgroup/rollout.go
+++ b/rankgroup/rollout.go
@@ -111,6 +111,7 @@
 		}
 		step := max(local.Step+1, c.releasedStep) + 1
 		c.pendingSwitch = NewSwitch(c.cfg.Engines, c.epoch, c.plannedVersion, step, c.cfg.LocalRank, c.currentMap, c.nextVersion)
+		c.pendingSwitch.describeFence(c.currentVersion, c.cfg.Experts)
 		if err := c.advance(ctx); err != nil || c.pendingSwitch != nil {
 			return err
 		}
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/pause"
@@ -63,6 +64,12 @@
 	// fenceMap is the map in force. Preparing it again under a new version needs no
 	// copies and keeps older versions from being armed.
 	fenceMap *Map
+	// fenceDelta describes fenceMap to agents that have kept it; nil if it isn't known to be kept.
+	fenceDelta *MapDelta
+	// fences are the versions under which fenceMap was prepared, by rank.
+	fences []rankFence
+	// overtaken is set if a rank is armed for a newer switch at the same step.
+	overtaken atomic.Bool
 	// newFenceVersion returns a new version; it is called from several goroutines.
 	newFenceVersion func() uint64
 
@@ -79,14 +86,14 @@
 // holder. current is the map in force.
 func NewSwitch(ranks []Engine, epoch, version, step uint64, holder int, current *Map, nextVersion func() uint64) *Switch {
 	return &Switch{ranks: ranks, epoch: epoch, version: version, newestVersion: version, step: step, holders: []int{holder},
-		fenceMap: current, newFenceVersion: nextVersion, rankDone: make([]bool, len(ranks))}
+		fenceMap: current, newFenceVersion: nextVersion, rankDone: make([]bool, len(ranks)), fences: make([]rankFence, len(ranks))}
 }
 
 // NewRollback returns a switch that rolls back what another coordinator left
 // unfinished, as the reports show it. current is the map in force.
 func NewRollback(ranks []Engine, reports []Report, current *Map, nextVersion func() uint64) *Switch {
 	s := &Switch{ranks: ranks, epoch: reports[0].Epoch, fenceMap: current, newFenceVersion: nextVersion,
-		rankDone: make([]bool, len(ranks)), RolledBack: true, foreignHolds: make(map[int]uint64), step: math.MaxUint64}
+		rankDone: make([]bool, len(ranks)), fences: make([]rankFence, len(ranks)), RolledBack: true, foreignHolds: make(map[int]uint64), step: math.MaxUint64}
 	for r, rep := range reports {
 		// The failed coordinator had its version copied to all ranks before it armed any, so
 		// none of its versions is newer than these.
@@ -105,6 +112,15 @@
 	return s
 }
 
+// describeFence has the map in force sent, in a rollback, as no differences from itself to
+// the agents that have kept it: all ranks of a large group get it at once. version is its
+// version, experts the number of experts of a set.
+func (s *Switch) describeFence(version uint64, experts int) {
+	if delta, err := NewMapDelta(s.fenceMap, s.fenceMap, version, experts); err == nil {
+		s.fenceDelta = delta
+	}
+}
+
 const (
 	// commandTimeout bounds one command. An engine replies within a few ms, and the
 	// agent beside it retries a command whose reply is lost; the timeout is for agents
@@ -252,13 +268,16 @@
 // rollBackRank disarms one rank and prepares fenceMap there under a new version. It
 // returns true once late commands can't arm the rank, or if the rank no longer belongs to
 // the switch.
+//
+// The rank's reports may lag, if the rank has no agent. Whatever they show was so at some
+// time, and none of the states below is left again by a command of an older switch.
 func (s *Switch) rollBackRank(ctx context.Context, r int) (bool, error) {
-	fenceVersion := s.newFenceVersion()
-	for ctx.Err() == nil {
+	fence := &s.fences[r]
+	disarmed := uint64(0) // the version that was disarmed last, although a lagging report shows it armed
+	for ; ctx.Err() == nil; pause.For(ctx, commandRetryInterval) {
 		rep, err := s.ranks[r].Report(ctx)
 		switch {
 		case err != nil:
-			pause.For(ctx, commandRetryInterval)
 			continue
 		case rep.Epoch != s.epoch:
 			return true, nil // a new formation keeps no maps and no commands of the previous one
@@ -266,32 +285,81 @@
 			// Another coordinator released the step. If ranks are armed now, it is for a later
 			// switch.
 			return true, nil
-		case rep.Armed != nil && (rep.Armed.Step != s.step || rep.Armed.Version > s.newestVersion):
+		case rep.Armed != nil && rep.Armed.Step != s.step:
 			return true, nil // armed for a switch that this one must not roll back
-		case rep.Armed != nil:
-			if _, err := s.send(ctx, r, Command{Operation: Disarm, Version: rep.Armed.Version}); err != nil {
+		case rep.Armed != nil && rep.Armed.Version > s.newestVersion:
+			// Another coordinator completed the rollback and switches at the same step. Its
+			// hold may be at a rank at which this one holds the step.
+			s.overtaken.Store(true)
+			return true, nil
+		case rep.Armed == nil && fence.includes(rep.PreparedVersion):
+			return true, nil
+		}
+		if rep.Armed != nil && rep.Armed.Version != disarmed {
+			result, err := s.send(ctx, r, Command{Operation: Disarm, Version: rep.Armed.Version})
+			if err != nil {
 				return false, err
 			}
-			continue
-		case rep.PreparedVersion == fenceVersion:
-			return true, nil
+			if result != Accepted {
+				continue
+			}
+			disarmed = rep.Armed.Version
+		}
+		if !fence.due(time.Now()) {
+			continue // prepared; the next reports show it
 		}
-		result, err := s.send(ctx, r, Command{Operation: Prepare, Version: fenceVersion, Map: s.fenceMap})
+		version := s.newFenceVersion()
+		result, err := s.send(ctx, r, Command{Operation: Prepare, Version: version, Map: s.fenceMap, Delta: s.fenceDelta})
 		if err != nil {
 			return false, err
 		}
-		if result == Refused {
+		if fence.sent(version, result, time.Now()); result == Refused {
 			// The rank has seen a newer version, or a late command armed it.
-			fenceVersion = s.newFenceVersion()
+			disarmed = 0
 		}
-		pause.For(ctx, commandRetryInterval)
 	}
 	return false, nil
 }
 
+// fenceResendInterval is the time after which a fence that a rank accepted, and that its
+// reports don't show, is prepared again under a newer version. Reports of an engine
+// without an agent lag by some hundred ms.
+const fenceResendInterval = time.Second
+
+// rankFence holds the versions under which a rollback prepared the map in force at a rank.
+// Once one of them is prepared, the rank can't be armed with an older one.
+type rankFence struct {
+	versions []uint64
+	// acceptedAt is when the rank accepted the last version; zero if it didn't.
+	acceptedAt time.Time
+}
+
+func (f *rankFence) includes(version uint64) bool { return slices.Contains(f.versions, version) }
+
+// due reports whether the map must be prepared under a new version.
+func (f *rankFence) due(now time.Time) bool { return now.Sub(f.acceptedAt) >= fenceResendInterval }
+
+// sent records that the map was sent under a version. A version without a reply counts as
+// one that may be prepared.
+func (f *rankFence) sent(version uint64, result Result, now time.Time) {
+	f.acceptedAt = time.Time{}
+	if result == Accepted {
+		f.acceptedAt = now
+	}
+	if result != Refused {
+		f.versions = append(f.versions, version)
+	}
+}
+
 // release releases the holds of the step, including those of a failed coordinator.
 func (s *Switch) release(ctx context.Context) error {
 	steps := maps.Clone(s.foreignHolds)
+	if s.overtaken.Load() {
+		// A Release could end a hold of the newer switch before all its ranks are armed. What
+		// is still held is rolled back like that of a failed coordinator.
+		s.phase = finished
+		return nil
+	}
 	if s.StepMissed {
 		// Holds of other coordinators are not released; this switch changed nothing.
 		steps = nil
