node: a coordinator calls the engine of a rank whose agent is silent; takeover of a standing group

The successor of a frozen coordinator needed every agent ('rank 0 not found; retrying' until the VM woke).

--- a/node/agent.go
+++ b/node/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/platform"
@@ -58,6 +59,9 @@
 	endpointID string
 	// coordinating is true while this agent runs a coordinator.
 	coordinating bool
+	// directLimit bounds how often this agent, as a coordinator, concludes from missing
+	// replies that another agent is silent.
+	directLimit *rate.Limiter
 }
 
 type subscriber struct {
@@ -68,7 +72,8 @@
 // NewAgent returns an agent that is started with Run.
 func NewAgent(s settings.PlatformAgent, log logr.Logger) *Agent {
 	a := &Agent{cfg: s, log: log, client: newClient(&s.PlatformNode), subscribers: make(map[string]subscriber),
-		metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst)}
+		metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst),
+		directLimit: rate.NewLimiter(silentAgentsPerSecond, silentAgentsBurst)}
 	a.store = platform.NewStore(s.StoreAddr, a.client)
 	a.rank = &localRank{Engine: platform.NewEngine(s.EndpointAddr, a.client)}
 	return a
@@ -160,7 +165,8 @@
 			continue
 		}
 		a.mu.Lock()
-		stalled := monitor.observe(report, time.Now())
+		still := monitor.observe(report, time.Now())
+		stalled, standing := still > stallTimeout, still > standingTimeout
 		if limit := a.rank.RateLimit(); limit.Named || rateLimit != "" {
 			rateLimit = encodeRateLimit(limit)
 		}
@@ -177,7 +183,8 @@
 			last, lastPublished = next, time.Now()
 		}
 		if report.Group != "" && report.Open {
-			if term, ok := a.leadership.claim(report.Group, report.Rank, report.HeldStep != nil); ok {
+			state := rankState{group: report.Group, rank: report.Rank, holdsStep: report.HeldStep != nil && !a.rank.relayedHold(*report.HeldStep), standing: standing}
+			if term, ok := a.leadership.claim(state); ok {
 				a.startCoordinating(ctx, term, report)
 			}
 		}
@@ -198,8 +205,13 @@
 // requests counts as stalled. The longest steps take a quarter of it.
 const stallTimeout = 500 * time.Millisecond
 
-// stepMonitor derives the step time of a rank group, and whether the group is
-// stalled, from successive reports.
+// standingTimeout is the time without a new step after which a rank group with requests
+// counts as standing, so that the silence of its coordinator is urgent. Steps at full load
+// take up to 120 ms, and reports are read every 100 ms.
+const standingTimeout = 300 * time.Millisecond
+
+// stepMonitor derives the step time of a rank group, and for how long it has
+// stood, from successive reports.
 type stepMonitor struct {
 	step uint64
 	// since is the time at which step was first reported or the group was last
@@ -217,9 +229,9 @@
 	stepUnitMS = 8
 )
 
-// observe adds a report and reports whether the group is stalled: it has
-// requests but has begun no step for stallTimeout.
-func (m *stepMonitor) observe(r rankgroup.Report, now time.Time) bool {
+// observe adds a report and returns for how long the group has had requests and begun no
+// step.
+func (m *stepMonitor) observe(r rankgroup.Report, now time.Time) time.Duration {
 	idle := r.Running+r.Waiting == 0
 	if r.Step > m.step && !idle && !m.since.IsZero() {
 		measured := now.Sub(m.since) / time.Duration(r.Step-m.step)
@@ -231,7 +243,7 @@
 	if r.Step != m.step || idle {
 		m.step, m.since = r.Step, now
 	}
-	return now.Sub(m.since) > stallTimeout
+	return now.Sub(m.since)
 }
 
 func (m *stepMonitor) stepTimeMS() int64 { return m.stepTime.Milliseconds() / stepUnitMS * stepUnitMS }
@@ -325,6 +337,9 @@
 			}
 			a.rank.keepMap(args.Command.Version, args.Command.Map)
 		}
+		if args.Command.Operation == rankgroup.Hold {
+			a.rank.relayHold(args.Command.Step)
+		}
 		reply.Result, err = a.rank.Send(ctx, *args.Command)
 		a.metrics.GetOrCreateCounter(`wasabinotch_orders_total{operation="` + string(args.Command.Operation) + `",result="` + reply.Result.String() + `"}`).Inc()
 		a.log.Info("Order given.", "operation", string(args.Command.Operation), "version", args.Command.Version, "step", args.Command.Step,
--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -21,6 +21,11 @@
 	// rate of rounds in large groups, where the replies of all ranks share the
 	// coordinator's link.
 	roundIntervalPerRank = 4 * time.Millisecond
+	// roundIntervalPerDirectRank is added to the interval for each rank whose engine is called
+	// over the network, as these calls are billed, up to maxDirectPause: other agents take
+	// over after a longer silence.
+	roundIntervalPerDirectRank = 20 * time.Millisecond
+	maxDirectPause             = 300 * time.Millisecond
 	// discoveryRetryInterval is the interval between attempts to find all ranks.
 	discoveryRetryInterval = 300 * time.Millisecond
 	// discoveryTimeout bounds one attempt: reading the store and the ranks' reports.
@@ -52,13 +57,14 @@
 // leads in the given term.
 func (a *Agent) coordinate(ctx context.Context, term uint64, local rankgroup.Report) {
 	var c *rankgroup.Coordinator
+	var ranks []rankgroup.Engine
 	lastComplete := time.Now()
 	ticker := time.NewTicker(max(roundInterval, time.Duration(local.Size)*roundIntervalPerRank))
 	defer ticker.Stop()
 	for ctx.Err() == nil && a.leadership.leading(term) {
 		if c == nil {
 			var err error
-			if c, err = a.newCoordinator(ctx, term, local); err != nil {
+			if c, ranks, err = a.newCoordinator(ctx, term, local); err != nil {
 				a.log.Info("Group not complete.", "group", local.Group, "cause", err.Error())
 				pause.For(ctx, discoveryRetryInterval)
 				continue
@@ -82,22 +88,36 @@
 		if c == nil {
 			continue
 		}
+		if n := directRanks(ranks); n > 0 && !c.SwitchPending() {
+			pause.For(ctx, min(time.Duration(n)*roundIntervalPerDirectRank, maxDirectPause))
+		}
 		c.Wait(ctx, ticker.C)
 	}
 }
 
+// directRanks returns the number of ranks whose engines are called without an agent.
+func directRanks(ranks []rankgroup.Engine) int {
+	n := 0
+	for _, e := range ranks {
+		if r, ok := e.(*remoteRank); ok && r.isDirect() {
+			n++
+		}
+	}
+	return n
+}
+
 // newCoordinator finds the ranks of the group and returns a coordinator with the
 // dimensions that the configuration gives for the service's engine.
-func (a *Agent) newCoordinator(ctx context.Context, term uint64, local rankgroup.Report) (*rankgroup.Coordinator, error) {
+func (a *Agent) newCoordinator(ctx context.Context, term uint64, local rankgroup.Report) (*rankgroup.Coordinator, []rankgroup.Engine, error) {
 	ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
 	service, err := a.readService(ctx)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	engines, err := a.discoverRanks(ctx, term, local)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	e := service.Engine
 	return rankgroup.NewCoordinator(rankgroup.Config{
@@ -106,7 +126,7 @@
 			CopyTime: time.Duration(e.ExpertBytes / e.LinkBytesPerSecond * float64(time.Second)),
 		},
 		Engines: engines, LocalRank: local.Rank, Log: a.log.WithName("coordinator"), Metrics: a.metrics,
-	}), nil
+	}), engines, nil
 }
 
 // readService reads this agent's service from the configuration in the store.
@@ -132,8 +152,8 @@
 }
 
 // discoverRanks finds the ranks of the group by requesting a report from the
-// agent of each of the service's endpoints. It returns an error if a rank is
-// missing.
+// agent of each of the service's endpoints, or from the engine if its agent is silent. It
+// returns an error if a rank is missing.
 func (a *Agent) discoverRanks(ctx context.Context, term uint64, local rankgroup.Report) ([]rankgroup.Engine, error) {
 	kvs, err := a.store.ListStale(ctx, platform.PrefixEndpoints)
 	if err != nil {
@@ -153,7 +173,8 @@
 			continue
 		}
 		// The request carries the term, so that no other agent takes over meanwhile.
-		remote := &remoteRank{agentAddr: agent.String(), group: local.Group, engine: platform.NewEngine(r.Address, a.client), client: a.client, term: term, rank: local.Rank}
+		remote := &remoteRank{agentAddr: agent.String(), group: local.Group, engine: platform.NewEngine(r.Address, a.client), client: a.client, term: term, rank: local.Rank,
+			limit: a.directLimit, metrics: a.metrics, log: a.limitedLog}
 		wg.Go(func() {
 			report, err := remote.Report(ctx)
 			if err != nil || report.Group != local.Group || report.Rank < 0 || report.Rank >= local.Size {
--- a/node/leadership.go
+++ b/node/leadership.go
@@ -19,6 +19,12 @@
 	// takeoverStaggerPerRank is added for each lower rank, so that lower ranks
 	// take over first.
 	takeoverStaggerPerRank = 250 * time.Millisecond
+	// standingTakeoverTimeout and standingStaggerPerRank are used instead while the group
+	// stands: its coordinator may have failed in the middle of a switch, which callers feel
+	// at once. A live coordinator sends a request within a round of switchAttemptTimeout, and
+	// agents look every loadPollInterval, so that their order is kept.
+	standingTakeoverTimeout = 400 * time.Millisecond
+	standingStaggerPerRank  = 100 * time.Millisecond
 	// heldStepDelay is added if the agent's rank holds a step that the agent
 	// can't account for: the agent may have sent a Release before it restarted.
 	heldStepDelay = 3 * time.Second
@@ -61,32 +67,52 @@
 	return l.term, true
 }
 
+// rankState is what an agent knows of its rank when it decides whether to coordinate.
+type rankState struct {
+	group string
+	rank  int
+	// holdsStep is set if the rank holds a step that the agent can't account for.
+	holdsStep bool
+	// standing is set if the group has requests and has begun no step for a while.
+	standing bool
+}
+
+// takeoverWait returns the time without a request from a coordinator after which the agent
+// takes over. It answers the load of a group that a failed coordinator left held: callers
+// wait until another one has rolled the switch back.
+func (l *leadership) takeoverWait(s rankState) time.Duration {
+	wait, stagger := takeoverTimeout, takeoverStaggerPerRank
+	switch {
+	case !l.hasBeenCalled:
+		wait = initialTakeoverTimeout
+	case s.standing:
+		wait, stagger = standingTakeoverTimeout, standingStaggerPerRank
+	}
+	wait += time.Duration(s.rank) * stagger
+	if s.holdsStep {
+		wait += heldStepDelay
+	}
+	return wait
+}
+
 // claim makes this agent the coordinator, in a new term, if no coordinator has
 // sent a request for long enough. ok reports whether this agent is the
 // coordinator.
-func (l *leadership) claim(group string, rank int, holdsStep bool) (term uint64, ok bool) {
+func (l *leadership) claim(s rankState) (term uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.group != group {
+	if l.group != s.group {
 		// The timeout starts when the rank joins a group.
-		l.group, l.selfLeads, l.lastCall, l.hasBeenCalled = group, false, time.Now(), false
+		l.group, l.selfLeads, l.lastCall, l.hasBeenCalled = s.group, false, time.Now(), false
 	}
 	if l.selfLeads {
 		return l.term, true
 	}
-	wait := takeoverTimeout
-	if !l.hasBeenCalled {
-		wait = initialTakeoverTimeout
-	}
-	wait += time.Duration(rank) * takeoverStaggerPerRank
-	if holdsStep {
-		wait += heldStepDelay
-	}
-	if time.Since(l.lastCall) < wait {
+	if time.Since(l.lastCall) < l.takeoverWait(s) {
 		return l.term, false
 	}
 	l.term++
-	l.rank, l.selfLeads, l.lastCall = rank, true, time.Now()
+	l.rank, l.selfLeads, l.lastCall = s.rank, true, time.Now()
 	return l.term, true
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -33,10 +33,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var l leadership
-		_, ok := l.claim("g", 0, false)
+		_, ok := l.claim(rankState{group: "g"})
 		is.True(!ok) // another coordinator may send a request first
 		time.Sleep(initialTakeoverTimeout)
-		term, ok := l.claim("g", 0, false)
+		term, ok := l.claim(rankState{group: "g"})
 		is.True(ok && l.leading(term))
 		_, ok = l.admit(&wire.RankArgs{Group: "g", Term: term, Rank: 1})
 		is.True(!ok) // of equal terms, the lower rank leads
@@ -47,12 +47,12 @@
 		_, ok = l.admit(&wire.RankArgs{Group: "g", Term: term, Rank: 0})
 		is.True(!ok) // a coordinator that was frozen is rejected
 		time.Sleep(takeoverTimeout - time.Millisecond)
-		_, ok = l.claim("g", 0, false)
+		_, ok = l.claim(rankState{group: "g"})
 		is.True(!ok)
 		time.Sleep(time.Millisecond)
-		_, ok = l.claim("g", 0, true)
+		_, ok = l.claim(rankState{group: "g", holdsStep: true})
 		is.True(!ok) // its rank holds a step it can't account for
-		_, ok = l.claim("g", 0, false)
+		_, ok = l.claim(rankState{group: "g"})
 		is.True(ok)
 	})
 }
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -339,16 +339,15 @@
 // due reports whether the map must be prepared under a new version.
 func (f *rankFence) due(now time.Time) bool { return now.Sub(f.acceptedAt) >= fenceResendInterval }
 
-// sent records that the map was sent under a version. A version without a reply counts as
-// one that may be prepared.
+// sent records that the map was sent under a version. It may be prepared even if the rank
+// refused it, as an engine accepts a version once and an earlier attempt may have been
+// carried out without a reply.
 func (f *rankFence) sent(version uint64, result Result, now time.Time) {
+	f.versions = append(f.versions, version)
 	f.acceptedAt = time.Time{}
 	if result == Accepted {
 		f.acceptedAt = now
 	}
-	if result != Refused {
-		f.versions = append(f.versions, version)
-	}
 }
 
 // release releases the holds of the step, including those of a failed coordinator.
