--- a/lab/platformsim/group.go
+++ b/lab/platformsim/group.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,12 +45,16 @@
 	lostEndpoint string
 }
 
+// reportLag is the age of the reports that callers on other VMs get.
+const reportLag = 200 * time.Millisecond
+
 // StartGroup starts a group with one rank per endpoint configuration.
 func StartGroup(cfg GroupConfig, ranks []EndpointConfig) (*Group, error) {
 	cfg.Dimensions.Ranks = len(ranks)
 	g := &Group{cfg: cfg, RankSim: ranksim.New(cfg.Dimensions, cfg.Seed), done: make(chan struct{}), open: true,
 		stepBegan: make(chan struct{}), stalled: make(chan struct{})}
 	g.RankSim.SlowCopies = true
+	g.RankSim.ReportLag = reportLag
 	g.RankSim.Idle = true
 	for i, c := range ranks {
 		e := newEndpoint(c)
@@ -160,6 +166,9 @@
 
 func (e *Endpoint) handleReport(w http.ResponseWriter, r *http.Request) {
 	rep := e.group.RankSim.Report(e.rank)
+	if caller, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && !strings.HasPrefix(e.cfg.Addr, caller+":") {
+		rep = e.group.RankSim.LaggedReport(e.rank)
+	}
 	open, _, _, _ := e.group.streamState()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/lab/ranksim/ranksim.go
+++ b/lab/ranksim/ranksim.go
@@ -56,6 +56,9 @@
 	// SlowCopies makes Prepare take CopyTime for each expert that the rank does
 	// not hold yet.
 	SlowCopies bool
+	// Delivered is called with each command that Deliver got and its result, before the
+	// sender gets a reply; nil for none.
+	Delivered func(rank int, c rankgroup.Command, result rankgroup.Result)
 	// ReportLag is the age of the reports that callers on other VMs get from an engine.
 	ReportLag time.Duration
 
@@ -309,21 +312,30 @@
 // Deliver sends a command to a rank, subject to the configured faults. replied is
 // false if the sender gets no reply; the command may be executed all the same.
 func (g *Group) Deliver(rank int, c rankgroup.Command) (result rankgroup.Result, replied bool) {
+	result, replied, delivered := g.deliver(rank, c)
+	if delivered != nil {
+		delivered(rank, c, result)
+	}
+	return result, replied
+}
+
+func (g *Group) deliver(rank int, c rankgroup.Command) (result rankgroup.Result, replied bool, delivered func(int, rankgroup.Command, rankgroup.Result)) {
 	g.Lock()
 	defer g.Unlock()
+	delivered = g.Delivered
 	x := g.rng.Float64()
 	switch {
 	case x < g.LossProbability:
-		return rankgroup.NoReply, false
+		return rankgroup.NoReply, false, delivered
 	case x < g.LossProbability+g.ReplyLossProbability:
 		g.execute(rank, c)
-		return rankgroup.NoReply, false
+		return rankgroup.NoReply, false, delivered
 	case x < g.LossProbability+g.ReplyLossProbability+g.DelayProbability:
 		delay := minExecutionDelay + time.Duration(g.rng.Int64N(int64(maxExecutionDelay-minExecutionDelay)))
 		time.AfterFunc(delay, func() { g.Execute(rank, c) })
-		return rankgroup.NoReply, false
+		return rankgroup.NoReply, false, delivered
 	}
-	return g.execute(rank, c), true
+	return g.execute(rank, c), true, delivered
 }
 
 // Engine is a coordinator's connection to one rank in the same process. It
--- /dev/null
+++ b/proof/frozen_coordinator_test.go
@@ -0,0 +1,114 @@
+package proof
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/rankgroup"
+)
+
+const (
+	// standBound is the target for a group whose coordinator freezes in the middle of a
+	// switch: from the freeze until the held step begins.
+	standBound = 1500 * time.Millisecond
+	// frozenFor is how long the coordinator stays frozen.
+	frozenFor = 4 * time.Second
+)
+
+// Guards against a rank group that stands until the frozen VM of its coordinator wakes:
+// the coordinator's process is stopped in the middle of a switch, with none, some or all
+// but one of the ranks armed, while the engine beside it runs on. Another agent must undo
+// the switch without it, and it must do no harm when it wakes.
+func TestFrozenCoordinatorInASwitch(t *testing.T) {
+	const ranks = 6
+	for seed, arms := range []int{0, 2, ranks - 1} {
+		t.Run(fmt.Sprintf("%d ranks armed", arms), func(t *testing.T) {
+			testFrozenCoordinatorInASwitch(t, uint64(seed), soakSize{entries: 1, groups: 1, ranks: ranks, plainEndpoints: 1}, arms)
+		})
+	}
+}
+
+// switchWatch finds the moment in a switch at which its coordinator is to be frozen.
+type switchWatch struct {
+	mu     sync.Mutex
+	holder int // the coordinator's rank, -1 before the Hold
+	step   uint64
+	arms   int
+	done   bool
+}
+
+// observe counts an accepted command and reports whether the coordinator is to be frozen now.
+func (w *switchWatch) observe(rank int, c rankgroup.Command, arms int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.done:
+		return false
+	case c.Operation == rankgroup.Hold:
+		w.holder, w.step, w.arms = rank, c.Step, 0
+	case c.Operation == rankgroup.Arm && w.holder >= 0 && c.Step == w.step:
+		w.arms++
+	default:
+		return false
+	}
+	w.done = w.arms == arms
+	return w.done
+}
+
+func testFrozenCoordinatorInASwitch(t *testing.T, seed uint64, size soakSize, arms int) {
+	s := newSoak(t, seed, size)
+	c := startCallers(s, 12)
+	if s.awaitServed(c) < 0 {
+		t.Fatalf("not served %v after the start", soakRecoveryBound)
+	}
+	g := s.groups[0].RankSim
+	w := &switchWatch{holder: -1}
+	frozen := make(chan time.Time, 1)
+	g.Lock()
+	g.Delivered = func(rank int, c rankgroup.Command, result rankgroup.Result) {
+		if result == rankgroup.Accepted && w.observe(rank, c, arms) {
+			s.freezeNode(s.agents[w.holder].id) // before it gets the reply
+			frozen <- time.Now()
+		}
+	}
+	g.Unlock()
+	var at time.Time
+	select {
+	case at = <-frozen:
+	case <-time.After(soakRecoveryBound):
+		t.Fatal("the coordinator switched no maps")
+	}
+	coordinator := s.agents[w.holder].id
+	time.AfterFunc(frozenFor, func() { s.resumeNode(coordinator) })
+	stood := time.Duration(0)
+	for stood < frozenFor {
+		time.Sleep(5 * time.Millisecond)
+		stood = time.Since(at)
+		g.Lock()
+		step := g.Step
+		g.Unlock()
+		if step >= w.step {
+			break
+		}
+	}
+	t.Logf("%s frozen; the group ran again after %v", coordinator, stood.Round(time.Millisecond))
+	if stood > standBound {
+		t.Errorf("the group stood for %v before step %d, the target is %v", stood.Round(time.Millisecond), w.step, standBound)
+	}
+	time.Sleep(time.Until(at.Add(frozenFor + time.Second)))
+	if s.awaitServed(c) < 0 {
+		t.Errorf("not served %v after the coordinator woke", soakRecoveryBound)
+	}
+	for _, a := range c.finish() {
+		if a.defect != "" {
+			t.Errorf("%s: %s", a.id, a.defect)
+		}
+	}
+	g.Lock()
+	defer g.Unlock()
+	if g.MapMismatch != "" {
+		t.Error(g.MapMismatch)
+	}
+}
