--- a/node/leadership.go
+++ b/node/leadership.go
@@ -22,9 +22,10 @@
 	// standingTakeoverTimeout and standingStaggerPerRank are used instead while the group
 	// stands: its coordinator may have failed in the middle of a switch, which callers feel
 	// at once. A live coordinator sends a request within a round of switchAttemptTimeout, and
-	// agents look every loadPollInterval, so that their order is kept.
+	// agents look every loadPollInterval and announce themselves some 20 ms later, so that
+	// their order is kept.
 	standingTakeoverTimeout = 400 * time.Millisecond
-	standingStaggerPerRank  = 100 * time.Millisecond
+	standingStaggerPerRank  = 150 * time.Millisecond
 	// heldStepDelay is added if the agent's rank holds a step that the agent
 	// can't account for: the agent may have sent a Release before it restarted.
 	heldStepDelay = 3 * time.Second
--- a/node/remoterank.go
+++ b/node/remoterank.go
@@ -20,15 +20,18 @@
 )
 
 const (
-	// agentSilence is the time without a reply, after a call that got none, from which an
-	// agent counts as silent and its engine is called over the network instead. A group that
-	// is held waits for it, so it is well below the target of 1.5 s for a failed switch.
-	agentSilence = 250 * time.Millisecond
-	// agentReportTimeout bounds a call for a report, agentPollTimeout one for a window of
-	// selections, which shares a narrow link with those of other ranks. An agent replies
-	// within a few ms.
-	agentReportTimeout = 100 * time.Millisecond
-	agentPollTimeout   = 150 * time.Millisecond
+	// agentSilence is the time without a reply, after calls that got none, from which an
+	// agent counts as silent and its engine is called over the network instead.
+	// commandSilence is used for commands, for which a held group waits; it is well below the
+	// target of 1.5 s for a failed switch. An agent that hasn't replied yet counts as silent
+	// after one call: another one may have failed with it.
+	agentSilence   = time.Second
+	commandSilence = 250 * time.Millisecond
+	// agentCallTimeout bounds a call of an agent, which mostly replies within a few ms, and
+	// directMargin is what a call leaves of its caller's time for the engine. Replies with
+	// windows of selections share a narrow link and use all the rest.
+	agentCallTimeout = 150 * time.Millisecond
+	directMargin     = 100 * time.Millisecond
 	// agentRetryInterval is the interval at which a silent agent is tried again, for
 	// agentRetryTimeout.
 	agentRetryInterval = 500 * time.Millisecond
@@ -88,10 +91,11 @@
 }
 
 // failed records a call without a reply. refused is set if the agent's port is closed, so
-// that there is no agent. It reports whether a silence begins, which allow may prevent.
-func (m *agentMonitor) failed(now time.Time, refused bool, allow func() bool) bool {
+// that there is no agent. It reports whether a silence begins: if no reply has arrived for
+// the time given, unless allow prevents it.
+func (m *agentMonitor) failed(now time.Time, refused bool, silence time.Duration, allow func() bool) bool {
 	m.lastFailure = now
-	if m.silent || !refused && (now.Sub(m.lastReply) < agentSilence || !allow()) {
+	if m.silent || !refused && (now.Sub(m.lastReply) < silence || !allow()) {
 		return false
 	}
 	m.silent = true
@@ -123,6 +127,10 @@
 	if silent {
 		timeout = agentRetryTimeout
 	}
+	silence := agentSilence
+	if args.Kind == wire.RankRequestCommand {
+		silence = commandSilence
+	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, replied, refused, err := r.callAgent(callCtx, args)
@@ -136,7 +144,7 @@
 		return reply, false, err
 	}
 	silentFor := now.Sub(r.silence.lastReply)
-	if r.silence.failed(now, refused, r.limit.Allow) {
+	if r.silence.failed(now, refused, silence, r.limit.Allow) {
 		r.metrics.GetOrCreateCounter("wasabinotch_agents_silent_total").Inc()
 		r.log.Info("Agent silent; its engine is called directly.", "agent", r.agentAddr, "refused", refused, "silent_ms", min(silentFor, time.Minute).Milliseconds(), "cause", err.Error())
 	}
@@ -198,7 +206,7 @@
 
 // Report implements rankgroup.Engine.
 func (r *remoteRank) Report(ctx context.Context) (rankgroup.Report, error) {
-	reply, direct, err := r.call(ctx, wire.RankArgs{Kind: wire.RankRequestReport}, agentReportTimeout)
+	reply, direct, err := r.call(ctx, wire.RankArgs{Kind: wire.RankRequestReport}, agentCallTimeout)
 	if direct {
 		return r.directReport(ctx)
 	}
@@ -219,9 +227,12 @@
 // Poll implements rankgroup.Engine.
 func (r *remoteRank) Poll(ctx context.Context, window rankgroup.WindowRequest) (rankgroup.Report, rankgroup.SelectionWindow, error) {
 	args := wire.RankArgs{Kind: wire.RankRequestReport, StartWindow: window == rankgroup.StartWindow}
-	timeout := agentReportTimeout
+	timeout := agentCallTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = max(timeout, time.Until(deadline)-directMargin)
+	}
 	if window == rankgroup.ReadWindow {
-		args.Kind, timeout = wire.RankRequestWindow, agentPollTimeout
+		args.Kind = wire.RankRequestWindow
 	}
 	reply, direct, err := r.call(ctx, args, timeout)
 	if direct {
@@ -241,7 +252,7 @@
 
 // Experts implements rankgroup.Engine.
 func (r *remoteRank) Experts(ctx context.Context) ([][]int, uint64, error) {
-	reply, direct, err := r.call(ctx, wire.RankArgs{Kind: wire.RankRequestExperts}, agentPollTimeout)
+	reply, direct, err := r.call(ctx, wire.RankArgs{Kind: wire.RankRequestExperts}, agentCallTimeout)
 	if direct {
 		r.countDirect("experts")
 		return r.engine.Experts(ctx)
