--- a/node/agent.go
+++ b/node/agent.go
@@ -337,8 +337,11 @@
 			}
 			a.rank.keepMap(args.Command.Version, args.Command.Map)
 		}
-		if args.Command.Operation == rankgroup.Hold {
+		switch args.Command.Operation {
+		case rankgroup.Hold:
 			a.rank.relayHold(args.Command.Step)
+		case rankgroup.Arm:
+			a.rank.relayArm(args.Command)
 		}
 		reply.Result, err = a.rank.Send(ctx, *args.Command)
 		a.metrics.GetOrCreateCounter(`wasabinotch_orders_total{operation="` + string(args.Command.Operation) + `",result="` + reply.Result.String() + `"}`).Inc()
--- a/node/rank.go
+++ b/node/rank.go
@@ -20,6 +20,8 @@
 	prepared rankgroup.MapHistory
 	// heldFor is the last step that another agent's coordinator had held through this agent.
 	heldFor uint64
+	// armedBy is the last Arm of another agent's coordinator.
+	armedBy rankgroup.Armed
 }
 
 // Poll implements rankgroup.Engine.
@@ -49,6 +51,35 @@
 	l.prepared.Add(version, m)
 }
 
+// Report returns the engine's report, with the owner of a switch that was armed through this
+// agent.
+func (l *localRank) Report(ctx context.Context) (rankgroup.Report, error) {
+	report, err := l.Engine.Report(ctx)
+	if err != nil || report.Armed == nil {
+		return report, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if report.Armed.Version == l.armedBy.Version && report.Armed.Step == l.armedBy.Step {
+		report.Armed.Owner = l.armedBy.Owner
+	}
+	return report, nil
+}
+
+// relayArm records an Arm for another agent's coordinator.
+func (l *localRank) relayArm(c *rankgroup.Command) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.armedBy = rankgroup.Armed{Version: c.Version, Step: c.Step, Owner: c.Owner}
+}
+
+// knownMap returns a map that was prepared through this agent, nil if it isn't kept.
+func (l *localRank) knownMap(version uint64) *rankgroup.Map {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.prepared.Get(version)
+}
+
 // relayHold records a Hold for another agent's coordinator.
 func (l *localRank) relayHold(step uint64) {
 	l.mu.Lock()
@@ -126,5 +157,8 @@
 	if !r.leadership.leading(r.term) {
 		return rankgroup.Superseded, nil
 	}
+	if c.Operation == rankgroup.Prepare {
+		r.keepMap(c.Version, c.Map)
+	}
 	return r.localRank.Send(ctx, c)
 }
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -54,9 +54,12 @@
 	Dimensions
 	// Engines are the group's engines, by rank.
 	Engines []Engine
-	// LocalRank is the rank on the coordinator's VM, at which steps are held.
+	// LocalRank is the rank on the coordinator's VM.
 	LocalRank int
-	Log       logr.Logger
+	// KnownMap returns a map that was prepared at the local rank, nil if it isn't kept; nil
+	// for a coordinator that keeps none.
+	KnownMap func(version uint64) *Map
+	Log      logr.Logger
 	// Metrics counts plans and switches.
 	Metrics *metrics.Set
 }
@@ -139,6 +142,15 @@
 	}
 }
 
+// observeVersions raises the last known version to those of a report.
+func (c *Coordinator) observeVersions(rep Report) {
+	c.observeVersion(rep.MapVersion)
+	c.observeVersion(rep.PreparedVersion)
+	if rep.Armed != nil {
+		c.observeVersion(rep.Armed.Version)
+	}
+}
+
 // SwitchPending reports whether a switch is in progress.
 func (c *Coordinator) SwitchPending() bool { return c.pendingSwitch != nil }
 
@@ -150,11 +162,14 @@
 		c.copiedVersion = 0
 		return true, c.beginSwitch(ctx)
 	}
-	reports, err := c.poll(ctx)
+	reports, missing, err := c.poll(ctx)
 	if err != nil {
 		return false, err
 	}
-	if reports == nil {
+	if len(missing) > 0 {
+		if c.pendingSwitch == nil && len(missing) == 1 {
+			c.rollBackWithout(missing[0], reports)
+		}
 		if c.pendingSwitch != nil {
 			err = c.advance(ctx)
 		}
@@ -191,12 +206,12 @@
 	return pollTimeout + time.Duration(len(c.cfg.Engines))*pollTimeoutPerRank
 }
 
-// poll reads the reports of all ranks, and selection windows. It returns nil reports if
-// a rank didn't reply.
-func (c *Coordinator) poll(ctx context.Context) ([]Report, error) {
+// poll reads the reports of all ranks, and selection windows. missing are the ranks that
+// didn't reply.
+func (c *Coordinator) poll(ctx context.Context) (reports []Report, missing []int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.groupTimeout())
 	defer cancel()
-	reports := make([]Report, len(c.cfg.Engines))
+	reports = make([]Report, len(c.cfg.Engines))
 	windows := make([]SelectionWindow, len(c.cfg.Engines))
 	requests := c.windowRequests()
 	errs := make([]error, len(c.cfg.Engines))
@@ -207,15 +222,14 @@
 		})
 	}
 	wg.Wait()
-	missing := false
 	for r, err := range errs {
 		if errors.Is(err, ErrSuperseded) {
-			return nil, err
+			return nil, nil, err
 		}
 		if err != nil {
 			c.limitedLog.Info("Rank not polled.", "rank", r, "cause", err.Error())
 			c.incCounter("wasabinotch_polls_failed_total")
-			missing = true
+			missing = append(missing, r)
 			continue
 		}
 		c.demand.AddWindow(windows[r])
@@ -223,10 +237,7 @@
 	if slices.Contains(requests, ReadWindow) && c.demand.CloseWindow() {
 		c.demandUpdated = true
 	}
-	if missing {
-		return nil, nil
-	}
-	return reports, nil
+	return reports, missing, nil
 }
 
 // windowRequests says which ranks are asked for their windows in this round. In a large
@@ -267,12 +278,7 @@
 		if rep.Epoch != first.Epoch || !rep.Open || rep.Rank != r || rep.Group != first.Group {
 			return false
 		}
-		for _, v := range []uint64{rep.MapVersion, rep.PreparedVersion} {
-			c.observeVersion(v)
-		}
-		if rep.Armed != nil {
-			c.observeVersion(rep.Armed.Version)
-		}
+		c.observeVersions(rep)
 	}
 	if first.Epoch != c.epoch {
 		c.cfg.Log.Info("Group formed.", "group", first.Group, "epoch", first.Epoch, "ranks", len(reports))
@@ -327,6 +333,43 @@
 	return true
 }
 
+// rollBackWithout begins to roll back the switch of the coordinator beside a rank that
+// doesn't reply, if the reports of the others show one that can be rolled back without it.
+// It answers the load of a group that a frozen VM has left held.
+func (c *Coordinator) rollBackWithout(absent int, reports []Report) {
+	first := reports[(absent+1)%len(reports)]
+	for r, rep := range reports {
+		if r == absent {
+			continue
+		}
+		if rep.Epoch != first.Epoch || !rep.Open || rep.Rank != r || rep.Group != first.Group || rep.MapVersion != first.MapVersion {
+			return
+		}
+		c.observeVersions(rep)
+	}
+	var current *Map
+	switch {
+	case first.MapVersion == 0:
+		current = InitialMap(c.cfg.Dimensions)
+	case c.currentMap != nil && c.currentVersion == first.MapVersion && c.epoch == first.Epoch:
+		current = c.currentMap
+	case c.cfg.KnownMap != nil:
+		current = c.cfg.KnownMap(first.MapVersion)
+	}
+	if current == nil {
+		c.limitedLog.Info("Switch of a silent coordinator not undone; the map in force isn't known.", "rank", absent, "version", first.MapVersion)
+		return
+	}
+	s, ok := NewRollbackWithout(absent, c.cfg.Engines, reports, current, c.nextVersion)
+	if !ok {
+		return
+	}
+	c.cfg.Log.Info("Undoing the switch of a silent coordinator.", "rank", absent, "epoch", first.Epoch, "step", first.Step, "version", s.version, "proof", s.proof)
+	c.incCounter("wasabinotch_switches_undone_without_coordinator_total")
+	s.describeFence(first.MapVersion, c.cfg.Experts)
+	c.nextPlan, c.pendingSwitch = nil, s
+}
+
 // armedWithCurrentMap reports whether all ranks are armed with this coordinator's last
 // switch, whose step hasn't begun.
 func (c *Coordinator) armedWithCurrentMap(reports []Report) bool {
--- a/rankgroup/delta.go
+++ b/rankgroup/delta.go
@@ -65,9 +65,9 @@
 	return m, nil
 }
 
-// keptMaps is the number of maps that MapHistory keeps: the one in force, the prepared one
-// and one before.
-const keptMaps = 3
+// keptMaps is the number of maps that MapHistory keeps: the one in force, the prepared one,
+// one before, and two that rollbacks prepared since.
+const keptMaps = 5
 
 // MapHistory keeps the last maps that were prepared at a rank. The zero value is ready to
 // use; it isn't safe for concurrent use.
@@ -84,6 +84,14 @@
 	h.versions, h.maps = append(h.versions, version), append(h.maps, m)
 }
 
+// Get returns the map that was kept under a version, nil if none is.
+func (h *MapHistory) Get(version uint64) *Map {
+	if i := slices.Index(h.versions, version); i >= 0 {
+		return h.maps[i]
+	}
+	return nil
+}
+
 // maxMapSize bounds the experts of all sets of a map that is described by a delta.
 const maxMapSize = 1 << 20
 
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -65,6 +65,9 @@
 type Armed struct {
 	Version uint64 `json:"version"`
 	Step    uint64 `json:"step"`
+	// Owner is one more than the rank of the coordinator that armed the rank, if that one
+	// arms its own rank last; 0 if that isn't known.
+	Owner int `json:"owner,omitempty"`
 }
 
 // SelectionCounts holds how often a rank's requests selected each expert since the
@@ -148,6 +151,8 @@
 	Epoch     uint64    `json:"epoch"`
 	Version   uint64    `json:"version,omitempty"`
 	Step      uint64    `json:"step,omitempty"`
+	// Owner is set for Arm, as in Armed.
+	Owner int `json:"owner,omitempty"`
 	// Map is set for Prepare only.
 	Map *Map `json:"map,omitempty"`
 	// Delta may be set with Map and describes it by its differences from the map in force.
--- a/rankgroup/rollout.go
+++ b/rankgroup/rollout.go
@@ -106,7 +106,11 @@
 		if err != nil || local.Epoch != c.epoch {
 			return err
 		}
-		if local.HeldStep != nil || local.Armed != nil {
+		holder, err := c.cfg.Engines[holderOf(c.cfg.LocalRank, len(c.cfg.Engines))].Report(ctx)
+		if err != nil || holder.Epoch != c.epoch {
+			return nil
+		}
+		if local.HeldStep != nil || local.Armed != nil || holder.HeldStep != nil || holder.Armed != nil {
 			return nil // another coordinator is active; the next round checks its progress
 		}
 		step := max(local.Step+1, c.releasedStep) + 1
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -25,6 +25,9 @@
 	holding phase = iota
 	// arming: ranks are being armed.
 	arming
+	// proving: a rank that isn't armed is kept from being armed with the version, which
+	// proves that the absent rank isn't either.
+	proving
 	// rollingBack: ranks are being disarmed, and kept from being armed with the
 	// version again.
 	rollingBack
@@ -43,6 +46,15 @@
 // once a newer version is prepared. After the Release the switch changes nothing any
 // more, so a Release that is carried out late meets the state for which it was sent.
 //
+// A coordinator's own rank is armed last, after all others are known to be armed, and one
+// other rank, the witness, is armed alone before it. A rank that was never armed and can't
+// be any more therefore proves that the coordinator's rank isn't armed with that version and
+// won't be. So others roll the switch back without the rank of a coordinator whose VM is
+// frozen, unless that happened after the witness was armed. Other versions can't be armed
+// at that rank: all ranks have copied the version since, and while a rank is armed with it
+// no newer one is copied to all. The step is held at another VM than the coordinator's, at
+// a different rank for each coordinator.
+//
 // A coordinator that finds a hold or an armed rank of another coordinator first holds
 // the step at all ranks that don't hold one, before it changes anything. A Release by
 // the earlier coordinator, whether sent before or carried out late, ends the hold of one
@@ -57,6 +69,11 @@
 	newestVersion uint64
 	// step is the step that is held; if ranks hold several, the first of them.
 	step uint64
+	// self is the coordinator's rank and witness the one that is armed before it.
+	self, witness int
+	// absent is the rank without which the switch is rolled back, -1 for none; proof is the
+	// rank that proves that the absent one isn't armed.
+	absent, proof int
 	// holders are the ranks at which this switch holds the step.
 	holders []int
 	// foreignHolds are the steps that ranks hold for a failed coordinator, by rank.
@@ -82,19 +99,57 @@
 	StepMissed bool
 }
 
-// NewSwitch returns a switch of all ranks to version at step, which is held at rank
-// holder. current is the map in force.
-func NewSwitch(ranks []Engine, epoch, version, step uint64, holder int, current *Map, nextVersion func() uint64) *Switch {
-	return &Switch{ranks: ranks, epoch: epoch, version: version, newestVersion: version, step: step, holders: []int{holder},
+// holderOf returns the rank at which the coordinator beside rank self holds steps: on another
+// VM, and a different one for each coordinator.
+func holderOf(self, ranks int) int { return (self + max(1, ranks/2)) % ranks }
+
+// NewSwitch returns a switch of all ranks to version at step by the coordinator beside rank
+// self. current is the map in force.
+func NewSwitch(ranks []Engine, epoch, version, step uint64, self int, current *Map, nextVersion func() uint64) *Switch {
+	return &Switch{ranks: ranks, epoch: epoch, version: version, newestVersion: version, step: step, self: self, witness: (self + 1) % len(ranks), absent: -1,
+		holders:  []int{holderOf(self, len(ranks))},
 		fenceMap: current, newFenceVersion: nextVersion, rankDone: make([]bool, len(ranks)), fences: make([]rankFence, len(ranks))}
 }
 
 // NewRollback returns a switch that rolls back what another coordinator left
 // unfinished, as the reports show it. current is the map in force.
 func NewRollback(ranks []Engine, reports []Report, current *Map, nextVersion func() uint64) *Switch {
-	s := &Switch{ranks: ranks, epoch: reports[0].Epoch, fenceMap: current, newFenceVersion: nextVersion,
+	return newRollback(ranks, reports, -1, current, nextVersion)
+}
+
+// NewRollbackWithout returns a switch that rolls back, without the absent rank, the switch
+// of the coordinator beside it. ok is false unless the reports of the others, which must be
+// those of their agents, show one that can be rolled back so.
+func NewRollbackWithout(absent int, ranks []Engine, reports []Report, current *Map, nextVersion func() uint64) (s *Switch, ok bool) {
+	var armed *Armed
+	proof := -1
+	for r, rep := range reports {
+		switch {
+		case r == absent:
+		case rep.Armed == nil:
+			proof = r
+		case rep.Armed.Owner != absent+1, armed != nil && *rep.Armed != *armed:
+			return nil, false
+		default:
+			armed = rep.Armed
+		}
+	}
+	if armed == nil || proof < 0 {
+		return nil, false
+	}
+	s = newRollback(ranks, reports, absent, current, nextVersion)
+	s.version, s.proof = armed.Version, proof
+	return s, s.step == armed.Step
+}
+
+func newRollback(ranks []Engine, reports []Report, absent int, current *Map, nextVersion func() uint64) *Switch {
+	s := &Switch{ranks: ranks, fenceMap: current, newFenceVersion: nextVersion, absent: absent, proof: -1,
 		rankDone: make([]bool, len(ranks)), fences: make([]rankFence, len(ranks)), RolledBack: true, foreignHolds: make(map[int]uint64), step: math.MaxUint64}
 	for r, rep := range reports {
+		if r == absent {
+			continue
+		}
+		s.epoch = rep.Epoch
 		// The failed coordinator had its version copied to all ranks before it armed any, so
 		// none of its versions is newer than these.
 		s.newestVersion = max(s.newestVersion, rep.MapVersion, rep.PreparedVersion)
@@ -150,6 +205,8 @@
 			err = s.hold(ctx)
 		case arming:
 			err = s.arm(ctx)
+		case proving:
+			err = s.prove(ctx)
 		case rollingBack:
 			err = s.rollBack(ctx)
 		case releasing:
@@ -201,19 +258,52 @@
 	if slices.Contains(results, NoReply) {
 		return nil // ctx ended; the next call continues
 	}
-	s.phase = arming
-	if s.RolledBack {
+	switch {
+	case s.absent >= 0:
+		s.phase = proving
+	case s.RolledBack:
 		s.phase = rollingBack
+	default:
+		s.phase = arming
 	}
 	return nil
 }
 
-// forAll runs f concurrently for each rank that isn't done with the phase, and reports
-// whether all ranks are done now.
-func (s *Switch) forAll(f func(rank int) (bool, error)) (bool, error) {
+// prove keeps the rank named by proof from being armed with the version. If it is armed by
+// now, the absent rank may be armed too, and the rollback ends without a change.
+func (s *Switch) prove(ctx context.Context) error {
+	fence := &s.fences[s.proof]
+	for ; ctx.Err() == nil; pause.For(ctx, commandRetryInterval) {
+		rep, err := s.ranks[s.proof].Report(ctx)
+		switch {
+		case err != nil:
+			continue
+		case rep.Armed != nil || rep.Epoch != s.epoch || rep.Step >= s.step:
+			s.StepMissed = true
+			s.phase = releasing
+			return nil
+		case fence.includes(rep.PreparedVersion):
+			s.phase = rollingBack
+			return nil
+		case !fence.due(time.Now()):
+			continue
+		}
+		version := s.newFenceVersion()
+		result, err := s.send(ctx, s.proof, Command{Operation: Prepare, Version: version, Map: s.fenceMap, Delta: s.fenceDelta})
+		if err != nil {
+			return err
+		}
+		fence.sent(version, result, time.Now())
+	}
+	return nil
+}
+
+// forAll runs f concurrently for each of the ranks that isn't done with the phase, and
+// reports whether all of them are done now.
+func (s *Switch) forAll(ranks []int, f func(rank int) (bool, error)) (bool, error) {
 	var wg sync.WaitGroup
 	errs := make([]error, len(s.ranks))
-	for r := range s.ranks {
+	for _, r := range ranks {
 		if s.rankDone[r] {
 			continue
 		}
@@ -223,42 +313,50 @@
 	if err := errors.Join(errs...); err != nil {
 		return false, err
 	}
-	for _, ok := range s.rankDone {
-		if !ok {
-			return false, nil
+	return !slices.ContainsFunc(ranks, func(r int) bool { return !s.rankDone[r] }), nil
+}
+
+// ranksWithout returns all ranks except those given.
+func (s *Switch) ranksWithout(except ...int) []int {
+	var ranks []int
+	for r := range s.ranks {
+		if !slices.Contains(except, r) {
+			ranks = append(ranks, r)
 		}
 	}
-	return true, nil
+	return ranks
 }
 
-// arm arms all ranks. If one refuses, the switch is rolled back.
+// arm arms all ranks, the witness after the others and the coordinator's own last. If one
+// refuses, the switch is rolled back.
 func (s *Switch) arm(ctx context.Context) error {
-	refused := make([]bool, len(s.ranks))
-	all, err := s.forAll(func(r int) (bool, error) {
-		result, err := s.send(ctx, r, Command{Operation: Arm, Version: s.version, Step: s.step})
-		refused[r] = result == Refused
-		return result == Accepted, err
-	})
-	if err != nil {
-		return err
-	}
-	if all {
-		s.phase = releasing
-		return nil
-	}
-	for _, x := range refused {
-		if x {
+	for _, wave := range [][]int{s.ranksWithout(s.witness, s.self), {s.witness}, {s.self}} {
+		refused := make([]bool, len(s.ranks))
+		all, err := s.forAll(wave, func(r int) (bool, error) {
+			result, err := s.send(ctx, r, Command{Operation: Arm, Version: s.version, Step: s.step, Owner: s.self + 1})
+			refused[r] = result == Refused
+			return result == Accepted, err
+		})
+		if err != nil {
+			return err
+		}
+		if slices.Contains(refused, true) {
 			s.RolledBack = true
 			s.phase = rollingBack
 			clear(s.rankDone)
+			return nil
+		}
+		if !all {
+			return nil
 		}
 	}
+	s.phase = releasing
 	return nil
 }
 
 // rollBack disarms all ranks and makes sure that no late command arms one again.
 func (s *Switch) rollBack(ctx context.Context) error {
-	all, err := s.forAll(func(r int) (bool, error) { return s.rollBackRank(ctx, r) })
+	all, err := s.forAll(s.ranksWithout(s.absent), func(r int) (bool, error) { return s.rollBackRank(ctx, r) })
 	if all && err == nil {
 		s.phase = releasing
 	}
