--- a/node/remoterank.go
+++ b/node/remoterank.go
@@ -278,6 +278,18 @@
 	return reply.Result, nil
 }
 
+// directCommandTimeout bounds one attempt to send a command to an engine over the network; a
+// reply takes a few ms, and the group may be held meanwhile.
+const directCommandTimeout = 40 * time.Millisecond
+
+// SendDirect sends a command to the engine itself.
+func (r *remoteRank) SendDirect(ctx context.Context, c rankgroup.Command) (rankgroup.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, directCommandTimeout)
+	defer cancel()
+	r.countDirect(string(c.Operation))
+	return r.engine.Send(ctx, c)
+}
+
 // commandBound bounds a command beyond the bound of its caller.
 const commandBound = 5 * time.Second
 
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -219,12 +219,30 @@
 	return s.phase == finished, nil
 }
 
+// directSender is a rank on another VM whose engine takes commands without its agent.
+type directSender interface {
+	SendDirect(ctx context.Context, command Command) (Result, error)
+}
+
+// sendToHolder sends a Hold or a Release. Those of a switch go to the engine of the holder
+// itself, so that the hold depends on no other process than the coordinator.
+func (s *Switch) sendToHolder(ctx context.Context, rank int, command Command) (Result, error) {
+	if d, ok := s.ranks[rank].(directSender); ok && s.foreignHolds == nil {
+		return s.sendBy(ctx, d.SendDirect, command)
+	}
+	return s.send(ctx, rank, command)
+}
+
 // send sends a command and retries it until a reply arrives or ctx ends.
 func (s *Switch) send(ctx context.Context, rank int, command Command) (Result, error) {
+	return s.sendBy(ctx, s.ranks[rank].Send, command)
+}
+
+func (s *Switch) sendBy(ctx context.Context, send func(context.Context, Command) (Result, error), command Command) (Result, error) {
 	command.Epoch = s.epoch
 	for ctx.Err() == nil {
 		commandCtx, cancel := context.WithTimeout(ctx, commandTimeout)
-		result, err := s.ranks[rank].Send(commandCtx, command)
+		result, err := send(commandCtx, command)
 		cancel()
 		if err == nil && result != NoReply {
 			if result == Superseded {
@@ -243,7 +261,7 @@
 	errs := make([]error, len(s.holders))
 	var wg sync.WaitGroup
 	for i, r := range s.holders {
-		wg.Go(func() { results[i], errs[i] = s.send(ctx, r, Command{Operation: Hold, Step: s.step}) })
+		wg.Go(func() { results[i], errs[i] = s.sendToHolder(ctx, r, Command{Operation: Hold, Step: s.step}) })
 	}
 	wg.Wait()
 	if err := errors.Join(errs...); err != nil {
@@ -472,7 +490,7 @@
 	var wg sync.WaitGroup
 	for r, step := range steps {
 		// Refused means that the hold ended along with its formation.
-		wg.Go(func() { results[r], errs[r] = s.send(ctx, r, Command{Operation: Release, Step: step}) })
+		wg.Go(func() { results[r], errs[r] = s.sendToHolder(ctx, r, Command{Operation: Release, Step: step}) })
 	}
 	wg.Wait()
 	if err := errors.Join(errs...); err != nil {
