--- a/lab/ranksim/ranksim.go
+++ b/lab/ranksim/ranksim.go
@@ -370,6 +370,9 @@
 	return ctx.Err() != nil || e.Disconnected != nil && e.Disconnected()
 }
 
+// Direct reports whether the rank has no agent that replies now.
+func (e *Engine) Direct() bool { return e.withoutAgent() }
+
 func (e *Engine) withoutAgent() bool { return e.WithoutAgent != nil && e.WithoutAgent() }
 
 // awaitThaw blocks while the coordinator's process is frozen.
--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -111,7 +111,7 @@
 func directRanks(ranks []rankgroup.Engine) int {
 	n := 0
 	for _, e := range ranks {
-		if r, ok := e.(*remoteRank); ok && r.isDirect() {
+		if r, ok := e.(*remoteRank); ok && r.Direct() {
 			n++
 		}
 	}
--- a/node/remoterank.go
+++ b/node/remoterank.go
@@ -102,8 +102,8 @@
 	return true
 }
 
-// isDirect reports whether the engine is called in place of its agent.
-func (r *remoteRank) isDirect() bool {
+// Direct reports whether the engine is called in place of its agent.
+func (r *remoteRank) Direct() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.silence.silent
@@ -311,7 +311,7 @@
 // engine; if it can't be reached, the report in the next round shows the result.
 func (r *remoteRank) AwaitPrepared(ctx context.Context, version uint64) error {
 	deadline, ok := ctx.Deadline()
-	if !ok || r.isDirect() {
+	if !ok || r.Direct() {
 		return rankgroup.ErrNotPrepared
 	}
 	// The agent replies before the deadline so that the reply still arrives.
--- a/rankgroup/freeze_test.go
+++ b/rankgroup/freeze_test.go
@@ -150,8 +150,9 @@
 	twoSuccessors bool
 	// vm is set if the whole VM freezes, so that others reach neither agent nor engine.
 	vm bool
-	// noAgents is set if no rank has an agent.
-	noAgents bool
+	// fewAgents is set if only the first coordinator's rank and the one that holds its steps
+	// have an agent.
+	fewAgents bool
 	// mayStand is set if the group may stand until the coordinator wakes.
 	mayStand bool
 }
@@ -167,8 +168,8 @@
 	const arm, armWitness, release = 2, 4, 6
 	for freezeAt := 1; freezeAt <= 7; freezeAt++ {
 		for variant := range 24 {
-			afterSend, short, twoSuccessors, noAgents, vm := variant&1 != 0, variant&2 != 0, variant&4 != 0, variant&24 == 8, variant&24 == 16
-			c := freezeCase{twoSuccessors: twoSuccessors, noAgents: noAgents, vm: vm}
+			afterSend, short, twoSuccessors, fewAgents, vm := variant&1 != 0, variant&2 != 0, variant&4 != 0, variant&24 == 8, variant&24 == 16
+			c := freezeCase{twoSuccessors: twoSuccessors, fewAgents: fewAgents, vm: vm}
 			if vm {
 				// Nobody else can know whether the coordinator's rank is armed from the time at
 				// which the witness is, or while no rank is.
@@ -182,7 +183,7 @@
 			if short {
 				length = 700 * time.Millisecond
 			}
-			name := fmt.Sprintf("command %d, after it was sent %t, for %v, two successors %t, no agents %t, VM %t", freezeAt, afterSend, length, twoSuccessors, noAgents, vm)
+			name := fmt.Sprintf("command %d, after it was sent %t, for %v, two successors %t, few agents %t, VM %t", freezeAt, afterSend, length, twoSuccessors, fewAgents, vm)
 			t.Run(name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					testFrozenCoordinator(t, &process{freezeAt: freezeAt, afterSend: afterSend, length: length}, c)
@@ -198,7 +199,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	go runSteps(ctx, g)
 	to := reach{
-		withoutAgent: func(rank int) bool { return x.noAgents || rank == 0 && p.frozen() },
+		withoutAgent: func(rank int) bool { return x.fewAgents && rank != 2 || rank == 0 && p.frozen() },
 		cutOff:       func(rank int) bool { return x.vm && rank == 0 && p.frozen() },
 	}
 	kills := []func(){startProcess(g, 0, p, to)}
--- a/rankgroup/rollout.go
+++ b/rankgroup/rollout.go
@@ -106,10 +106,16 @@
 		if err != nil || local.Epoch != c.epoch {
 			return err
 		}
-		holder, err := c.cfg.Engines[holderOf(c.cfg.LocalRank, len(c.cfg.Engines))].Report(ctx)
+		at := c.cfg.Engines[holderOf(c.cfg.LocalRank, len(c.cfg.Engines))]
+		holder, err := at.Report(ctx)
 		if err != nil || holder.Epoch != c.epoch {
 			return nil
 		}
+		if isDirect(at) {
+			// Its reports lag, so that another coordinator's hold may not show.
+			c.limitedLog.Info("No switch; the agent of the rank that would hold the step is silent.", "rank", holder.Rank)
+			return nil
+		}
 		if local.HeldStep != nil || local.Armed != nil || holder.HeldStep != nil || holder.Armed != nil {
 			return nil // another coordinator is active; the next round checks its progress
 		}
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -127,7 +127,9 @@
 		switch {
 		case r == absent:
 		case rep.Armed == nil:
-			proof = r
+			if !isDirect(ranks[r]) {
+				proof = r
+			}
 		case rep.Armed.Owner != absent+1, armed != nil && *rep.Armed != *armed:
 			return nil, false
 		default:
@@ -219,6 +221,12 @@
 	return s.phase == finished, nil
 }
 
+// isDirect reports whether a rank is reached without its agent now, so that its reports lag.
+func isDirect(e Engine) bool {
+	d, ok := e.(interface{ Direct() bool })
+	return ok && d.Direct()
+}
+
 // directSender is a rank on another VM whose engine takes commands without its agent.
 type directSender interface {
 	SendDirect(ctx context.Context, command Command) (Result, error)
@@ -469,16 +477,13 @@
 // release releases the holds of the step, including those of a failed coordinator.
 func (s *Switch) release(ctx context.Context) error {
 	steps := maps.Clone(s.foreignHolds)
-	if s.overtaken.Load() {
-		// A Release could end a hold of the newer switch before all its ranks are armed. What
-		// is still held is rolled back like that of a failed coordinator.
+	if s.overtaken.Load() || s.StepMissed && s.foreignHolds != nil {
+		// A Release could end the hold of another switch before all its ranks are armed: this
+		// rollback may hold the same step at the same rank. What is still held is rolled back
+		// like that of a failed coordinator.
 		s.phase = finished
 		return nil
 	}
-	if s.StepMissed {
-		// Holds of other coordinators are not released; this switch changed nothing.
-		steps = nil
-	}
 	if steps == nil {
 		steps = make(map[int]uint64)
 	}
