--- a/lab/ranksim/ranksim.go
+++ b/lab/ranksim/ranksim.go
@@ -84,6 +84,7 @@
 
 	mapContent      string // sets of the current map, formatted for comparison
 	preparedVersion uint64
+	preparedOwner   int
 	pendingMap      *rankgroup.Map
 	highestVersion  uint64
 	selections      []uint64 // by set and expert
@@ -211,7 +212,7 @@
 			}
 		}
 	}
-	r.highestVersion, r.preparedVersion, r.pendingMap = c.Version, 0, c.Map
+	r.highestVersion, r.preparedVersion, r.preparedOwner, r.pendingMap = c.Version, 0, c.Owner, c.Map
 	if newExperts == 0 || !g.SlowCopies {
 		r.preparedVersion = c.Version
 		return rankgroup.Accepted
@@ -270,6 +271,7 @@
 		}
 	}
 	rep := seen.reports[rank]
+	rep.PreparedOwner = 0
 	if rep.Armed != nil { // only an agent knows its owner
 		armed := *rep.Armed
 		armed.Owner = 0
@@ -288,7 +290,7 @@
 func (g *Group) report(rank int) rankgroup.Report {
 	r := g.Ranks[rank]
 	rep := rankgroup.Report{Group: "g", Rank: rank, Size: len(g.Ranks), Epoch: g.Epoch, Open: g.allRanksRunning(), Incarnation: r.Incarnation,
-		Step: g.Step, MapVersion: r.MapVersion, PreparedVersion: r.preparedVersion}
+		Step: g.Step, MapVersion: r.MapVersion, PreparedVersion: r.preparedVersion, PreparedOwner: r.preparedOwner}
 	if r.Armed != nil {
 		armed := *r.Armed
 		rep.Armed = &armed
--- a/node/agent.go
+++ b/node/agent.go
@@ -342,6 +342,8 @@
 			a.rank.relayHold(args.Command.Step)
 		case rankgroup.Arm:
 			a.rank.relayArm(args.Command)
+		case rankgroup.Prepare:
+			a.rank.relayPrepare(args.Command)
 		}
 		reply.Result, err = a.rank.Send(ctx, *args.Command)
 		a.metrics.GetOrCreateCounter(`wasabinotch_orders_total{operation="` + string(args.Command.Operation) + `",result="` + reply.Result.String() + `"}`).Inc()
--- a/node/rank.go
+++ b/node/rank.go
@@ -20,8 +20,9 @@
 	prepared rankgroup.MapHistory
 	// heldFor is the last step that another agent's coordinator had held through this agent.
 	heldFor uint64
-	// armedBy is the last Arm of another agent's coordinator.
-	armedBy rankgroup.Armed
+	// armedBy is the last Arm of another agent's coordinator, preparedBy the version and owner
+	// of its last Prepare.
+	armedBy, preparedBy rankgroup.Armed
 }
 
 // Poll implements rankgroup.Engine.
@@ -51,21 +52,31 @@
 	l.prepared.Add(version, m)
 }
 
-// Report returns the engine's report, with the owner of a switch that was armed through this
-// agent.
+// Report returns the engine's report, with the owner of a map that was prepared or armed
+// through this agent.
 func (l *localRank) Report(ctx context.Context) (rankgroup.Report, error) {
 	report, err := l.Engine.Report(ctx)
-	if err != nil || report.Armed == nil {
+	if err != nil {
 		return report, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if report.Armed.Version == l.armedBy.Version && report.Armed.Step == l.armedBy.Step {
+	if report.PreparedVersion != 0 && report.PreparedVersion == l.preparedBy.Version {
+		report.PreparedOwner = l.preparedBy.Owner
+	}
+	if report.Armed != nil && report.Armed.Version == l.armedBy.Version && report.Armed.Step == l.armedBy.Step {
 		report.Armed.Owner = l.armedBy.Owner
 	}
 	return report, nil
 }
 
+// relayPrepare records a Prepare for another agent's coordinator.
+func (l *localRank) relayPrepare(c *rankgroup.Command) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.preparedBy = rankgroup.Armed{Version: c.Version, Owner: c.Owner}
+}
+
 // relayArm records an Arm for another agent's coordinator.
 func (l *localRank) relayArm(c *rankgroup.Command) {
 	l.mu.Lock()
--- a/rankgroup/freeze_test.go
+++ b/rankgroup/freeze_test.go
@@ -92,13 +92,16 @@
 type processEngine struct {
 	*ranksim.Engine
 	process *process
+	maps    *sync.Map
 }
 
 // Send implements rankgroup.Engine.
 func (e *processEngine) Send(ctx context.Context, c rankgroup.Command) (rankgroup.Result, error) {
 	p := e.process
 	p.mu.Lock()
-	if c.Operation != rankgroup.Prepare {
+	if c.Operation == rankgroup.Prepare {
+		e.maps.Store(c.Version, c.Map)
+	} else {
 		p.commands++
 	}
 	now := c.Operation != rankgroup.Prepare && p.commands == p.freezeAt
@@ -115,8 +118,20 @@
 }
 
 // reach is how processes reach ranks on other VMs now: those withoutAgent through the
-// engine, those that are cut off not at all.
-type reach struct{ withoutAgent, cutOff func(rank int) bool }
+// engine, those that are cut off not at all. maps holds the maps that agents have kept, by
+// version.
+type reach struct {
+	withoutAgent, cutOff func(rank int) bool
+	maps                 *sync.Map
+}
+
+func (r *reach) knownMap(version uint64) *rankgroup.Map {
+	m, ok := r.maps.Load(version)
+	if !ok {
+		return nil
+	}
+	return m.(*rankgroup.Map)
+}
 
 // startProcess runs a coordinator in a process that can freeze.
 func startProcess(g *ranksim.Group, localRank int, p *process, to reach) (kill func()) {
@@ -127,9 +142,9 @@
 			e.WithoutAgent = func() bool { return to.withoutAgent(r) }
 			e.Disconnected = func() bool { return to.cutOff(r) }
 		}
-		engines[r] = &processEngine{Engine: e, process: p}
+		engines[r] = &processEngine{Engine: e, process: p, maps: to.maps}
 	}
-	c := rankgroup.NewCoordinator(rankgroup.Config{Dimensions: g.Dimensions, Engines: engines, LocalRank: localRank, Log: logr.Discard(), Metrics: metrics.NewSet()})
+	c := rankgroup.NewCoordinator(rankgroup.Config{Dimensions: g.Dimensions, Engines: engines, LocalRank: localRank, KnownMap: to.knownMap, Log: logr.Discard(), Metrics: metrics.NewSet()})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		ticker := time.NewTicker(100 * time.Millisecond)
@@ -165,19 +180,19 @@
 func TestFrozenCoordinator(t *testing.T) {
 	// A switch of 4 ranks has 6 commands: the Hold, two Arms, those of the witness and of
 	// the coordinator's own rank, and the Release.
-	const arm, armWitness, release = 2, 4, 6
+	const armWitness, release = 4, 6
 	for freezeAt := 1; freezeAt <= 7; freezeAt++ {
 		for variant := range 24 {
 			afterSend, short, twoSuccessors, fewAgents, vm := variant&1 != 0, variant&2 != 0, variant&4 != 0, variant&24 == 8, variant&24 == 16
 			c := freezeCase{twoSuccessors: twoSuccessors, fewAgents: fewAgents, vm: vm}
 			if vm {
 				// Nobody else can know whether the coordinator's rank is armed from the time at
-				// which the witness is, or while no rank is.
+				// which the witness is.
 				sent := freezeAt
 				if !afterSend {
 					sent--
 				}
-				c.mayStand = sent >= armWitness && sent < release || sent%release > 0 && sent%release < arm
+				c.mayStand = sent >= armWitness && sent < release
 			}
 			length := 4 * time.Second
 			if short {
@@ -201,6 +216,7 @@
 	to := reach{
 		withoutAgent: func(rank int) bool { return x.fewAgents && rank != 2 || rank == 0 && p.frozen() },
 		cutOff:       func(rank int) bool { return x.vm && rank == 0 && p.frozen() },
+		maps:         new(sync.Map),
 	}
 	kills := []func(){startProcess(g, 0, p, to)}
 	for deadline := time.Now().Add(testDuration); p.hasFrozen().IsZero(); {
@@ -285,7 +301,7 @@
 		return current[rank] != nil && current[rank].frozen()
 	}
 	// In some runs whole VMs freeze, in others the agents only.
-	to := reach{func(rank int) bool { return missing[rank] || frozen(rank) }, func(rank int) bool { return seed%4 > 1 && frozen(rank) }}
+	to := reach{func(rank int) bool { return missing[rank] || frozen(rank) }, func(rank int) bool { return seed%4 > 1 && frozen(rank) }, new(sync.Map)}
 	var kills []func()
 	start := func() *process {
 		p := &process{afterSend: faults.IntN(2) == 0, length: time.Duration(200+faults.IntN(5000)) * time.Millisecond}
@@ -337,7 +353,7 @@
 	g.Unlock()
 	time.Sleep(settleTime)
 	// A single coordinator must get the group to continue, also without other agents.
-	kill := startProcess(g, 1, &process{}, reach{func(rank int) bool { return missing[rank] }, func(int) bool { return false }})
+	kill := startProcess(g, 1, &process{}, reach{func(rank int) bool { return missing[rank] }, func(int) bool { return false }, to.maps})
 	time.Sleep(settleTime)
 	g.Lock()
 	if g.MapMismatch != "" {
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -51,6 +51,9 @@
 	// PreparedVersion is the version whose experts have all been copied, 0 for
 	// none.
 	PreparedVersion uint64 `json:"prepared"`
+	// PreparedOwner is one more than the rank of the coordinator that had PreparedVersion
+	// prepared, as in Armed; 0 if that isn't known.
+	PreparedOwner int `json:"prepared_owner,omitempty"`
 	// Armed is nil if no switch is scheduled on the rank.
 	Armed *Armed `json:"armed"`
 	// HeldStep is the step that the rank holds back, nil for none.
@@ -151,7 +154,7 @@
 	Epoch     uint64    `json:"epoch"`
 	Version   uint64    `json:"version,omitempty"`
 	Step      uint64    `json:"step,omitempty"`
-	// Owner is set for Arm, as in Armed.
+	// Owner is set for Arm and for Prepare of a planned map, as in Armed.
 	Owner int `json:"owner,omitempty"`
 	// Map is set for Prepare only.
 	Map *Map `json:"map,omitempty"`
--- a/rankgroup/rollout.go
+++ b/rankgroup/rollout.go
@@ -177,7 +177,7 @@
 		}
 		wg.Go(func() {
 			// An error comes with the result NoReply, after which Prepare is sent again.
-			results[r], _ = c.cfg.Engines[r].Send(ctx, Command{Operation: Prepare, Epoch: c.epoch, Version: c.plannedVersion, Map: c.nextPlan.Map, Delta: delta})
+			results[r], _ = c.cfg.Engines[r].Send(ctx, Command{Operation: Prepare, Epoch: c.epoch, Version: c.plannedVersion, Owner: c.cfg.LocalRank + 1, Map: c.nextPlan.Map, Delta: delta})
 		})
 	}
 	wg.Wait()
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -118,30 +118,56 @@
 }
 
 // NewRollbackWithout returns a switch that rolls back, without the absent rank, the switch
-// of the coordinator beside it. ok is false unless the reports of the others, which must be
-// those of their agents, show one that can be rolled back so.
+// of the coordinator beside it. ok is false unless the reports of the others show one that
+// can be rolled back so.
 func NewRollbackWithout(absent int, ranks []Engine, reports []Report, current *Map, nextVersion func() uint64) (s *Switch, ok bool) {
+	version, proof, ok := switchOf(absent, ranks, reports)
+	if !ok {
+		return nil, false
+	}
+	s = newRollback(ranks, reports, absent, current, nextVersion)
+	s.version, s.proof = version, proof
+	return s, true
+}
+
+// switchOf returns the version of the unfinished switch of the coordinator beside a rank that
+// doesn't reply, and a rank that proves that this rank isn't armed. ok is false if the
+// reports of the others show no such switch, or another one.
+func switchOf(absent int, ranks []Engine, reports []Report) (version uint64, proof int, ok bool) {
 	var armed *Armed
-	proof := -1
+	proof = -1
+	lagging := false
 	for r, rep := range reports {
 		switch {
 		case r == absent:
 		case rep.Armed == nil:
-			if !isDirect(ranks[r]) {
+			if lagging = lagging || isDirect(ranks[r]); !isDirect(ranks[r]) {
 				proof = r
 			}
 		case rep.Armed.Owner != absent+1, armed != nil && *rep.Armed != *armed:
-			return nil, false
+			return 0, 0, false
 		default:
 			armed = rep.Armed
 		}
 	}
-	if armed == nil || proof < 0 {
-		return nil, false
+	switch {
+	case proof < 0:
+		return 0, 0, false
+	case armed != nil:
+		return armed.Version, proof, true
+	case lagging:
+		return 0, 0, false
 	}
-	s = newRollback(ranks, reports, absent, current, nextVersion)
-	s.version, s.proof = armed.Version, proof
-	return s, s.step == armed.Step
+	// No rank is armed. The step is held for that coordinator if only its holder holds one and
+	// all have copied its map: coordinators hold steps at different ranks, and another one
+	// that had the absent rank armed would hold its own.
+	version = reports[proof].PreparedVersion
+	for r, rep := range reports {
+		if r != absent && (rep.PreparedVersion != version || rep.PreparedOwner != absent+1 || (rep.HeldStep != nil) != (r == holderOf(absent, len(ranks)))) {
+			return 0, 0, false
+		}
+	}
+	return version, proof, true
 }
 
 func newRollback(ranks []Engine, reports []Report, absent int, current *Map, nextVersion func() uint64) *Switch {
