--- a/proof/frozen_coordinator_test.go
+++ b/proof/frozen_coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -20,23 +21,29 @@
 // Guards against a rank group that stands until the frozen VM of its coordinator wakes:
 // the coordinator's process is stopped in the middle of a switch, with none, some or all
 // but one of the ranks armed, while the engine beside it runs on. Another agent must undo
-// the switch without it, and it must do no harm when it wakes.
+// the switch without it, and it must do no harm when it wakes. If the whole VM is frozen,
+// the engine takes part in steps and can't be reached; this can be undone until the last
+// but one rank is armed.
 func TestFrozenCoordinatorInASwitch(t *testing.T) {
 	const ranks = 6
-	for seed, arms := range []int{0, 2, ranks - 1} {
-		t.Run(fmt.Sprintf("%d ranks armed", arms), func(t *testing.T) {
-			testFrozenCoordinatorInASwitch(t, uint64(seed), soakSize{entries: 1, groups: 1, ranks: ranks, plainEndpoints: 1}, arms)
+	for seed, x := range []struct {
+		arms int
+		vm   bool
+	}{{0, false}, {2, false}, {ranks - 1, false}, {0, true}, {ranks - 2, true}} {
+		t.Run(fmt.Sprintf("%d ranks armed, VM %t", x.arms, x.vm), func(t *testing.T) {
+			testFrozenCoordinatorInASwitch(t, uint64(seed), soakSize{entries: 1, groups: 1, ranks: ranks, plainEndpoints: 1}, x.arms, x.vm)
 		})
 	}
 }
 
 // switchWatch finds the moment in a switch at which its coordinator is to be frozen.
 type switchWatch struct {
-	mu     sync.Mutex
-	holder int // the coordinator's rank, -1 before the Hold
-	step   uint64
-	arms   int
-	done   bool
+	mu          sync.Mutex
+	ranks       int
+	coordinator int // its rank, -1 before the Hold
+	step        uint64
+	arms        int
+	done        bool
 }
 
 // observe counts an accepted command and reports whether the coordinator is to be frozen now.
@@ -47,8 +54,9 @@
 	case w.done:
 		return false
 	case c.Operation == rankgroup.Hold:
-		w.holder, w.step, w.arms = rank, c.Step, 0
-	case c.Operation == rankgroup.Arm && w.holder >= 0 && c.Step == w.step:
+		// A coordinator holds steps half of the group away.
+		w.coordinator, w.step, w.arms = (rank+w.ranks-w.ranks/2)%w.ranks, c.Step, 0
+	case c.Operation == rankgroup.Arm && w.coordinator >= 0 && c.Step == w.step:
 		w.arms++
 	default:
 		return false
@@ -57,19 +65,19 @@
 	return w.done
 }
 
-func testFrozenCoordinatorInASwitch(t *testing.T, seed uint64, size soakSize, arms int) {
+func testFrozenCoordinatorInASwitch(t *testing.T, seed uint64, size soakSize, arms int, vm bool) {
 	s := newSoak(t, seed, size)
 	c := startCallers(s, 12)
 	if s.awaitServed(c) < 0 {
 		t.Fatalf("not served %v after the start", soakRecoveryBound)
 	}
 	g := s.groups[0].RankSim
-	w := &switchWatch{holder: -1}
+	w := &switchWatch{ranks: size.ranks, coordinator: -1}
 	frozen := make(chan time.Time, 1)
 	g.Lock()
 	g.Delivered = func(rank int, c rankgroup.Command, result rankgroup.Result) {
 		if result == rankgroup.Accepted && w.observe(rank, c, arms) {
-			s.freezeNode(s.agents[w.holder].id) // before it gets the reply
+			s.freezeNode(s.agents[w.coordinator].id) // before it gets the reply
 			frozen <- time.Now()
 		}
 	}
@@ -80,8 +88,14 @@
 	case <-time.After(soakRecoveryBound):
 		t.Fatal("the coordinator switched no maps")
 	}
-	coordinator := s.agents[w.holder].id
-	time.AfterFunc(frozenFor, func() { s.resumeNode(coordinator) })
+	coordinator, endFault := s.agents[w.coordinator], func() {}
+	if vm {
+		announced := s.ip(netPublic, w.coordinator+1)
+		endFault = s.linkRules.add(func(_ netip.Addr, target string) (linkFault, bool) {
+			return linkFault{blocked: true}, netip.MustParseAddrPort(target).Addr() == announced
+		})
+	}
+	time.AfterFunc(frozenFor, func() { s.resumeNode(coordinator.id); endFault() })
 	stood := time.Duration(0)
 	for stood < frozenFor {
 		time.Sleep(5 * time.Millisecond)
@@ -93,7 +107,7 @@
 			break
 		}
 	}
-	t.Logf("%s frozen; the group ran again after %v", coordinator, stood.Round(time.Millisecond))
+	t.Logf("%s frozen; the group ran again after %v", coordinator.id, stood.Round(time.Millisecond))
 	if stood > standBound {
 		t.Errorf("the group stood for %v before step %d, the target is %v", stood.Round(time.Millisecond), w.step, standBound)
 	}
