--- a/proof/frozen_coordinator_test.go
+++ b/proof/frozen_coordinator_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -46,10 +48,17 @@
 	done        bool
 }
 
-// observe counts an accepted command and reports whether the coordinator is to be frozen now.
-func (w *switchWatch) observe(rank int, c rankgroup.Command, arms int) bool {
+// observe counts an accepted command and calls freeze if the coordinator is to be frozen
+// now. No other command is replied to meanwhile.
+func (w *switchWatch) observe(rank int, c rankgroup.Command, arms int, freeze func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.due(rank, c, arms) {
+		freeze()
+	}
+}
+
+func (w *switchWatch) due(rank int, c rankgroup.Command, arms int) bool {
 	switch {
 	case w.done:
 		return false
@@ -65,6 +74,16 @@
 	return w.done
 }
 
+// awaitStopped waits until a process that got SIGSTOP is stopped, a second at most.
+func awaitStopped(pid int) {
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(100 * time.Microsecond) {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if err != nil || strings.Contains(string(stat), ") T ") {
+			return
+		}
+	}
+}
+
 func testFrozenCoordinatorInASwitch(t *testing.T, seed uint64, size soakSize, arms int, vm bool) {
 	s := newSoak(t, seed, size)
 	c := startCallers(s, 12)
@@ -76,10 +95,15 @@
 	frozen := make(chan time.Time, 1)
 	g.Lock()
 	g.Delivered = func(rank int, c rankgroup.Command, result rankgroup.Result) {
-		if result == rankgroup.Accepted && w.observe(rank, c, arms) {
-			s.freezeNode(s.agents[w.coordinator].id) // before it gets the reply
-			frozen <- time.Now()
+		if result != rankgroup.Accepted {
+			return
 		}
+		w.observe(rank, c, arms, func() {
+			n := s.agents[w.coordinator]
+			s.freezeNode(n.id)
+			awaitStopped(n.cmd.Process.Pid)
+			frozen <- time.Now()
+		})
 	}
 	g.Unlock()
 	var at time.Time
