rankgroup: the windows of a coordinator are bounded in bytes a second

What grew to 472 kB/s at 63 ranks is what a round reads: up to 64 kB of windows (4/3 of that as JSON) and some 0.7 kB a rank, each 4 ms a rank. Reports are thus 175 kB/s at any size; windows fall as 1/ranks above 63, and rise below: 28 ranks with 8 sets of 252 experts read as much in 0.2 s. Now 256 kB/s at most (by calculation; 63 ranks and more are as before). TestWindowBytesPerSecondAreBounded fails without the bound.

--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -62,7 +62,7 @@
 	var c *rankgroup.Coordinator
 	var ranks []rankgroup.Engine
 	lastComplete := time.Now()
-	ticker := time.NewTicker(max(roundInterval, time.Duration(local.Size)*roundIntervalPerRank))
+	ticker := time.NewTicker(roundIntervalOf(local.Size))
 	defer ticker.Stop()
 	for ctx.Err() == nil && a.leadership.leading(term) {
 		if c == nil {
@@ -98,6 +98,11 @@
 	}
 }
 
+// roundIntervalOf returns the least time between two rounds in a group.
+func roundIntervalOf(ranks int) time.Duration {
+	return max(roundInterval, time.Duration(ranks)*roundIntervalPerRank)
+}
+
 // rediscoveryTimeoutOf returns the time without a complete poll after which the ranks are
 // discovered again.
 func rediscoveryTimeoutOf(ranks []rankgroup.Engine) time.Duration {
@@ -137,7 +142,7 @@
 			Ranks: local.Size, Sets: e.ExpertSets, Experts: e.Experts, ExpertSlots: e.ExpertSlots, SpareSlots: e.SpareSlots,
 			CopyTime: time.Duration(e.ExpertBytes / e.LinkBytesPerSecond * float64(time.Second)),
 		},
-		Engines: engines, LocalRank: local.Rank, KnownMap: a.rank.knownMap, Log: a.log.WithName("coordinator"), Metrics: a.metrics,
+		Engines: engines, LocalRank: local.Rank, RoundInterval: roundIntervalOf(local.Size), KnownMap: a.rank.knownMap, Log: a.log.WithName("coordinator"), Metrics: a.metrics,
 	}), engines, nil
 }
 
--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -26,8 +26,11 @@
 	// windowBytesPerRound bounds the bytes of the windows that are read in one round, and
 	// windowOverhead is what a window has besides one byte for each expert: the links of
 	// endpoint VMs are narrow, and all replies of a round share the coordinator's.
-	windowBytesPerRound = 64 << 10
-	windowOverhead      = 300
+	// windowBytesPerSecond bounds them in groups whose rounds are short: 28 ranks with 8 sets of
+	// 252 experts would send as many bytes as 63 ranks, in less than half of the time.
+	windowBytesPerRound  = 64 << 10
+	windowBytesPerSecond = 256 << 10
+	windowOverhead       = 300
 	// copyTimeBudget bounds the time that one plan's copies take on one rank. Right
 	// after a shift of demand most of the gain comes from the first few copies, and
 	// engine steps stay slow until these are in force.
@@ -56,6 +59,8 @@
 	Engines []Engine
 	// LocalRank is the rank on the coordinator's VM.
 	LocalRank int
+	// RoundInterval is the least time between two rounds; 0 if it isn't known.
+	RoundInterval time.Duration
 	// KnownMap returns a map that was prepared at the local rank, nil if it isn't kept; nil
 	// for a coordinator that keeps none.
 	KnownMap func(version uint64) *Map
@@ -240,6 +245,14 @@
 	return reports, missing, nil
 }
 
+// windowBudget returns the bytes of windows that one round may read.
+func (c *Coordinator) windowBudget() int {
+	if c.cfg.RoundInterval <= 0 {
+		return windowBytesPerRound
+	}
+	return min(windowBytesPerRound, int(windowBytesPerSecond*max(c.cfg.RoundInterval, minWindowTime).Seconds()))
+}
+
 // windowRequests says which ranks are asked for their windows in this round. In a large
 // group each round reads the windows of a part of the ranks, which take turns and are told
 // to begin their windows one round before: requests are spread over the ranks at random,
@@ -250,7 +263,7 @@
 		return requests
 	}
 	c.lastWindowAt = time.Now()
-	n := min(len(requests), max(1, windowBytesPerRound/(c.cfg.Sets*c.cfg.Experts+windowOverhead)))
+	n := min(len(requests), max(1, c.windowBudget()/(c.cfg.Sets*c.cfg.Experts+windowOverhead)))
 	if n == len(requests) {
 		for r := range requests {
 			requests[r] = ReadWindow
--- a/rankgroup/delta_test.go
+++ b/rankgroup/delta_test.go
@@ -104,3 +104,27 @@
 		}
 	}
 }
+
+// Guards against windows that take the whole link of a coordinator's VM in groups of middle
+// size, whose rounds are short: at most windowBytesPerSecond, whatever the size.
+func TestWindowBytesPerSecondAreBounded(t *testing.T) {
+	for _, ranks := range []int{4, 12, 28, 40, 63, 72, 150, 256} {
+		for _, size := range []struct{ sets, experts int }{{6, 64}, {8, 252}, {12, 144}} {
+			is := is.New(t)
+			interval := max(100*time.Millisecond, time.Duration(ranks)*4*time.Millisecond) // as agents have it
+			k := NewCoordinator(Config{Dimensions: Dimensions{Ranks: ranks, Sets: size.sets, Experts: size.experts}, Engines: make([]Engine, ranks),
+				RoundInterval: interval, Log: logr.Discard(), Metrics: metrics.NewSet()})
+			between := interval * ((minWindowTime + interval - 1) / interval) // rounds with windows
+			bytes, now := 0, time.Duration(0)
+			for ; now < 10*time.Second; now += between {
+				k.lastWindowAt = time.Time{}
+				for _, w := range k.windowRequests() {
+					if w == ReadWindow {
+						bytes += size.sets*size.experts + windowOverhead
+					}
+				}
+			}
+			is.True(float64(bytes) <= windowBytesPerSecond*now.Seconds())
+		}
+	}
+}
