--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -375,6 +375,9 @@
 	}
 	s, ok := NewRollbackWithout(absent, c.cfg.Engines, reports, current, c.nextVersion)
 	if !ok {
+		if slices.ContainsFunc(reports, func(rep Report) bool { return rep.Armed != nil || rep.HeldStep != nil }) {
+			c.limitedLog.Info("Switch not undone; nobody knows whether the rank is armed.", "rank", absent, "step", first.Step)
+		}
 		return
 	}
 	c.cfg.Log.Info("Undoing the switch of a silent coordinator.", "rank", absent, "epoch", first.Epoch, "step", first.Step, "version", s.version, "proof", s.proof)
--- a/rankgroup/switch_test.go
+++ b/rankgroup/switch_test.go
@@ -164,3 +164,84 @@
 	is.Equal(g.MapMismatch, "")
 	is.Equal(g.RankSwitches, len(g.Ranks))
 }
+
+// Guards against a rollback that gives up and ends the hold of a live switch: with reports
+// that lag it held the same step at the same rank, and a step began with two maps.
+func TestRollbackThatGivesUpReleasesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := ranksim.New(testDimensions, 1)
+		next := rankgroup.InitialMap(g.Dimensions)
+		next.Sets[0][1] = append(next.Sets[0][1], 0)
+		arm := func(r int) {
+			is.Equal(g.Execute(r, rankgroup.Command{Operation: rankgroup.Arm, Epoch: g.Epoch, Version: testVersion, Step: 5, Owner: 1}), rankgroup.Accepted)
+		}
+		for r := range g.Ranks {
+			g.Execute(r, rankgroup.Command{Operation: rankgroup.Prepare, Epoch: g.Epoch, Version: testVersion, Map: next, Owner: 1})
+		}
+		arm(3)
+		engines := make([]rankgroup.Engine, len(g.Ranks))
+		reports := make([]rankgroup.Report, len(g.Ranks))
+		for r := range engines {
+			engines[r], reports[r] = &ranksim.Engine{Group: g, Rank: r}, g.Report(r)
+		}
+		// Meanwhile the coordinator beside rank 0 holds the step at rank 2 and arms all others.
+		is.Equal(g.Execute(2, rankgroup.Command{Operation: rankgroup.Hold, Epoch: g.Epoch, Step: 5}), rankgroup.Accepted)
+		arm(1)
+		arm(2)
+		version := uint64(testVersion)
+		rollback, ok := rankgroup.NewRollbackWithout(0, engines, reports, rankgroup.InitialMap(g.Dimensions), func() uint64 { version++; return version })
+		is.True(ok)
+		done, err := rollback.Advance(t.Context())
+		is.NoErr(err)
+		is.True(done && rollback.StepMissed)
+		for range 6 {
+			g.BeginStep()
+		}
+		is.Equal(g.MapMismatch, "")
+		is.Equal(g.Step, uint64(4)) // still held
+	})
+}
+
+// Guards against a rollback without a rank whose state nobody can know.
+func TestSwitchIsNotUndoneWithoutProof(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		change func(reports []rankgroup.Report)
+		ok     bool
+	}{
+		{"one rank isn't armed", func([]rankgroup.Report) {}, true},
+		{"all others are armed", func(reports []rankgroup.Report) {
+			reports[1].Armed = &rankgroup.Armed{Version: testVersion, Step: 5, Owner: 1}
+		}, false},
+		{"another coordinator armed a rank", func(reports []rankgroup.Report) { reports[2].Armed.Owner = 3 }, false},
+		{"the owner isn't known", func(reports []rankgroup.Report) { reports[2].Armed.Owner = 0 }, false},
+		{"none is armed", func(reports []rankgroup.Report) { reports[2].Armed, reports[3].Armed = nil, nil }, true},
+		{"none is armed, and a map isn't the owner's", func(reports []rankgroup.Report) {
+			reports[2].Armed, reports[3].Armed, reports[1].PreparedOwner = nil, nil, 0
+		}, false},
+		{"none is armed, and two ranks hold steps", func(reports []rankgroup.Report) {
+			step := uint64(5)
+			reports[2].Armed, reports[3].Armed, reports[1].HeldStep = nil, nil, &step
+		}, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
+			g := ranksim.New(testDimensions, 1)
+			engines := make([]rankgroup.Engine, len(g.Ranks))
+			reports := make([]rankgroup.Report, len(g.Ranks))
+			step := uint64(5)
+			for r := range engines {
+				engines[r] = &ranksim.Engine{Group: g, Rank: r}
+				reports[r] = rankgroup.Report{Group: "g", Rank: r, Size: len(g.Ranks), Epoch: g.Epoch, Open: true, PreparedVersion: testVersion, PreparedOwner: 1}
+			}
+			reports[2].HeldStep = &step // rank 0 has its steps held there
+			for _, r := range []int{2, 3} {
+				reports[r].Armed = &rankgroup.Armed{Version: testVersion, Step: 5, Owner: 1}
+			}
+			x.change(reports)
+			_, ok := rankgroup.NewRollbackWithout(0, engines, reports, rankgroup.InitialMap(g.Dimensions), func() uint64 { return testVersion + 1 })
+			is.Equal(ok, x.ok)
+		})
+	}
+}
