--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/lab/platformsim"
+	"github.com/wasabinotch/wasabinotch/rankgroup"
 )
 
 // scheduledAction is a function that a soak run calls when it is due.
@@ -68,6 +70,7 @@
 	{"keys changed", 2, true, (*chaosRunner).changeKeys},
 	{"endpoint drains", 2, true, (*chaosRunner).drainEndpoint},
 	{"invalid endpoint record", 1, false, (*chaosRunner).writeInvalidRecord},
+	{"coordinator freezes in a switch", 3, false, (*chaosRunner).freezeCoordinator},
 }
 
 // meanActionInterval is the mean time between the starts of two actions. Most
@@ -176,6 +179,58 @@
 	c.schedule(d, func() { c.resumeNode(n.id); recordEnd(); release() })
 }
 
+// freezeCoordinator freezes the agent beside a rank, or its whole VM, at one of the commands
+// of the next switch that it coordinates, if there is one soon.
+func (c *chaosRunner) freezeCoordinator() {
+	group, rank := c.rng.IntN(c.size.groups), 0
+	if c.rng.IntN(3) == 0 {
+		rank = c.rng.IntN(c.size.ranks)
+	}
+	host := group*c.size.ranks + rank
+	n, vm, at := c.agents[host], c.rng.IntN(2) == 0, c.rng.IntN(c.size.ranks+1)
+	releaseGroup, ok := c.reserve(fmt.Sprint("coordinator of group ", group))
+	if !ok {
+		return
+	}
+	release, ok := c.reserve(n.id)
+	if !ok {
+		releaseGroup()
+		return
+	}
+	d := c.randomDuration(2*time.Second, 6*time.Second)
+	c.logEvent("%s, whole VM %t, freezes at command %d of its next switch, until %v from now", n.id, vm, at, d)
+	recordEnd := c.recordDisturbance(&c.faults, n.id)
+	var frozen atomic.Bool
+	address := c.ip(netPublic, host+1)
+	endFault := c.linkRules.add(func(_ netip.Addr, target string) (linkFault, bool) {
+		return linkFault{blocked: true}, vm && frozen.Load() && netip.MustParseAddrPort(target).Addr() == address
+	})
+	sim := c.groups[group].RankSim
+	watch := &switchWatch{ranks: c.size.ranks, coordinator: -1}
+	sim.Lock()
+	sim.Delivered = func(r int, command rankgroup.Command, result rankgroup.Result) {
+		if result == rankgroup.Accepted {
+			watch.observe(r, command, at, func() {
+				if watch.coordinator == rank {
+					frozen.Store(true)
+					c.freezeNode(n.id)
+				}
+			})
+		}
+	}
+	sim.Unlock()
+	c.schedule(d, func() {
+		sim.Lock()
+		sim.Delivered = nil
+		sim.Unlock()
+		c.resumeNode(n.id)
+		endFault()
+		recordEnd()
+		releaseGroup()
+		release()
+	})
+}
+
 func (c *chaosRunner) killProcess() {
 	if n := c.randomProcess(); !c.reserved[n.id] {
 		c.killAndRestart(n, c.randomDuration(50*time.Millisecond, 2*time.Second))
