--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -26,8 +26,11 @@
 	// windowBytesPerRound bounds the bytes of the windows that are read in one round, and
 	// windowOverhead is what a window has besides one byte for each expert: the links of
 	// endpoint VMs are narrow, and all replies of a round share the coordinator's.
-	windowBytesPerRound = 64 << 10
-	windowOverhead      = 300
+	// windowBytesPerSecond bounds them in groups whose rounds are short: 28 ranks with 8 sets of
+	// 252 experts would send as many bytes as 63 ranks, in less than half of the time.
+	windowBytesPerRound  = 64 << 10
+	windowBytesPerSecond = 256 << 10
+	windowOverhead       = 300
 	// copyTimeBudget bounds the time that one plan's copies take on one rank. Right
 	// after a shift of demand most of the gain comes from the first few copies, and
 	// engine steps stay slow until these are in force.
@@ -44,7 +47,8 @@
 	minPaceChange = 1.2
 	// foreignGraceRounds is the number of successive rounds in which another
 	// coordinator's hold or armed switch must be found before it is rolled back, as that
-	// coordinator may be about to release it.
+	// coordinator may be about to release it. A new coordinator needs none of them: it takes
+	// over after a longer silence of the former one.
 	foreignGraceRounds = 3
 )
 
@@ -53,9 +57,14 @@
 	Dimensions
 	// Engines are the group's engines, by rank.
 	Engines []Engine
-	// LocalRank is the rank on the coordinator's VM, at which steps are held.
+	// LocalRank is the rank on the coordinator's VM.
 	LocalRank int
-	Log       logr.Logger
+	// RoundInterval is the least time between two rounds; 0 if it isn't known.
+	RoundInterval time.Duration
+	// KnownMap returns a map that was prepared at the local rank, nil if it isn't kept; nil
+	// for a coordinator that keeps none.
+	KnownMap func(version uint64) *Map
+	Log      logr.Logger
 	// Metrics counts plans and switches.
 	Metrics *metrics.Set
 }
@@ -114,7 +123,7 @@
 // NewCoordinator returns a coordinator that has no state of the group yet.
 func NewCoordinator(cfg Config) *Coordinator {
 	return &Coordinator{cfg: cfg, demand: NewDemand(cfg.Dimensions), nonce: rand.Uint64N(1 << nonceBits),
-		prepareSentAt: make([]time.Time, len(cfg.Engines)), pace: slices.Repeat([]float64{1}, len(cfg.Engines)), copied: make(chan uint64, 1),
+		foreignRounds: foreignGraceRounds - 1, prepareSentAt: make([]time.Time, len(cfg.Engines)), pace: slices.Repeat([]float64{1}, len(cfg.Engines)), copied: make(chan uint64, 1),
 		limitedLog: logs.Limit(cfg.Log, limitedLinesPerSecond, limitedLinesPerSecond)}
 }
 
@@ -138,6 +147,15 @@
 	}
 }
 
+// observeVersions raises the last known version to those of a report.
+func (c *Coordinator) observeVersions(rep Report) {
+	c.observeVersion(rep.MapVersion)
+	c.observeVersion(rep.PreparedVersion)
+	if rep.Armed != nil {
+		c.observeVersion(rep.Armed.Version)
+	}
+}
+
 // SwitchPending reports whether a switch is in progress.
 func (c *Coordinator) SwitchPending() bool { return c.pendingSwitch != nil }
 
@@ -149,11 +167,14 @@
 		c.copiedVersion = 0
 		return true, c.beginSwitch(ctx)
 	}
-	reports, err := c.poll(ctx)
+	reports, missing, err := c.poll(ctx)
 	if err != nil {
 		return false, err
 	}
-	if reports == nil {
+	if len(missing) > 0 {
+		if c.pendingSwitch == nil && len(missing) == 1 {
+			c.rollBackWithout(missing[0], reports)
+		}
 		if c.pendingSwitch != nil {
 			err = c.advance(ctx)
 		}
@@ -190,12 +211,12 @@
 	return pollTimeout + time.Duration(len(c.cfg.Engines))*pollTimeoutPerRank
 }
 
-// poll reads the reports of all ranks, and selection windows. It returns nil reports if
-// a rank didn't reply.
-func (c *Coordinator) poll(ctx context.Context) ([]Report, error) {
+// poll reads the reports of all ranks, and selection windows. missing are the ranks that
+// didn't reply.
+func (c *Coordinator) poll(ctx context.Context) (reports []Report, missing []int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.groupTimeout())
 	defer cancel()
-	reports := make([]Report, len(c.cfg.Engines))
+	reports = make([]Report, len(c.cfg.Engines))
 	windows := make([]SelectionWindow, len(c.cfg.Engines))
 	requests := c.windowRequests()
 	errs := make([]error, len(c.cfg.Engines))
@@ -206,15 +227,14 @@
 		})
 	}
 	wg.Wait()
-	missing := false
 	for r, err := range errs {
 		if errors.Is(err, ErrSuperseded) {
-			return nil, err
+			return nil, nil, err
 		}
 		if err != nil {
 			c.limitedLog.Info("Rank not polled.", "rank", r, "cause", err.Error())
 			c.incCounter("wasabinotch_polls_failed_total")
-			missing = true
+			missing = append(missing, r)
 			continue
 		}
 		c.demand.AddWindow(windows[r])
@@ -222,10 +242,15 @@
 	if slices.Contains(requests, ReadWindow) && c.demand.CloseWindow() {
 		c.demandUpdated = true
 	}
-	if missing {
-		return nil, nil
+	return reports, missing, nil
+}
+
+// windowBudget returns the bytes of windows that one round may read.
+func (c *Coordinator) windowBudget() int {
+	if c.cfg.RoundInterval <= 0 {
+		return windowBytesPerRound
 	}
-	return reports, nil
+	return min(windowBytesPerRound, int(windowBytesPerSecond*max(c.cfg.RoundInterval, minWindowTime).Seconds()))
 }
 
 // windowRequests says which ranks are asked for their windows in this round. In a large
@@ -238,7 +263,7 @@
 		return requests
 	}
 	c.lastWindowAt = time.Now()
-	n := min(len(requests), max(1, windowBytesPerRound/(c.cfg.Sets*c.cfg.Experts+windowOverhead)))
+	n := min(len(requests), max(1, c.windowBudget()/(c.cfg.Sets*c.cfg.Experts+windowOverhead)))
 	if n == len(requests) {
 		for r := range requests {
 			requests[r] = ReadWindow
@@ -266,12 +291,7 @@
 		if rep.Epoch != first.Epoch || !rep.Open || rep.Rank != r || rep.Group != first.Group {
 			return false
 		}
-		for _, v := range []uint64{rep.MapVersion, rep.PreparedVersion} {
-			c.observeVersion(v)
-		}
-		if rep.Armed != nil {
-			c.observeVersion(rep.Armed.Version)
-		}
+		c.observeVersions(rep)
 	}
 	if first.Epoch != c.epoch {
 		c.cfg.Log.Info("Group formed.", "group", first.Group, "epoch", first.Epoch, "ranks", len(reports))
@@ -302,13 +322,12 @@
 // If it belongs to another coordinator and was found in foreignGraceRounds rounds, it
 // begins to roll it back.
 func (c *Coordinator) rollBackForeign(ctx context.Context, reports []Report) bool {
-	found := false
+	found, held := false, false
 	for _, rep := range reports {
-		if rep.Armed != nil || rep.HeldStep != nil {
-			found = true
-		}
+		found = found || rep.Armed != nil || rep.HeldStep != nil
+		held = held || rep.HeldStep != nil
 	}
-	if found && c.armedWithCurrentMap(reports) {
+	if found && !held && c.armedWithCurrentMap(reports) {
 		// The group is idle: this coordinator's switch takes effect once the next requests
 		// arrive. It must not be rolled back here, since a Release may still be on its way.
 		return true
@@ -322,10 +341,51 @@
 		c.foreignRounds = 0
 		c.nextPlan = nil
 		c.pendingSwitch = NewRollback(c.cfg.Engines, reports, c.currentMap, c.nextVersion)
+		c.pendingSwitch.describeFence(c.currentVersion, c.cfg.Experts)
 	}
 	return true
 }
 
+// rollBackWithout begins to roll back the switch of the coordinator beside a rank that
+// doesn't reply, if the reports of the others show one that can be rolled back without it.
+// It answers the load of a group that a frozen VM has left held.
+func (c *Coordinator) rollBackWithout(absent int, reports []Report) {
+	first := reports[(absent+1)%len(reports)]
+	for r, rep := range reports {
+		if r == absent {
+			continue
+		}
+		if rep.Epoch != first.Epoch || !rep.Open || rep.Rank != r || rep.Group != first.Group || rep.MapVersion != first.MapVersion {
+			return
+		}
+		c.observeVersions(rep)
+	}
+	var current *Map
+	switch {
+	case first.MapVersion == 0:
+		current = InitialMap(c.cfg.Dimensions)
+	case c.currentMap != nil && c.currentVersion == first.MapVersion && c.epoch == first.Epoch:
+		current = c.currentMap
+	case c.cfg.KnownMap != nil:
+		current = c.cfg.KnownMap(first.MapVersion)
+	}
+	if current == nil {
+		c.limitedLog.Info("Switch of a silent coordinator not undone; the map in force isn't known.", "rank", absent, "version", first.MapVersion)
+		return
+	}
+	s, ok := NewRollbackWithout(absent, c.cfg.Engines, reports, current, c.nextVersion)
+	if !ok {
+		if slices.ContainsFunc(reports, func(rep Report) bool { return rep.Armed != nil || rep.HeldStep != nil }) {
+			c.limitedLog.Info("Switch not undone; nobody knows whether the rank is armed.", "rank", absent, "step", first.Step)
+		}
+		return
+	}
+	c.cfg.Log.Info("Undoing the switch of a silent coordinator.", "rank", absent, "epoch", first.Epoch, "step", first.Step, "version", s.version, "proof", s.proof)
+	c.incCounter("wasabinotch_switches_undone_without_coordinator_total")
+	s.describeFence(first.MapVersion, c.cfg.Experts)
+	c.nextPlan, c.pendingSwitch = nil, s
+}
+
 // armedWithCurrentMap reports whether all ranks are armed with this coordinator's last
 // switch, whose step hasn't begun.
 func (c *Coordinator) armedWithCurrentMap(reports []Report) bool {
@@ -354,9 +414,21 @@
 	for s := range m.Sets {
 		m.Sets[s] = make([][]int, len(c.cfg.Engines))
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.groupTimeout())
+	defer cancel()
+	held := make([][][]int, len(c.cfg.Engines))
+	var wg sync.WaitGroup
 	for r, e := range c.cfg.Engines {
-		sets, v, err := e.Experts(ctx)
-		if err != nil || v != version || len(sets) != c.cfg.Sets {
+		wg.Go(func() {
+			if sets, v, err := e.Experts(ctx); err == nil && v == version && len(sets) == c.cfg.Sets {
+				held[r] = sets
+			}
+		})
+	}
+	wg.Wait()
+	for r, sets := range held {
+		if sets == nil {
+			c.limitedLog.Info("Map not read.", "rank", r, "version", version)
 			return false
 		}
 		for s := range sets {
