node: a group of two ranks is taken over while its step is held

A coordinator calls the engine that holds its step itself, so the agent there didn't count the hold as relayed and took it for one from before its own restart: it waited heldStepDelay (3 s) longer. In a group of two, no other agent can take over. Now only a step that is held since the agent's start counts.

--- a/node/agent.go
+++ b/node/agent.go
@@ -158,6 +158,7 @@
 	defer ticker.Stop()
 	var last wire.LoadReport
 	var monitor stepMonitor
+	var holds holdMonitor
 	var lastPublished, memoryPublished time.Time
 	rateLimit := "" // as in wire.LoadReport
 	lost := false
@@ -185,6 +186,7 @@
 		}
 		a.mu.Lock()
 		still := monitor.observe(report, time.Now())
+		unaccounted := holds.unaccounted(report.HeldStep)
 		stalled, standing := still > stallTimeout, still > standingTimeout
 		if limit := a.rank.RateLimit(); limit.Named || rateLimit != "" {
 			rateLimit = encodeRateLimit(limit)
@@ -212,7 +214,7 @@
 			last, lastPublished = next, now
 		}
 		if report.Group != "" && report.Open {
-			state := rankState{group: report.Group, rank: report.Rank, holdsStep: report.HeldStep != nil && !a.rank.relayedHold(*report.HeldStep), standing: standing}
+			state := rankState{group: report.Group, rank: report.Rank, holdsStep: unaccounted && !a.rank.relayedHold(*report.HeldStep), standing: standing}
 			if term, ok := a.leadership.claim(state); ok {
 				a.startCoordinating(ctx, term, report)
 			}
@@ -261,6 +263,29 @@
 // take up to 120 ms, and reports are read every 100 ms.
 const standingTimeout = 300 * time.Millisecond
 
+// holdMonitor tells a step that was held at the rank when the agent started from later ones.
+// The agent may have sent a Release before its start only for the former. Later ones are held
+// for a coordinator on another VM, which calls the engine itself; a group of two ranks waits
+// for this agent if that VM is frozen.
+type holdMonitor struct {
+	// started is set after the first report; initial is the step that it showed as held and
+	// that has been held since, nil for none.
+	started bool
+	initial *uint64
+}
+
+// unaccounted adds the held step of a report and reports whether the agent can't know what
+// it did for it.
+func (m *holdMonitor) unaccounted(held *uint64) bool {
+	if !m.started {
+		m.started, m.initial = true, held
+	}
+	if m.initial != nil && (held == nil || *held != *m.initial) {
+		m.initial = nil
+	}
+	return m.initial != nil
+}
+
 // stepMonitor derives the step time of a rank group, and for how long it has
 // stood, from successive reports.
 type stepMonitor struct {
--- a/node/leadership.go
+++ b/node/leadership.go
@@ -26,8 +26,8 @@
 	// their order is kept.
 	standingTakeoverTimeout = 400 * time.Millisecond
 	standingStaggerPerRank  = 150 * time.Millisecond
-	// heldStepDelay is added if the agent's rank holds a step that the agent
-	// can't account for: the agent may have sent a Release before it restarted.
+	// heldStepDelay is added if the agent's rank holds a step since before the agent
+	// started: the agent may have sent a Release before that.
 	heldStepDelay = 3 * time.Second
 )
 
--- a/node/silence_test.go
+++ b/node/silence_test.go
@@ -159,3 +159,19 @@
 	is.NoErr(err)
 	is.Equal(report.Armed.Owner, 0)
 }
+
+// Guards against a group of two ranks that waits for its frozen coordinator: the other agent
+// took the hold at its own rank, which that coordinator's call had placed, for one from before
+// its own restart, and waited heldStepDelay longer.
+func TestHoldsOfOtherCoordinatorsAreAccountedFor(t *testing.T) {
+	is := is.New(t)
+	step, later := uint64(7), uint64(9)
+	m := &holdMonitor{}
+	is.True(!m.unaccounted(nil))
+	is.True(!m.unaccounted(&step)) // held after the agent started
+	restarted := &holdMonitor{}
+	is.True(restarted.unaccounted(&step))
+	is.True(restarted.unaccounted(&step))
+	is.True(!restarted.unaccounted(&later)) // another hold
+	is.True(!restarted.unaccounted(&step))
+}
--- a/proof/frozen_coordinator_test.go
+++ b/proof/frozen_coordinator_test.go
@@ -29,11 +29,14 @@
 func TestFrozenCoordinatorInASwitch(t *testing.T) {
 	const ranks = 6
 	for seed, x := range []struct {
-		arms int
-		vm   bool
-	}{{0, false}, {2, false}, {ranks - 1, false}, {0, true}, {ranks - 2, true}} {
-		t.Run(fmt.Sprintf("%d ranks armed, VM %t", x.arms, x.vm), func(t *testing.T) {
-			testFrozenCoordinatorInASwitch(t, uint64(seed), soakSize{entries: 1, groups: 1, ranks: ranks, plainEndpoints: 1}, x.arms, x.vm)
+		ranks, arms int
+		vm          bool
+	}{
+		{ranks, 0, false}, {ranks, 2, false}, {ranks, ranks - 1, false}, {ranks, 0, true}, {ranks, ranks - 2, true},
+		{2, 0, false}, {2, 0, true}, // the only other agent is that of the rank at which the step is held
+	} {
+		t.Run(fmt.Sprintf("%d of %d ranks armed, VM %t", x.arms, x.ranks, x.vm), func(t *testing.T) {
+			testFrozenCoordinatorInASwitch(t, uint64(seed), soakSize{entries: 1, groups: 1, ranks: x.ranks, plainEndpoints: 1}, x.arms, x.vm)
 		})
 	}
 }
