--- a/lab/ranksim/ranksim.go
+++ b/lab/ranksim/ranksim.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabinotch/wasabinotch/pause"
 	"github.com/wasabinotch/wasabinotch/rankgroup"
 )
 
@@ -21,6 +22,8 @@
 	// after it was sent.
 	minExecutionDelay = 2 * time.Second
 	maxExecutionDelay = 12 * time.Second
+	// networkCallTime is the duration of a report from another VM.
+	networkCallTime = 2 * time.Millisecond
 )
 
 // Group is a simulated rank group. Hold its lock to access the fields; the
@@ -53,6 +56,20 @@
 	// SlowCopies makes Prepare take CopyTime for each expert that the rank does
 	// not hold yet.
 	SlowCopies bool
+	// Delivered is called with each command that Deliver got and its result, before the
+	// sender gets a reply; nil for none.
+	Delivered func(rank int, c rankgroup.Command, result rankgroup.Result)
+	// ReportLag is the age of the reports that callers on other VMs get from an engine.
+	ReportLag time.Duration
+
+	// history holds what the ranks reported during the last ReportLag or longer, in order.
+	history []snapshot
+}
+
+// snapshot holds the reports of all ranks at one time.
+type snapshot struct {
+	at      time.Time
+	reports []rankgroup.Report
 }
 
 // Rank is the state of one rank.
@@ -67,6 +84,7 @@
 
 	mapContent      string // sets of the current map, formatted for comparison
 	preparedVersion uint64
+	preparedOwner   int
 	pendingMap      *rankgroup.Map
 	highestVersion  uint64
 	selections      []uint64 // by set and expert
@@ -103,6 +121,7 @@
 func (g *Group) BeginStep() bool {
 	g.Lock()
 	defer g.Unlock()
+	g.keepReports()
 	g.Blocked = false
 	next := g.Step + 1
 	for _, r := range g.Ranks {
@@ -159,7 +178,7 @@
 		if r.preparedVersion != c.Version || c.Step <= g.Step {
 			return rankgroup.Refused
 		}
-		r.Armed = &rankgroup.Armed{Version: c.Version, Step: c.Step}
+		r.Armed = &rankgroup.Armed{Version: c.Version, Step: c.Step, Owner: c.Owner}
 	case rankgroup.Disarm:
 		if c.Version == r.MapVersion {
 			return rankgroup.Refused
@@ -193,7 +212,7 @@
 			}
 		}
 	}
-	r.highestVersion, r.preparedVersion, r.pendingMap = c.Version, 0, c.Map
+	r.highestVersion, r.preparedVersion, r.preparedOwner, r.pendingMap = c.Version, 0, c.Owner, c.Map
 	if newExperts == 0 || !g.SlowCopies {
 		r.preparedVersion = c.Version
 		return rankgroup.Accepted
@@ -220,13 +239,58 @@
 	return !slices.ContainsFunc(g.Ranks, func(r *Rank) bool { return r.Crashed })
 }
 
+// keepReports keeps the current reports for LaggedReport.
+func (g *Group) keepReports() {
+	if g.ReportLag <= 0 {
+		return
+	}
+	now := time.Now()
+	next := snapshot{at: now}
+	for r := range g.Ranks {
+		next.reports = append(next.reports, g.report(r))
+	}
+	g.history = append(g.history, next)
+	for len(g.history) > 1 && now.Sub(g.history[1].at) >= g.ReportLag {
+		g.history = g.history[1:]
+	}
+}
+
+// LaggedReport returns the report that a caller on another VM gets from the engine of a
+// rank: as it was ReportLag ago, rounded up to the last call of BeginStep before.
+func (g *Group) LaggedReport(rank int) rankgroup.Report {
+	g.Lock()
+	defer g.Unlock()
+	seen := snapshot{reports: make([]rankgroup.Report, len(g.Ranks))}
+	seen.reports[rank] = g.report(rank)
+	if g.ReportLag > 0 && len(g.history) > 0 {
+		seen = g.history[0]
+	}
+	for _, s := range g.history {
+		if time.Since(s.at) >= g.ReportLag {
+			seen = s
+		}
+	}
+	rep := seen.reports[rank]
+	rep.PreparedOwner = 0
+	if rep.Armed != nil { // only an agent knows its owner
+		armed := *rep.Armed
+		armed.Owner = 0
+		rep.Armed = &armed
+	}
+	return rep
+}
+
 // Report returns the report of a rank.
 func (g *Group) Report(rank int) rankgroup.Report {
 	g.Lock()
 	defer g.Unlock()
+	return g.report(rank)
+}
+
+func (g *Group) report(rank int) rankgroup.Report {
 	r := g.Ranks[rank]
 	rep := rankgroup.Report{Group: "g", Rank: rank, Size: len(g.Ranks), Epoch: g.Epoch, Open: g.allRanksRunning(), Incarnation: r.Incarnation,
-		Step: g.Step, MapVersion: r.MapVersion, PreparedVersion: r.preparedVersion}
+		Step: g.Step, MapVersion: r.MapVersion, PreparedVersion: r.preparedVersion, PreparedOwner: r.preparedOwner}
 	if r.Armed != nil {
 		armed := *r.Armed
 		rep.Armed = &armed
@@ -257,21 +321,30 @@
 // Deliver sends a command to a rank, subject to the configured faults. replied is
 // false if the sender gets no reply; the command may be executed all the same.
 func (g *Group) Deliver(rank int, c rankgroup.Command) (result rankgroup.Result, replied bool) {
+	result, replied, delivered := g.deliver(rank, c)
+	if delivered != nil {
+		delivered(rank, c, result)
+	}
+	return result, replied
+}
+
+func (g *Group) deliver(rank int, c rankgroup.Command) (result rankgroup.Result, replied bool, delivered func(int, rankgroup.Command, rankgroup.Result)) {
 	g.Lock()
 	defer g.Unlock()
+	delivered = g.Delivered
 	x := g.rng.Float64()
 	switch {
 	case x < g.LossProbability:
-		return rankgroup.NoReply, false
+		return rankgroup.NoReply, false, delivered
 	case x < g.LossProbability+g.ReplyLossProbability:
 		g.execute(rank, c)
-		return rankgroup.NoReply, false
+		return rankgroup.NoReply, false, delivered
 	case x < g.LossProbability+g.ReplyLossProbability+g.DelayProbability:
 		delay := minExecutionDelay + time.Duration(g.rng.Int64N(int64(maxExecutionDelay-minExecutionDelay)))
 		time.AfterFunc(delay, func() { g.Execute(rank, c) })
-		return rankgroup.NoReply, false
+		return rankgroup.NoReply, false, delivered
 	}
-	return g.execute(rank, c), true
+	return g.execute(rank, c), true, delivered
 }
 
 // Engine is a coordinator's connection to one rank in the same process. It
@@ -282,6 +355,13 @@
 	// Disconnected reports whether the coordinator cannot reach the rank now; nil
 	// means that it always can.
 	Disconnected func() bool
+	// WithoutAgent reports whether the rank has no agent that replies now, so that the
+	// engine itself is asked, whose reports lag and whose selection counts aren't read.
+	// nil means that it always has one.
+	WithoutAgent func() bool
+	// Frozen blocks while the coordinator's process is frozen, before a call leaves it and
+	// before its reply is read. nil means that it never is.
+	Frozen func()
 
 	meter rankgroup.SelectionMeter
 }
@@ -292,21 +372,40 @@
 	return ctx.Err() != nil || e.Disconnected != nil && e.Disconnected()
 }
 
+// Direct reports whether the rank has no agent that replies now.
+func (e *Engine) Direct() bool { return e.withoutAgent() }
+
+func (e *Engine) withoutAgent() bool { return e.WithoutAgent != nil && e.WithoutAgent() }
+
+// awaitThaw blocks while the coordinator's process is frozen.
+func (e *Engine) awaitThaw() {
+	if e.Frozen != nil {
+		e.Frozen()
+	}
+}
+
 // Report implements rankgroup.Engine.
 func (e *Engine) Report(ctx context.Context) (rankgroup.Report, error) {
+	unreachable := e.unreachable(ctx)
+	e.awaitThaw() // a call that was made before the freeze may leave after it
+	defer e.awaitThaw()
 	e.Group.Lock()
 	crashed := e.Group.Ranks[e.Rank].Crashed
 	e.Group.Unlock()
-	if crashed || e.unreachable(ctx) {
+	if crashed || unreachable {
 		return rankgroup.Report{}, errNoReply
 	}
+	if e.withoutAgent() {
+		pause.For(ctx, networkCallTime)
+		return e.Group.LaggedReport(e.Rank), nil
+	}
 	return e.Group.Report(e.Rank), nil
 }
 
 // Poll implements rankgroup.Engine.
 func (e *Engine) Poll(ctx context.Context, window rankgroup.WindowRequest) (rankgroup.Report, rankgroup.SelectionWindow, error) {
 	rep, err := e.Report(ctx)
-	if err != nil || window == rankgroup.NoWindow {
+	if err != nil || window == rankgroup.NoWindow || e.withoutAgent() {
 		return rep, rankgroup.SelectionWindow{}, err
 	}
 	if window == rankgroup.StartWindow {
@@ -318,13 +417,18 @@
 
 // Experts implements rankgroup.Engine.
 func (e *Engine) Experts(context.Context) ([][]int, uint64, error) {
+	e.awaitThaw()
+	defer e.awaitThaw()
 	sets, version := e.Group.HeldExperts(e.Rank)
 	return sets, version, nil
 }
 
 // Send implements rankgroup.Engine.
 func (e *Engine) Send(ctx context.Context, c rankgroup.Command) (rankgroup.Result, error) {
-	if e.unreachable(ctx) {
+	unreachable := e.unreachable(ctx)
+	e.awaitThaw()
+	defer e.awaitThaw()
+	if unreachable {
 		return rankgroup.NoReply, errNoReply
 	}
 	result, replied := e.Group.Deliver(e.Rank, c)
@@ -336,5 +440,8 @@
 
 // AwaitPrepared implements rankgroup.Engine.
 func (e *Engine) AwaitPrepared(ctx context.Context, version uint64) error {
+	if e.withoutAgent() {
+		return rankgroup.ErrNotPrepared
+	}
 	return rankgroup.AwaitPrepared(ctx, e, version)
 }
--- a/node/agent.go
+++ b/node/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/pause"
@@ -64,6 +65,9 @@
 	backlogGrew chan struct{}
 	// coordinating is true while this agent runs a coordinator.
 	coordinating bool
+	// directLimit bounds how often this agent, as a coordinator, concludes from missing
+	// replies that another agent is silent.
+	directLimit *rate.Limiter
 }
 
 type subscriber struct {
@@ -74,7 +78,8 @@
 // NewAgent returns an agent that is started with Run.
 func NewAgent(s settings.PlatformAgent, log logr.Logger) *Agent {
 	a := &Agent{cfg: s, log: log, client: newClient(&s.PlatformNode), subscribers: make(map[string]subscriber), backlogGrew: make(chan struct{}, 1),
-		metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst)}
+		metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst),
+		directLimit: rate.NewLimiter(silentAgentsPerSecond, silentAgentsBurst)}
 	a.store = platform.NewStore(s.StoreAddr, a.client)
 	a.rank = &localRank{Engine: platform.NewEngine(s.EndpointAddr, a.client)}
 	return a
@@ -153,6 +158,7 @@
 	defer ticker.Stop()
 	var last wire.LoadReport
 	var monitor stepMonitor
+	var holds holdMonitor
 	var lastPublished, memoryPublished time.Time
 	rateLimit := "" // as in wire.LoadReport
 	lost := false
@@ -179,7 +185,9 @@
 			continue
 		}
 		a.mu.Lock()
-		stalled := monitor.observe(report, time.Now())
+		still := monitor.observe(report, time.Now())
+		unaccounted := holds.unaccounted(report.HeldStep)
+		stalled, standing := still > stallTimeout, still > standingTimeout
 		if limit := a.rank.RateLimit(); limit.Named || rateLimit != "" {
 			rateLimit = encodeRateLimit(limit)
 		}
@@ -206,7 +214,8 @@
 			last, lastPublished = next, now
 		}
 		if report.Group != "" && report.Open {
-			if term, ok := a.leadership.claim(report.Group, report.Rank, report.HeldStep != nil); ok {
+			state := rankState{group: report.Group, rank: report.Rank, holdsStep: unaccounted && !a.rank.relayedHold(*report.HeldStep), standing: standing}
+			if term, ok := a.leadership.claim(state); ok {
 				a.startCoordinating(ctx, term, report)
 			}
 		}
@@ -249,8 +258,36 @@
 // requests counts as stalled. The longest steps take a quarter of it.
 const stallTimeout = 500 * time.Millisecond
 
-// stepMonitor derives the step time of a rank group, and whether the group is
-// stalled, from successive reports.
+// standingTimeout is the time without a new step after which a rank group with requests
+// counts as standing, so that the silence of its coordinator is urgent. Steps at full load
+// take up to 120 ms, and reports are read every 100 ms.
+const standingTimeout = 300 * time.Millisecond
+
+// holdMonitor tells a step that was held at the rank when the agent started from later ones.
+// The agent may have sent a Release before its start only for the former. Later ones are held
+// for a coordinator on another VM, which calls the engine itself; a group of two ranks waits
+// for this agent if that VM is frozen.
+type holdMonitor struct {
+	// started is set after the first report; initial is the step that it showed as held and
+	// that has been held since, nil for none.
+	started bool
+	initial *uint64
+}
+
+// unaccounted adds the held step of a report and reports whether the agent can't know what
+// it did for it.
+func (m *holdMonitor) unaccounted(held *uint64) bool {
+	if !m.started {
+		m.started, m.initial = true, held
+	}
+	if m.initial != nil && (held == nil || *held != *m.initial) {
+		m.initial = nil
+	}
+	return m.initial != nil
+}
+
+// stepMonitor derives the step time of a rank group, and for how long it has
+// stood, from successive reports.
 type stepMonitor struct {
 	step uint64
 	// since is the time at which step was first reported or the group was last
@@ -268,9 +305,9 @@
 	stepUnitMS = 8
 )
 
-// observe adds a report and reports whether the group is stalled: it has
-// requests but has begun no step for stallTimeout.
-func (m *stepMonitor) observe(r rankgroup.Report, now time.Time) bool {
+// observe adds a report and returns for how long the group has had requests and begun no
+// step.
+func (m *stepMonitor) observe(r rankgroup.Report, now time.Time) time.Duration {
 	idle := r.Running+r.Waiting == 0
 	if r.Step > m.step && !idle && !m.since.IsZero() {
 		measured := now.Sub(m.since) / time.Duration(r.Step-m.step)
@@ -282,7 +319,7 @@
 	if r.Step != m.step || idle {
 		m.step, m.since = r.Step, now
 	}
-	return now.Sub(m.since) > stallTimeout
+	return now.Sub(m.since)
 }
 
 func (m *stepMonitor) stepTimeMS() int64 { return m.stepTime.Milliseconds() / stepUnitMS * stepUnitMS }
@@ -376,6 +413,14 @@
 			}
 			a.rank.keepMap(args.Command.Version, args.Command.Map)
 		}
+		switch args.Command.Operation {
+		case rankgroup.Hold:
+			a.rank.relayHold(args.Command.Step)
+		case rankgroup.Arm:
+			a.rank.relayArm(args.Command)
+		case rankgroup.Prepare:
+			a.rank.relayPrepare(args.Command)
+		}
 		reply.Result, err = a.rank.Send(ctx, *args.Command)
 		a.metrics.GetOrCreateCounter(`wasabinotch_orders_total{operation="` + string(args.Command.Operation) + `",result="` + reply.Result.String() + `"}`).Inc()
 		a.log.Info("Order given.", "operation", string(args.Command.Operation), "version", args.Command.Version, "step", args.Command.Step,
--- a/node/slowlisting_test.go
+++ b/node/slowlisting_test.go
@@ -72,8 +72,10 @@
 
 			a := NewAgent(settings.PlatformAgent{PlatformNode: settings.PlatformNode{ID: "agent", Zone: "z1", IP: "127.0.0.1", PeerPort: port, StoreAddr: sim.Addr(),
 				Service: "s", EndpointAddr: addr(5)}}, logr.Discard())
-			_, err = a.newCoordinator(t.Context(), 1, rankgroup.Report{Group: "g", Rank: 0, Size: 2, Open: true})
+			_, engines, err := a.newCoordinator(t.Context(), 1, rankgroup.Report{Group: "g", Rank: 0, Size: 2, Open: true})
 			is.NoErr(err)
+			_, found := engines[1].(*remoteRank) // and not an absentRank
+			is.True(found)
 			is.True(sim.Listings() <= c.listings)
 		})
 	}
