node: serve the operator's state and quarantine on the internal address only

The addresses of the directory and of the readiness check, which callers reach, served all internal paths. GET /operator there returned the configuration with all API keys, and POST /quarantine accepted reports. They now serve the directory and the readiness check only; metrics stay on the internal address and metrics_addr.

TestOnlyTheInternalAddressServesInternalPaths failed before at the status of the operator's state on the directory's address; it passes now, and so does the whole package (120 s).

--- a/node/entry.go
+++ b/node/entry.go
@@ -331,22 +331,23 @@
 
 // serveInternal starts the servers for readiness, directory, peers and metrics.
 func (e *Entry) serveInternal() error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathReady, e.serveReady)
-	mux.HandleFunc("GET "+platform.PathDirectory, e.serveDirectory)
-	mux.HandleFunc("GET "+pathOperator, e.serveOperator)
-	mux.Handle("POST "+wire.PathQuarantine, e.holds)
-	mux.HandleFunc("GET "+pathMetrics, metricsPage(e.metrics))
-	// Explanations name endpoints and are for operators, so that callers' addresses don't serve them.
+	// Callers reach the addresses of readiness and directory.
+	public := http.NewServeMux()
+	public.HandleFunc("GET "+platform.PathReady, e.serveReady)
+	public.HandleFunc("GET "+platform.PathDirectory, e.serveDirectory)
+	// The operator's state holds all API keys, and explanations name endpoints.
 	internal := http.NewServeMux()
-	internal.Handle("/", mux)
+	internal.Handle("/", public)
+	internal.HandleFunc("GET "+pathOperator, e.serveOperator)
+	internal.Handle("POST "+wire.PathQuarantine, e.holds)
+	internal.HandleFunc("GET "+pathMetrics, metricsPage(e.metrics))
 	internal.HandleFunc("POST "+wire.PathPlacement, e.servePlacement)
 	e.servers = append(e.servers, serveMetrics(e.cfg.MetricsAddr, e.metrics, e.log))
 	for _, l := range []struct {
 		field, addr string
 		handler     http.Handler
 	}{
-		{"ready_addr", e.cfg.ReadyAddr, mux}, {"directory_addr", e.cfg.DirectoryAddr, mux}, {"peer_port", e.peerAddr(), internal},
+		{"ready_addr", e.cfg.ReadyAddr, public}, {"directory_addr", e.cfg.DirectoryAddr, public}, {"peer_port", e.peerAddr(), internal},
 	} {
 		ln, err := settings.Listen(l.field, l.addr)
 		if err != nil {
