proof/ownform: commands of many parts, long texts, unread calls on all descriptors

Found by reading for the same cause: a command's small parts take many times their bytes, and recorded decisions keep texts of callers.

--- a/proof/ownform/crowd_test.go
+++ b/proof/ownform/crowd_test.go
@@ -186,6 +186,10 @@
 			d.crowd(d.entryHTTP, 3*bodyCrowd, d.post(path, command, `{"bundle":{"digest":"`, ""))
 		})
 	}
+	// Every "{}," becomes a service, which takes many times its bytes.
+	check(t, "many small parts", func(d *deployment) {
+		d.crowd(d.entryHTTP, bodyCrowd, d.post(api.PathAdminBundle, framing{size: 1 << 20}, `{"bundle":{"services":[`+strings.Repeat("{},", 300<<10)+`{}],"note":"`, `"}}`))
+	})
 	for _, path := range []string{api.PathResolve, api.PathRequests + "x", "/debug/vars", "/nothing"} {
 		check(t, path, func(d *deployment) {
 			d.crowd(d.entryHTTP, connectionCrowd, d.post(path, framing{size: 200 << 10, short: true}, "", ""))
@@ -201,6 +205,9 @@
 	check(t, "calls", func(d *deployment) {
 		d.crowd(d.entryHTTP, bodyCrowd, d.post(api.PathCall+plainService+"/large", framing{size: 10}, "", ""))
 	})
+	check(t, "calls on more connections than there are descriptors", func(d *deployment) {
+		d.crowd(d.entryHTTP, connectionCrowd, d.post(api.PathCall+plainService+"/large", framing{size: 10}, "", ""))
+	})
 	check(t, "many requests on a connection", func(d *deployment) {
 		d.crowd(d.entryHTTP, bodyCrowd, func(w io.Writer) error {
 			for range 2000 {
@@ -213,6 +220,29 @@
 	})
 }
 
+// Guards against texts of callers that are kept after their request has ended, such as
+// a header that a recorded decision quotes.
+func TestLongTexts(t *testing.T) {
+	long := strings.Repeat("a", 60<<10)
+	for name, head := range map[string]string{
+		"header":  "GET /v1/call/desk/echo HTTP/1.1\r\nHost: x\r\n" + api.HeaderAttempt + ": " + long,
+		"service": "POST /v1/generate/" + long + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer KEY",
+		"method":  long + " /v1/generate/knots HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer KEY",
+	} {
+		check(t, name, func(d *deployment) {
+			head := strings.ReplaceAll(head, "KEY", d.apiKey)
+			d.crowd(d.entryHTTP, bodyCrowd, func(w io.Writer) error {
+				for range 64 {
+					if _, err := io.WriteString(w, head+"\r\nContent-Length: 2\r\n\r\n{}"); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		})
+	}
+}
+
 func idle(io.Writer) error { return nil }
 
 // halfHead sends a large part of a request's head and not its end.
