entry, agent, pipeline, peer: one bound for what a process holds for its peers

Cause: bodies, commands, envelopes, heads, held responses, recorded texts and connections were bounded one by one or not at all, never together.

Change: package intake applies package limits to the daemons of the own form, with the settings memory_mb (1024 by default) and file_descriptors.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabinotch/wasabinotch/control"
 	"github.com/wasabinotch/wasabinotch/gate"
+	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/membership"
 	"github.com/wasabinotch/wasabinotch/order"
 	"github.com/wasabinotch/wasabinotch/peer"
@@ -45,6 +46,7 @@
 	rpc       *peer.Server
 	http      *khttp.Server
 
+	intake       *intake.Intake
 	httpListener net.Listener
 	rpcListener  net.Listener
 	// announceDone is closed when announceReady has returned. drain waits for it, so
@@ -71,6 +73,7 @@
 		executeToken: wire.ExecuteToken(key),
 		pool:         peer.NewPoolWithDialer(key, peer.DialFrom(s.SourceIP)),
 		announceDone: make(chan struct{}),
+		intake:       intake.New(s.Node, writeTimeout, log),
 	}
 	if err := a.assemble(key); err != nil {
 		return nil, err
@@ -124,6 +127,7 @@
 		_ = a.httpListener.Close()
 		return err
 	}
+	a.httpListener, a.rpcListener = a.intake.HTTP.Listener(a.httpListener), a.intake.RPC.Listener(a.rpcListener)
 	return nil
 }
 
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -6,7 +6,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -253,7 +252,7 @@
 	f.Add([]byte(`{"request_id":"r1","call":{"method":"POST","path":"/orders","body":"cm9wZQ=="}}{}`))
 	f.Add([]byte(`{"deadline_ms":1e99}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		req, err := decodeExecute(bytes.NewReader(data))
+		req, err := decodeExecute(data)
 		if err != nil {
 			return
 		}
@@ -261,7 +260,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		again, err := decodeExecute(io.LimitReader(bytes.NewReader(first), int64(len(first))))
+		again, err := decodeExecute(first)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/wasabinotch-agent/main.go
+++ b/cmd/wasabinotch-agent/main.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/wasabinotch/wasabinotch/agent"
+	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/settings"
 )
@@ -47,6 +48,7 @@
 	if o.Check {
 		return 0
 	}
+	intake.SetMemoryLimit(s.MemoryMB)
 	return serve(s, logs.New(os.Stderr).WithName("agent"))
 }
 
--- a/cmd/wasabinotch-entry/main.go
+++ b/cmd/wasabinotch-entry/main.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/wasabinotch/wasabinotch/entry"
+	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/settings"
 )
@@ -57,6 +58,7 @@
 		<-ctx.Done()
 		stop()
 	}()
+	intake.SetMemoryLimit(s.MemoryMB)
 	log := logs.New(os.Stderr)
 	klog.SetLogger(kratosLogger{log.WithName("http")})
 	e, err := entry.New(s, log)
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabinotch/wasabinotch/control"
 	"github.com/wasabinotch/wasabinotch/expertmap"
+	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/order"
 	"github.com/wasabinotch/wasabinotch/peer"
 	"github.com/wasabinotch/wasabinotch/settings"
@@ -24,7 +25,7 @@
 )
 
 // assemble builds the components of an entry from its settings.
-func assemble(s settings.Entry, log logr.Logger) (Deps, error) {
+func assemble(s settings.Entry, in *intake.Intake, log logr.Logger) (Deps, error) {
 	key, err := s.DecodedAuthKey()
 	if err != nil {
 		return Deps{}, err
@@ -48,7 +49,7 @@
 	coordinator := newCoordinator(s, expertmap.CoordinatorConfig{
 		View: loop, Store: configStore, Pool: pool, Clock: clock, Log: log.WithName("expertmap"),
 	})
-	serveRPC, err := newRPCServer(s, loop, key, log)
+	serveRPC, err := newRPCServer(s, loop, key, in, log)
 	if err != nil {
 		return Deps{}, err
 	}
@@ -57,6 +58,7 @@
 		Binder:  journal,
 		Clock:   clock,
 		Dial:    dial,
+		Intake:  in,
 		Background: []func(context.Context) error{
 			loop.Run,
 			serveRPC,
@@ -106,7 +108,7 @@
 
 // newRPCServer opens the net/rpc listener and returns a function that serves it until
 // its context ends.
-func newRPCServer(s settings.Entry, loop *control.Loop, key []byte, log logr.Logger) (func(context.Context) error, error) {
+func newRPCServer(s settings.Entry, loop *control.Loop, key []byte, in *intake.Intake, log logr.Logger) (func(context.Context) error, error) {
 	server := peer.NewServer(key, log.WithName("peer"))
 	if err := loop.Register(server); err != nil {
 		return nil, err
@@ -115,13 +117,14 @@
 	if err != nil {
 		return nil, err
 	}
+	bounded := in.RPC.Listener(ln)
 	return func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() {
 			_ = ln.Close()
 			server.Close()
 		})
 		defer stop()
-		server.Serve(ln)
+		server.Serve(bounded)
 		return nil
 	}, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/wasabinotch/wasabinotch/balance"
 	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/order"
 	"github.com/wasabinotch/wasabinotch/peer"
 	"github.com/wasabinotch/wasabinotch/pipeline"
@@ -36,6 +37,8 @@
 	Clock   clockwork.Clock
 	// Dial opens connections to agents; nil for the default.
 	Dial peer.DialFunc
+	// Intake bounds what the entry holds for its peers; nil for the bounds of the settings.
+	Intake *intake.Intake
 	// Background holds the long-running components: control loop, net/rpc server, order
 	// journal and expert map coordinator. Each returns once its context ends.
 	Background []func(context.Context) error
@@ -48,8 +51,12 @@
 	log      logr.Logger
 	balancer *balance.Balancer
 	pipeline *pipeline.Pipeline
-	listener net.Listener
-	server   *http.Server
+	intake   *intake.Intake
+	// rendering holds an element for each response of another kind than the pipeline's
+	// that is being assembled.
+	rendering chan struct{}
+	listener  net.Listener
+	server    *http.Server
 	// epochMissingSince is the time at which resolve first found that the journal had
 	// not read the order epoch; nil if it never did.
 	epochMissingSince atomic.Pointer[time.Time]
@@ -58,20 +65,29 @@
 // New returns an entry with the components used in production. It opens the HTTP and
 // net/rpc listeners.
 func New(s settings.Entry, log logr.Logger) (*Entry, error) {
-	deps, err := assemble(s, log)
+	in := newIntake(s, log)
+	deps, err := assemble(s, in, log)
 	if err != nil {
 		return nil, err
 	}
 	return NewWithDeps(s, deps, log)
 }
 
+// newIntake returns the bounds of the entry's peers.
+func newIntake(s settings.Entry, log logr.Logger) *intake.Intake {
+	return intake.New(s.Node, wire.CallerWriteTimeout, log)
+}
+
 // NewWithDeps returns an entry with the given components. It opens the HTTP listener.
 func NewWithDeps(s settings.Entry, deps Deps, log logr.Logger) (*Entry, error) {
 	key, err := s.DecodedAuthKey()
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{settings: s, deps: deps, log: log.WithName("entry")}
+	if deps.Intake == nil {
+		deps.Intake = newIntake(s, log)
+	}
+	e := &Entry{settings: s, deps: deps, log: log.WithName("entry"), intake: deps.Intake, rendering: make(chan struct{}, maxRendering)}
 	e.balancer = balance.New(s.ID, s.Zone)
 	e.pipeline = pipeline.New(pipeline.Config{
 		EntryID:      s.ID,
@@ -83,11 +99,13 @@
 		ExecuteToken: wire.ExecuteToken(key),
 		MaxBodyBytes: s.MaxBodyBytes,
 		Dial:         deps.Dial,
+		Memory:       deps.Intake.Memory,
 	})
-	e.listener, err = settings.Listen("http_listen", s.HTTPBind())
+	ln, err := settings.Listen("http_listen", s.HTTPBind())
 	if err != nil {
 		return nil, err
 	}
+	e.listener = e.intake.HTTP.Listener(ln)
 	e.server = e.newHTTPServer()
 	return e, nil
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/intake"
 )
 
 const (
@@ -31,7 +32,7 @@
 		http.Address(e.settings.HTTPAddr),
 		http.Timeout(0), // each service sets its timeout
 		http.StrictSlash(false),
-		http.Filter(e.blockPathRedirects),
+		http.Filter(intake.Handler, e.blockPathRedirects),
 		http.NotFoundHandler(e.serveJSON(e.notFound)),
 		http.MethodNotAllowedHandler(e.serveJSON(e.notFound)),
 	)
@@ -39,6 +40,7 @@
 	s.IdleTimeout = idleTimeout
 	s.WriteTimeout = writeTimeout
 	s.MaxHeaderBytes = maxHeaderBytes
+	e.intake.Bound(s.Server)
 	s.HandlePrefix(api.PathGenerate, e.pipeline)
 	s.HandlePrefix(api.PathCall, e.pipeline)
 	s.HandlePrefix(api.PathRequests, e.pipeline)
@@ -46,8 +48,8 @@
 	s.Handle(api.PathStatus, e.serveJSON(e.status))
 	s.Handle(api.PathShares, e.serveJSON(e.shares))
 	s.HandlePrefix(api.PathExplain, e.serveJSON(e.explain))
-	s.Handle(api.PathAdminBundle, e.serveJSON(e.adminBundle))
-	s.Handle(api.PathAdminIntents, e.serveJSON(e.adminIntents))
+	s.Handle(api.PathAdminBundle, e.serveCommand(e.adminBundle))
+	s.Handle(api.PathAdminIntents, e.serveCommand(e.adminIntents))
 	s.HandleFunc("/debug/vars", func(w nethttp.ResponseWriter, r *nethttp.Request) {
 		e.setCommonHeaders(w)
 		expvar.Handler().ServeHTTP(w, r)
@@ -87,21 +89,57 @@
 // body or a refusal.
 type jsonHandler func(r *nethttp.Request) (any, *api.Refusal)
 
-// serveJSON returns a handler that adds the common headers, bounds the request body, and
-// writes the result of h as JSON.
+// maxRendering bounds the responses that are assembled at a time, before it is known how
+// much memory they take. Assembling one takes milliseconds and waits for nobody.
+const maxRendering = 2
+
+// serveJSON returns a handler that adds the common headers and writes the result of h,
+// which must not wait for anything, as JSON. It ignores the request body.
 func (e *Entry) serveJSON(h jsonHandler) nethttp.Handler {
 	return nethttp.HandlerFunc(func(w nethttp.ResponseWriter, r *nethttp.Request) {
 		id := e.setCommonHeaders(w)
-		r.Body = nethttp.MaxBytesReader(w, r.Body, maxAdminBytes)
-		v, refusal := h(r)
-		if refusal != nil {
-			response := *refusal
-			response.RequestID = id
-			response.WriteHTTP(w)
+		claim := intake.NewClaim(e.intake.Memory, w, r)
+		defer claim.Release()
+		claim.EndWait()
+		select {
+		case e.rendering <- struct{}{}:
+		case <-r.Context().Done():
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(v) // fails only if the connection is closed
+		v, refusal := h(r)
+		data, refusal := render(claim, v, refusal)
+		<-e.rendering
+		respond(w, claim, id, data, refusal)
+	})
+}
+
+// render encodes a result, for which the claim must have room.
+func render(claim *intake.Claim, v any, refusal *api.Refusal) ([]byte, *api.Refusal) {
+	if refusal != nil {
+		return nil, refusal
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, api.Unknown(api.KindInternal, err.Error(), "report this to the operators")
+	}
+	if err := claim.Resize(int64(len(data))); err != nil {
+		return nil, api.NotRun(api.KindOverloaded, "this entry has no memory left for the response", "ask another entry, or ask again later")
+	}
+	return append(data, '\n'), nil
+}
+
+// respond writes an encoded result or a refusal.
+func respond(w nethttp.ResponseWriter, claim *intake.Claim, id string, data []byte, refusal *api.Refusal) {
+	if refusal != nil {
+		response := *refusal
+		response.RequestID = id
+		response.WriteHTTP(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = claim.Write(len(data), func() error { // fails only if the connection is closed
+		_, err := w.Write(data)
+		return err
 	})
 }
 
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -150,7 +150,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	rc := rpc.NewClient(conn)
+	rc := rpc.NewClient(&framedConn{Conn: conn})
 	c.rpc.Store(rc)
 	return rc, nil
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,15 @@
 	"sync"
 
 	"github.com/go-logr/logr"
+
+	"github.com/wasabinotch/wasabinotch/logs"
+)
+
+// rejectionsPerSecond and rejectionBurst bound the log lines about rejected connections,
+// which anyone can open.
+const (
+	rejectionsPerSecond = 5
+	rejectionBurst      = 20
 )
 
 // Server serves net/rpc to authenticated peers.
@@ -21,7 +30,7 @@
 
 // NewServer returns a server without services. Register must be called before Serve.
 func NewServer(key []byte, log logr.Logger) *Server {
-	return &Server{key: key, rpc: rpc.NewServer(), log: log, conns: make(map[net.Conn]struct{})}
+	return &Server{key: key, rpc: rpc.NewServer(), log: logs.Limit(log, rejectionsPerSecond, rejectionBurst), conns: make(map[net.Conn]struct{})}
 }
 
 // Register makes the methods of receiver callable under the service name.
@@ -36,7 +45,7 @@
 		if err != nil {
 			return
 		}
-		go s.serveConn(countedConn{c})
+		go s.serveConn(c)
 	}
 }
 
@@ -51,9 +60,14 @@
 	}
 }
 
-func (s *Server) serveConn(c net.Conn) {
+// boundedConn is a connection that may be closed for another one until Busy is called, as
+// package limits does.
+type boundedConn interface{ Busy() }
+
+func (s *Server) serveConn(accepted net.Conn) {
+	c := &framedConn{Conn: countedConn{accepted}}
 	defer func() { _ = c.Close() }()
-	if err := acceptHandshake(c, s.key); err != nil {
+	if err := acceptHandshake(c.Conn, s.key); err != nil {
 		s.log.Info("Incoming connection rejected.", "from", c.RemoteAddr().String(), "reason", err.Error())
 		return
 	}
@@ -61,6 +75,9 @@
 		return
 	}
 	defer s.untrack(c)
+	if bounded, ok := accepted.(boundedConn); ok {
+		bounded.Busy()
+	}
 	s.rpc.ServeConn(c)
 }
 
--- a/pipeline/call.go
+++ b/pipeline/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/wasabinotch/wasabinotch/balance"
 	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/order"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
@@ -23,6 +25,8 @@
 	ctx     context.Context
 	started time.Time
 	snap    *control.Snapshot
+	claim   *intake.Claim
+	held    held
 
 	// Set by identify.
 	id           string // request ID in messages to the caller
@@ -68,6 +72,13 @@
 	cancel          context.CancelCauseFunc
 }
 
+// Wait requested after a refusal for lack of memory, in milliseconds: about the time in
+// which large bodies arrive, spread so that callers don't return at one moment.
+const (
+	minMemoryRetryMS    = 1000
+	memoryRetrySpreadMS = 1000
+)
+
 // attemptResponse returns the response that an attempt writes. A stream
 // continues across attempts; a plain response starts anew with each attempt.
 func (c *call) attemptResponse() response {
@@ -117,6 +128,9 @@
 type failure struct {
 	refusal   *api.Refusal
 	execution execution
+	// local is set if the cause is in this entry, so that another attempt would
+	// meet it again.
+	local bool
 }
 
 // notStarted returns a failure that this entry decided before it sent anything.
@@ -124,6 +138,14 @@
 	return &failure{refusal: api.NotRun(kind, message, remedy), execution: executionNotStarted}
 }
 
+// noMemory returns the failure of a call for which this entry has no memory left.
+func noMemory() *failure {
+	f := notStarted(api.KindOverloaded, "this entry has no memory left for the request", "retry at another entry, or retry later")
+	f.refusal.RetryAfterMS = minMemoryRetryMS + rand.Int64N(memoryRetrySpreadMS)
+	f.local = true
+	return f
+}
+
 // uncertain returns a failure after bytes were sent.
 func uncertain(kind api.Kind, message, remedy string) *failure {
 	return &failure{refusal: api.Unknown(kind, message, remedy), execution: executionUncertain}
--- a/pipeline/choose.go
+++ b/pipeline/choose.go
@@ -120,7 +120,10 @@
 // mayRetryElsewhere reports whether the call may be retried at another
 // endpoint.
 func (p *Pipeline) mayRetryElsewhere(c *call, f *failure) bool {
-	if c.ctx.Err() != nil || c.cancelRequested.Load() || c.responseStarted() {
+	if c.ctx.Err() != nil || c.cancelRequested.Load() || c.responseStarted() || f.local {
+		return false
+	}
+	if c.stream != nil && c.stream.textDropped {
 		return false
 	}
 	return limitedToEndpoint(f)
--- a/pipeline/decisions.go
+++ b/pipeline/decisions.go
@@ -50,6 +50,7 @@
 
 // recordDecision logs a routing decision and keeps it for explain requests.
 func (p *Pipeline) recordDecision(c *call, text string) {
+	text = clip(text)
 	p.Log.Info(text, "request", c.id, "attempt", c.attempt)
 	p.decisions.add(c.id, api.Decision{
 		At:        p.Clock.Now(),
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"io"
@@ -47,6 +48,10 @@
 		defer stop(nil)
 		defer p.watchAgent(c, stop)()
 		connected := &atomic.Bool{}
+		if err := c.hold(&c.held.envelope, c.envelopeBytes()); err != nil {
+			return noMemory()
+		}
+		defer c.release(&c.held.envelope, 0)
 		req, err := p.newExecuteRequest(ctx, c, connected)
 		if err != nil {
 			return notStarted(api.KindInternal, err.Error(), remedyRetry)
@@ -86,10 +91,11 @@
 // Idempotency-Key header, so that Go's HTTP client does not retry it. connected
 // is set once there is a connection on which bytes may be written.
 func (p *Pipeline) newExecuteRequest(ctx context.Context, c *call, connected *atomic.Bool) (*http.Request, error) {
-	body, err := json.Marshal(p.executeRequest(c))
+	body, err := encodeEnvelope(p.executeRequest(c))
 	if err != nil {
 		return nil, err
 	}
+	c.release(&c.held.envelope, int64(len(body)))
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.pick.Endpoint.Node.HTTPAddr+wire.PathExecute, bytes.NewReader(body))
@@ -101,6 +107,30 @@
 	return req, nil
 }
 
+// encodeEnvelope encodes a request for an agent. Other than json.Marshal it doesn't
+// replace '<', '>' and '&' by six bytes each.
+func encodeEnvelope(req *wire.ExecuteRequest) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(req); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// envelopeBytes returns the memory that encoding the request for an agent takes.
+func (c *call) envelopeBytes() int64 {
+	n := 0
+	if c.plainCall != nil {
+		n += base64.StdEncoding.EncodedLen(len(c.plainCall.Body))
+	}
+	if c.generateCall != nil {
+		n += len(c.generateCall.Prompt) + c.stream.text.Len()
+	}
+	return encodeFactor * int64(n)
+}
+
 func (p *Pipeline) executeRequest(c *call) *wire.ExecuteRequest {
 	req := &wire.ExecuteRequest{
 		RequestID:         c.wireID,
--- a/pipeline/identify.go
+++ b/pipeline/identify.go
@@ -5,25 +5,20 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"regexp"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/intake"
+	"github.com/wasabinotch/wasabinotch/limits"
 )
 
-const (
-	// bodyTimeout bounds the time to read a request's body. It protects against
-	// slow senders.
-	bodyTimeout = 10 * time.Second
-	maxPriority = 100
-)
+const maxPriority = 100
 
 var (
 	validID = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
@@ -126,16 +121,18 @@
 	if c.r.ContentLength > p.MaxBodyBytes {
 		return nil, tooLarge
 	}
-	rc := http.NewResponseController(c.w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // httptest.ResponseRecorder does not support deadlines
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, p.MaxBodyBytes))
-	var maxBytesErr *http.MaxBytesError
-	if errors.As(err, &maxBytesErr) {
+	// A body that is too slow ends by the deadline that intake.Handler has set.
+	body, err := c.claim.ReadBody(c.r, p.MaxBodyBytes)
+	switch {
+	case errors.Is(err, limits.ErrTooLarge):
 		return nil, tooLarge
+	case errors.Is(err, limits.ErrSpent):
+		return nil, noMemory()
+	case errors.Is(err, limits.ErrRevoked):
+		return nil, notStarted(api.KindRequestTimeout, "the body stopped while this entry needed its memory for others", "send the whole body without pauses")
+	case err != nil:
+		return nil, notStarted(api.KindBadRequest, "body could not be read whole", fmt.Sprintf("send the whole body within %s", intake.BodyTimeout()))
 	}
-	if err != nil {
-		return nil, notStarted(api.KindBadRequest, "body could not be read whole", fmt.Sprintf("send the whole body within %s", bodyTimeout))
-	}
-	_ = rc.SetReadDeadline(time.Time{})
+	c.held.request = c.claim.Bytes()
 	return body, nil
 }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -15,6 +15,8 @@
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/balance"
 	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/intake"
+	"github.com/wasabinotch/wasabinotch/limits"
 	"github.com/wasabinotch/wasabinotch/order"
 	"github.com/wasabinotch/wasabinotch/peer"
 )
@@ -34,6 +36,9 @@
 	MaxBodyBytes int64
 	// Dial opens connections to agents; nil means the default dialer.
 	Dial peer.DialFunc
+	// Memory is the budget of the entry for what it holds for its peers; nil
+	// means no bound.
+	Memory *limits.Memory
 }
 
 // Pipeline is the http.Handler of callers' requests.
@@ -66,6 +71,9 @@
 
 // New returns a pipeline.
 func New(cfg Config) *Pipeline {
+	if cfg.Memory == nil {
+		cfg.Memory = limits.NewMemory(0, nil)
+	}
 	p := &Pipeline{
 		Config:    cfg,
 		budget:    balance.NewRetryBudget(),
@@ -124,7 +132,9 @@
 		p.serveCancel(w, r, snap)
 		return
 	}
-	p.handle(&call{w: w, r: r, started: p.Clock.Now(), snap: snap})
+	claim := intake.NewClaim(p.Memory, w, r)
+	defer claim.Release()
+	p.handle(&call{w: w, r: r, started: p.Clock.Now(), snap: snap, claim: claim})
 }
 
 // StartDrain adds "Connection: close" to all later responses, which asks
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -34,7 +34,8 @@
 		return false, nil
 	case f.Kind == wire.FrameData && r.head != nil:
 		r.body = append(r.body, f.Data...)
-		if len(r.body) > maxHeldBytes {
+		// The memory of the slice is at most twice its length.
+		if len(r.body) > maxHeldBytes || r.c.hold(&r.c.held.response, 2*int64(len(r.body))) != nil {
 			return false, r.write()
 		}
 		return false, nil
@@ -56,11 +57,14 @@
 	}
 	data := r.body
 	r.body = nil
+	defer r.c.release(&r.c.held.response, 0)
 	if len(data) == 0 || r.callerLost {
 		return nil
 	}
-	r.c.extendWriteDeadline()
-	_, err := r.c.w.Write(data)
+	err := r.c.writeToCaller(len(data), func() error {
+		_, err := r.c.w.Write(data)
+		return err
+	})
 	if err == nil {
 		return nil
 	}
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -13,9 +13,7 @@
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
-// writeTimeout bounds one write to a caller. If a caller reads nothing for
-// longer, its request is cancelled to free the endpoint.
-const writeTimeout = 30 * time.Second
+const writeTimeout = wire.CallerWriteTimeout
 
 const reasonCancelled = "cancelled"
 
@@ -23,11 +21,14 @@
 // events. It is kept across attempts: the next attempt resumes after text, at
 // position.
 type streamResponse struct {
-	c          *call
-	position   int
-	text       strings.Builder
-	headerSent bool
-	unflushed  bool
+	c        *call
+	position int
+	text     strings.Builder
+	// textDropped is set if there was no memory left to keep text. The response
+	// can't be resumed then.
+	textDropped bool
+	headerSent  bool
+	unflushed   bool
 }
 
 // writeFrame implements response.
@@ -59,10 +60,28 @@
 		return err
 	}
 	s.position++
-	s.text.WriteString(f.Text)
+	s.keepText(f.Text)
 	return nil
 }
 
+// keepText adds the text of a token to what is kept for resuming the response. The
+// memory of the builder is at most twice its length.
+func (s *streamResponse) keepText(text string) {
+	if s.textDropped {
+		return
+	}
+	needed := (2*int64(s.text.Len()+len(text)) + textStep - 1) / textStep * textStep
+	if needed > s.c.held.text {
+		if err := s.c.hold(&s.c.held.text, needed); err != nil {
+			s.textDropped = true
+			s.text.Reset()
+			s.c.release(&s.c.held.text, 0)
+			return
+		}
+	}
+	s.text.WriteString(text)
+}
+
 // writeEnd writes the last event of a complete response.
 func (s *streamResponse) writeEnd(reason string) error {
 	err := s.writeEvent("end", api.EndEvent{RequestID: s.c.id, Tokens: s.position, Reason: reason})
@@ -95,8 +114,11 @@
 	if name != "" {
 		name = "event: " + name + "\n"
 	}
-	s.c.extendWriteDeadline()
-	if _, err := fmt.Fprintf(s.c.w, "%sdata: %s\n\n", name, data); err != nil {
+	err = s.c.writeToCaller(len(data), func() error {
+		_, err := fmt.Fprintf(s.c.w, "%sdata: %s\n\n", name, data)
+		return err
+	})
+	if err != nil {
 		return callerWriteError{err}
 	}
 	s.unflushed = true
@@ -109,12 +131,19 @@
 		return nil
 	}
 	s.unflushed = false
-	if err := http.NewResponseController(s.c.w).Flush(); err != nil {
+	if err := s.c.writeToCaller(0, http.NewResponseController(s.c.w).Flush); err != nil {
 		return callerWriteError{err}
 	}
 	return nil
 }
 
+// writeToCaller calls write, which sends n bytes to the caller. While it waits for the
+// caller to read, the memory of the call may be given to others.
+func (c *call) writeToCaller(n int, write func() error) error {
+	c.extendWriteDeadline()
+	return c.claim.Write(n, write)
+}
+
 // extendWriteDeadline sets the deadline for writes to the caller to
 // writeTimeout from now.
 func (c *call) extendWriteDeadline() {
--- a/proof/ownform/deployment_test.go
+++ b/proof/ownform/deployment_test.go
@@ -131,10 +131,11 @@
 	t.Cleanup(store.Close)
 
 	e := config.Entries[0]
-	e.VMListAddr, e.MaxBodyBytes = "", maxBodyBytes
+	e.VMListAddr, e.MaxBodyBytes, e.MemoryMB = "", maxBodyBytes, memoryMB
 	d.entryHTTP, d.entryRPC = e.HTTPAddr, e.RPCAddr
 	d.entry = d.startProcess("wasabinotch-entry", e.ID, e)
 	for _, a := range config.Agents {
+		a.MemoryMB = memoryMB
 		startEndpoint(t, a.EndpointAddr)
 		p := d.startProcess("wasabinotch-agent", a.ID, a)
 		if a.Service == modelService {
--- a/settings/load.go
+++ b/settings/load.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"github.com/wasabinotch/wasabinotch/bundle"
+	"github.com/wasabinotch/wasabinotch/limits"
 )
 
 // ExitCode is the exit code of a daemon whose settings are invalid.
@@ -99,10 +100,36 @@
 	if err := checkMembers(n.Members, n.Threshold); err != nil {
 		return err
 	}
+	if err := n.validateLimits(); err != nil {
+		return err
+	}
 	_, err := n.DecodedAuthKey()
 	return err
 }
 
+const (
+	defaultMemoryMB = 1024
+	// minMemoryMB is the memory planned for the control state of one node; below it
+	// nothing is left for requests.
+	minMemoryMB = 64
+	// minFileDescriptors leaves the listeners some connections beside the process's own.
+	minFileDescriptors = 64
+)
+
+// validateLimits checks the limits of the process and fills in the default.
+func (n *Node) validateLimits() error {
+	if n.MemoryMB == 0 {
+		n.MemoryMB = defaultMemoryMB
+	}
+	if n.MemoryMB < minMemoryMB {
+		return &Error{Field: "memory_mb", Reason: fmt.Sprintf("is %d", n.MemoryMB), Remedy: fmt.Sprintf("use the megabytes that the VM has for the process, %d at least", minMemoryMB)}
+	}
+	if n.FileDescriptors != 0 && n.FileDescriptors < minFileDescriptors {
+		return &Error{Field: "file_descriptors", Reason: fmt.Sprintf("is %d", n.FileDescriptors), Remedy: fmt.Sprintf("use %d at least, or 0 for those that the operating system allows", minFileDescriptors)}
+	}
+	return nil
+}
+
 // HTTPBind returns the address to bind for HTTP: HTTPListen, or HTTPAddr by default.
 func (n *Node) HTTPBind() string { return cmp.Or(n.HTTPListen, n.HTTPAddr) }
 
@@ -164,6 +191,10 @@
 		defaultMaxBodyBytes        = 1 << 20
 		defaultReadHeaderTimeoutMS = 5000
 		defaultStoreCallsPerSecond = 2
+		// bodyCopies is the memory that a request may take beside others, in multiples of
+		// its body: the body, its envelope for the agent, and the room that the budget
+		// keeps from large requests.
+		bodyCopies = 7
 	)
 	if e.MapIntervalMS < 0 {
 		return &Error{Field: "map_interval_ms", Reason: "is negative", Remedy: "use a positive value, or 0 for the default"}
@@ -174,6 +205,9 @@
 	if e.MaxBodyBytes == 0 {
 		e.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if largest := limits.SizesFor(e.MemoryMB, e.FileDescriptors).MemoryBytes / bodyCopies; e.MaxBodyBytes > largest {
+		return &Error{Field: "max_body_bytes", Reason: fmt.Sprintf("is %d, for which memory_mb leaves no room", e.MaxBodyBytes), Remedy: fmt.Sprintf("use %d at most, or raise memory_mb", largest)}
+	}
 	if e.ReadHeaderTimeoutMS == 0 {
 		e.ReadHeaderTimeoutMS = defaultReadHeaderTimeoutMS
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -26,19 +26,21 @@
 // that does not name the field and a remedy.
 func TestInvalidSettingsNameTheField(t *testing.T) {
 	cases := map[string]func(*Agent){
-		"id":            func(a *Agent) { a.ID = "a.1" },
-		"vm":            func(a *Agent) { a.VM = "" },
-		"http_addr":     func(a *Agent) { a.HTTPAddr = "localhost:1" },
-		"rpc_addr":      func(a *Agent) { a.RPCAddr = a.HTTPAddr },
-		"source_ip":     func(a *Agent) { a.SourceIP = "eth0" },
-		"entries":       func(a *Agent) { a.Entries = nil },
-		"entries[0]":    func(a *Agent) { a.Entries = []string{"x"} },
-		"threshold":     func(a *Agent) { a.Threshold = 2 },
-		"members[0]":    func(a *Agent) { a.Members[0].Public = "AA==" },
-		"auth_key":      func(a *Agent) { a.AuthKey = "short" },
-		"service":       func(a *Agent) { a.Service = "" },
-		"endpoint_addr": func(a *Agent) { a.EndpointAddr = "127.0.0.1:0" },
-		"rank":          func(a *Agent) { a.Rank = -1 },
+		"id":               func(a *Agent) { a.ID = "a.1" },
+		"vm":               func(a *Agent) { a.VM = "" },
+		"http_addr":        func(a *Agent) { a.HTTPAddr = "localhost:1" },
+		"rpc_addr":         func(a *Agent) { a.RPCAddr = a.HTTPAddr },
+		"source_ip":        func(a *Agent) { a.SourceIP = "eth0" },
+		"entries":          func(a *Agent) { a.Entries = nil },
+		"entries[0]":       func(a *Agent) { a.Entries = []string{"x"} },
+		"threshold":        func(a *Agent) { a.Threshold = 2 },
+		"members[0]":       func(a *Agent) { a.Members[0].Public = "AA==" },
+		"auth_key":         func(a *Agent) { a.AuthKey = "short" },
+		"service":          func(a *Agent) { a.Service = "" },
+		"endpoint_addr":    func(a *Agent) { a.EndpointAddr = "127.0.0.1:0" },
+		"rank":             func(a *Agent) { a.Rank = -1 },
+		"memory_mb":        func(a *Agent) { a.MemoryMB = 63 },
+		"file_descriptors": func(a *Agent) { a.FileDescriptors = -1 },
 	}
 	for field, invalidate := range cases {
 		t.Run(field, func(t *testing.T) {
--- a/settings/types.go
+++ b/settings/types.go
@@ -32,6 +32,13 @@
 	// AuthKey is the shared key that authenticates messages between wasabinotch
 	// processes: 32 bytes in base64. Required.
 	AuthKey string `json:"auth_key"`
+	// MemoryMB is the memory in megabytes (2^20 bytes) that the VM has for the process.
+	// What the process holds for its peers is bounded by it. Default 1024.
+	MemoryMB int `json:"memory_mb"`
+	// FileDescriptors is the number of file descriptors that the process may use, which
+	// bounds the connections of its peers. Default 0: those that the operating system
+	// allows.
+	FileDescriptors int `json:"file_descriptors"`
 }
 
 // Entry holds the settings of an entry.
--- a/wire/execute.go
+++ b/wire/execute.go
@@ -1,6 +1,10 @@
 package wire
 
-import "github.com/wasabinotch/wasabinotch/api"
+import (
+	"time"
+
+	"github.com/wasabinotch/wasabinotch/api"
+)
 
 // HTTP paths served by an agent.
 const (
@@ -8,6 +12,11 @@
 	PathCancel  = "/agent/v1/cancel"
 )
 
+// CallerWriteTimeout bounds one write to a caller. If a caller reads nothing for longer, its
+// request is cancelled to free the endpoint. While an entry waits for a caller, it may read
+// nothing from the agent either.
+const CallerWriteTimeout = 30 * time.Second
+
 // ExecuteRequest is the envelope in which an entry sends a caller's request to an
 // agent.
 type ExecuteRequest struct {
