intake, entry: connections that wait for their peer give way

Adapts to package limits: a connection counts as busy once its whole request is read, and as waiting while a write isn't read.

--- a/agent/http.go
+++ b/agent/http.go
@@ -52,7 +52,7 @@
 	srv.ReadHeaderTimeout = readHeaderTimeout
 	srv.IdleTimeout = idleTimeout
 	srv.MaxHeaderBytes = maxHeaderBytes
-	a.intake.Bound(srv.Server)
+	a.intake.HTTP.Server(srv.Server)
 	srv.Handle(wire.PathExecute, a.authenticated(a.execute))
 	srv.Handle(wire.PathCancel, a.authenticated(a.cancel))
 	srv.Handle("/debug/vars", expvar.Handler())
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -59,7 +59,7 @@
 		id := e.setCommonHeaders(w)
 		claim := intake.NewClaim(e.intake.Memory, w, r)
 		defer claim.Release()
-		command, refusal := readCommand(r, claim)
+		command, refusal := e.readCommand(r, claim)
 		var v any
 		if refusal == nil {
 			v, refusal = h(r.Context(), command)
@@ -70,7 +70,7 @@
 }
 
 // readCommand reads a command and claims what decoding it takes.
-func readCommand(r *http.Request, claim *intake.Claim) ([]byte, *api.Refusal) {
+func (e *Entry) readCommand(r *http.Request, claim *intake.Claim) ([]byte, *api.Refusal) {
 	if r.Method != http.MethodPost {
 		return nil, api.NotRun(api.KindBadRequest, "method is "+r.Method, "use POST")
 	}
@@ -78,7 +78,11 @@
 	if err == nil {
 		parts := bytes.Count(command, []byte(",")) + bytes.Count(command, []byte("{")) + bytes.Count(command, []byte("["))
 		// The command, the decoder's copy, and the decoded values with their texts.
-		err = claim.Resize(int64(3*len(command) + parts*commandPartBytes))
+		cost := int64(3*len(command) + parts*commandPartBytes)
+		if size := e.intake.Memory.Size(); size > 0 && cost > size/2 {
+			return nil, api.NotRun(api.KindTooLarge, fmt.Sprintf("command has %d parts, for which this entry has too little memory", parts), "send a smaller one, or raise memory_mb")
+		}
+		err = claim.Resize(cost)
 	}
 	switch {
 	case err == nil:
--- a/entry/server.go
+++ b/entry/server.go
@@ -40,7 +40,7 @@
 	s.IdleTimeout = idleTimeout
 	s.WriteTimeout = writeTimeout
 	s.MaxHeaderBytes = maxHeaderBytes
-	e.intake.Bound(s.Server)
+	e.intake.HTTP.Server(s.Server)
 	s.HandlePrefix(api.PathGenerate, e.pipeline)
 	s.HandlePrefix(api.PathCall, e.pipeline)
 	s.HandlePrefix(api.PathRequests, e.pipeline)
@@ -106,9 +106,11 @@
 		case <-r.Context().Done():
 			return
 		}
-		v, refusal := h(r)
-		data, refusal := render(claim, v, refusal)
-		<-e.rendering
+		data, refusal := func() ([]byte, *api.Refusal) {
+			defer func() { <-e.rendering }()
+			v, refusal := h(r)
+			return render(claim, v, refusal)
+		}()
 		respond(w, claim, id, data, refusal)
 	})
 }
--- a/intake/body.go
+++ b/intake/body.go
@@ -1,10 +1,13 @@
 package intake
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/limits"
 )
 
 // bodyTimeout bounds the time to read a request's body. It protects against slow senders.
@@ -16,18 +19,20 @@
 // past is a deadline that makes reads return at once.
 var past = time.Unix(1, 0)
 
-// Handler bounds the time in which a request's body must arrive, and closes the connection
+// Handler must be the outermost handler of a server whose connections are bounded. It
+// records which requests are read, bounds the time in which a request's body must arrive, and closes the connection
 // after a response that was sent before its end. Otherwise the server would read on, to
 // reuse the connection, for as long as the peer likes.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
+			limits.RequestRead(r.Context())
 			next.ServeHTTP(w, r)
 			return
 		}
 		controller := http.NewResponseController(w)
 		_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // httptest.ResponseRecorder does not support deadlines
-		body := &trackedBody{ReadCloser: r.Body, controller: controller}
+		body := &trackedBody{ReadCloser: r.Body, controller: controller, ctx: r.Context()}
 		r.Body = body
 		response := &closingWriter{ResponseWriter: w, body: body}
 		next.ServeHTTP(response, r)
@@ -39,6 +44,7 @@
 type trackedBody struct {
 	io.ReadCloser
 	controller *http.ResponseController
+	ctx        context.Context // of the request
 	complete   atomic.Bool
 }
 
@@ -47,6 +53,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.complete.Swap(true) {
 		_ = b.controller.SetReadDeadline(time.Time{})
+		limits.RequestRead(b.ctx)
 	}
 	return n, err
 }
--- a/intake/claim.go
+++ b/intake/claim.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"net"
 	"net/http"
 	"sync/atomic"
 
@@ -22,10 +21,10 @@
 func NewClaim(m *limits.Memory, w http.ResponseWriter, r *http.Request) *Claim {
 	c := &Claim{}
 	controller := http.NewResponseController(w)
-	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	ctx := r.Context()
 	c.Claim = m.Claim(limits.Host(r.RemoteAddr), func() {
-		if c.writing.Load() && conn != nil {
-			_ = conn.Close()
+		if c.writing.Load() {
+			limits.Abort(ctx)
 			return
 		}
 		_ = controller.SetReadDeadline(past) // httptest.ResponseRecorder does not support deadlines
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -1,10 +1,7 @@
 package intake
 
 import (
-	"context"
 	"expvar"
-	"net"
-	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -104,14 +101,3 @@
 	in.Log.Info("Limit reached.", "limit", e.Limit, "peer", e.Host, "action", e.Action(), "in_use", e.Held, "of", e.Size,
 		"bytes", e.Bytes, "waited", e.Waited.String())
 }
-
-// connKey is the context key of a request's connection.
-type connKey struct{}
-
-// Bound sets up an HTTP server that serves the listener of in.HTTP.
-func (in *Intake) Bound(s *http.Server) {
-	s.ConnState = in.HTTP.HTTPState
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, c)
-	}
-}
