--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -14,7 +14,7 @@
 	// streamFrameBuffer is the number of frames buffered for a slow caller.
 	// When the buffer is full, nothing more is read from the agent
 	// (back-pressure).
-	streamFrameBuffer = 512
+	streamFrameBuffer = 64
 	// plainFrameBuffer is the same for plain calls, whose frames are large.
 	plainFrameBuffer = 8
 	// connReuseWait is the time to wait, after the end frame, for the end of
