--- a/agent/agent.go
+++ b/agent/agent.go
@@ -85,12 +85,26 @@
 	return a, nil
 }
 
+// orderTableBytes returns the size of the order table: 0 for the default of package order,
+// or on a VM for which that is too much, a part of its memory. Callers can fill the table.
+func orderTableBytes(memoryMB int) int {
+	const (
+		part             = 1.0 / 8
+		enoughForTableMB = 192 // for the default of 24 MiB
+	)
+	if memoryMB == 0 || memoryMB >= enoughForTableMB {
+		return 0
+	}
+	return int(part * float64(memoryMB) * (1 << 20))
+}
+
 func (a *Agent) assemble(key []byte) error {
 	self := a.selfRecord()
 	a.orders = order.NewTable(order.TableConfig{
-		Self:  order.Binding{AgentID: self.ID, Incarnation: self.Incarnation},
-		Clock: a.deps.Clock,
-		Log:   a.log.WithName("order"),
+		Self:     order.Binding{AgentID: self.ID, Incarnation: self.Incarnation},
+		Clock:    a.deps.Clock,
+		Log:      a.log.WithName("order"),
+		MaxBytes: orderTableBytes(a.settings.MemoryMB),
 	})
 	var err error
 	a.control, err = a.deps.NewControl(ControlConfig{
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -21,6 +22,7 @@
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/order"
 	"github.com/wasabinotch/wasabinotch/peer"
 	"github.com/wasabinotch/wasabinotch/settings"
@@ -119,11 +121,18 @@
 }
 
 func startAgent(t *testing.T, id, zone, endpoint string) *testAgent {
+	t.Helper()
+	return startAgentWith(t, id, zone, endpoint, func(*settings.Agent) {})
+}
+
+// startAgentWith starts an agent whose settings were changed.
+func startAgentWith(t *testing.T, id, zone, endpoint string, change func(*settings.Agent)) *testAgent {
 	t.Helper()
 	s := settings.Agent{Service: "orders", EndpointAddr: strings.TrimPrefix(endpoint, "http://")}
 	s.ID, s.VM, s.Zone = id, "vm-"+id, zone
 	s.HTTPAddr, s.RPCAddr = freeAddr(t), freeAddr(t)
 	s.AuthKey = base64.StdEncoding.EncodeToString(make([]byte, 32))
+	change(&s)
 	ta := &testAgent{control: &fakeControl{}, done: make(chan error, 1)}
 	deps := Deps{
 		NewControl: func(c ControlConfig) (Control, error) {
@@ -245,6 +254,47 @@
 	is.Equal(len(arrived), 0) // the order ran once
 }
 
+// Guards against an agent that waits for a body before it refuses a sender without the
+// token, or that keeps the connection, and against a refusal for lack of memory that doesn't
+// say that the request didn't run.
+func TestAgentRefusesBodies(t *testing.T) {
+	is := is.New(t)
+	endpoint := httptest.NewServer(http.NotFoundHandler())
+	defer endpoint.Close()
+	a := startAgentWith(t, "a1", "z1", endpoint.URL, func(s *settings.Agent) { s.MemoryMB = 64 })
+	conn, err := net.Dial("tcp", a.settings.HTTPAddr)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(intake.BodyTimeout() / 2))
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{", wire.PathExecute)
+	is.NoErr(err)
+	response, err := io.ReadAll(conn) // until the agent closes
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(response), "HTTP/1.1 401 "))
+
+	// Two copies of 7 MiB don't fit into the 12 MiB that large requests get of 64 MB.
+	resp, err := a.post(wire.PathExecute, a.executeToken, wire.ExecuteRequest{RequestID: "r1", Generate: &wire.GenerateCall{Prompt: strings.Repeat("p", 7<<20)}})
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	var refusal api.Refusal
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&refusal))
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(refusal.Kind, api.KindOverloaded)
+	is.Equal(refusal.Outcome, api.OutcomeNotRun)
+	is.True(refusal.RetryAfterMS > 0)
+	is.True(a.intake.Memory.Held() < 64<<10) // the head, until the connection is closed
+}
+
+// Guards against an order table that takes most of a small VM, and against a smaller table
+// than before on others.
+func TestOrderTableFitsVM(t *testing.T) {
+	is := is.New(t)
+	is.Equal(orderTableBytes(0), 0)
+	is.Equal(orderTableBytes(1024), 0)
+	is.Equal(orderTableBytes(192), 0)
+	is.Equal(orderTableBytes(64), 8<<20)
+}
+
 // Guards against envelopes that crash the decoder, and against requests that change
 // when they are encoded and decoded again.
 func FuzzDecodeExecute(f *testing.F) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -23,6 +23,7 @@
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/bundle"
 	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/order"
 	"github.com/wasabinotch/wasabinotch/settings"
 	"github.com/wasabinotch/wasabinotch/wire"
@@ -104,6 +105,11 @@
 }
 
 func startTestEntry(t *testing.T) *testEntry {
+	return startTestEntryWith(t, func(*settings.Entry) {})
+}
+
+// startTestEntryWith starts an entry whose settings were changed.
+func startTestEntryWith(t *testing.T, change func(*settings.Entry)) *testEntry {
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -137,6 +143,7 @@
 	}}
 	s := settings.Entry{Node: settings.Node{ID: "entry-1", Zone: "a", HTTPAddr: addr, HTTPListen: addr}, MaxBodyBytes: 1 << 10, ReadHeaderTimeoutMS: 200}
 	s.AuthKey = base64.StdEncoding.EncodeToString(make([]byte, 32))
+	change(&s)
 	e, err := NewWithDeps(s, Deps{Control: c, Binder: fakeBinder{}, Clock: clock}, logr.Discard())
 	is.NoErr(err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -180,6 +187,35 @@
 	te.is.Equal(got.OrderEpoch, uint64(4))
 }
 
+// Guards against commands that take many times their bytes when they are decoded, which
+// anyone may send, and against one that an entry with enough memory refuses.
+func TestCommandOfManyParts(t *testing.T) {
+	command := `{"bundle":{"services":[` + strings.Repeat("{},", 50_000) + `{}]}}`
+	for memoryMB, want := range map[int]api.Kind{64: api.KindTooLarge, 1024: api.KindConflict} {
+		te := startTestEntryWith(t, func(s *settings.Entry) { s.MemoryMB = memoryMB })
+		var got api.Refusal
+		te.do("POST", "/v1/admin/bundle", command, &got)
+		te.is.Equal(got.Kind, want)
+		te.is.Equal(got.Outcome, api.OutcomeNotRun)
+	}
+}
+
+// Guards against a callers' body that keeps the connection of a path that takes none.
+func TestPathsWithoutBody(t *testing.T) {
+	te := startTestEntry(t)
+	for _, path := range []string{"/v1/resolve?service=desk", "/v1/status", "/v1/shares", "/v1/explain/x", "/v1/requests/x", "/debug/vars", "/other", "/v1/admin/bundle"} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(te.url, "http://"))
+		te.is.NoErr(err)
+		_ = conn.SetDeadline(time.Now().Add(intake.BodyTimeout() / 2))
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\nbody", path)
+		te.is.NoErr(err)
+		response, err := io.ReadAll(conn) // until the entry closes
+		te.is.NoErr(err)
+		te.is.True(strings.HasPrefix(string(response), "HTTP/1.1 "))
+		te.is.NoErr(conn.Close())
+	}
+}
+
 // Guards against responses without a typed refusal on operator paths, unknown paths, and
 // paths with empty or dot segments, which the router would redirect.
 func TestControlPaths(t *testing.T) {
