pipeline, settings, peer, proof/ownform: late bodies are told apart; tests

A body that doesn't arrive in time is refused as request_timeout (408) instead of bad_request; one that gives way as overloaded, as on the users' platform. The crowd tests take addresses that outgoing connections don't use: one of four repeats met a process that ended at its start, with status 2.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -9,6 +9,8 @@
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/limits"
 )
 
 type echo struct{ block chan struct{} }
@@ -65,6 +67,41 @@
 	is.Equal(out, "again")
 }
 
+// Guards against connections without the key that displace those of the deployment's own
+// processes, and against a server that none of these can reach any more.
+func TestConnectionsWithoutKeyGiveWay(t *testing.T) {
+	is := is.New(t)
+	key := make([]byte, 32)
+	s := NewServer(key, logr.Discard())
+	is.NoErr(s.Register("Echo", &echo{}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.Serve(limits.NewConnections(3, limits.NewMemory(0, nil), nil).Listener(ln))
+	t.Cleanup(func() { _ = ln.Close(); s.Close() })
+	dials := 0
+	newPool := func() *Pool {
+		return NewPoolWithDialer(key, func(ctx context.Context, network, addr string) (net.Conn, error) {
+			dials++
+			return DialFrom("")(ctx, network, addr)
+		})
+	}
+	first, second := newPool(), newPool()
+	defer first.Close()
+	defer second.Close()
+	var out string
+	is.NoErr(first.Call(context.Background(), ln.Addr().String(), "Echo.Say", "hi", &out))
+	for range 10 {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Read(make([]byte, 1)) // the server has accepted it and sent its nonce
+		is.NoErr(err)
+	}
+	is.NoErr(second.Call(context.Background(), ln.Addr().String(), "Echo.Say", "hi", &out))
+	is.NoErr(first.Call(context.Background(), ln.Addr().String(), "Echo.Say", "hi", &out))
+	is.Equal(dials, 2)
+}
+
 // Guards against callers that are blocked for longer than the handshake timeout by a
 // peer that accepts the connection and sends nothing.
 func TestSilentPeerTimesOut(t *testing.T) {
--- a/pipeline/identify.go
+++ b/pipeline/identify.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -129,7 +130,12 @@
 	case errors.Is(err, limits.ErrSpent):
 		return nil, noMemory()
 	case errors.Is(err, limits.ErrRevoked):
-		return nil, notStarted(api.KindRequestTimeout, "the body stopped while this entry needed its memory for others", "send the whole body without pauses")
+		f := noMemory()
+		f.refusal.Message = "the body made least progress while this entry needed its memory for others"
+		f.refusal.Remedy = "send the whole body without pauses, or retry at another entry"
+		return nil, f
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, notStarted(api.KindRequestTimeout, "body did not arrive in time", fmt.Sprintf("send the whole body within %s", intake.BodyTimeout()))
 	case err != nil:
 		return nil, notStarted(api.KindBadRequest, "body could not be read whole", fmt.Sprintf("send the whole body within %s", intake.BodyTimeout()))
 	}
--- a/pipeline/memory_test.go
+++ b/pipeline/memory_test.go
@@ -1,7 +1,11 @@
 package pipeline
 
 import (
+	"encoding/json"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -142,3 +146,34 @@
 	is.True(len(found[0].Text) < 2*maxDecisionBytes)
 	is.True(utf8.ValidString(found[0].Text))
 }
+
+// failingBody is a body that fails after its first bytes.
+type failingBody struct {
+	io.Reader
+	err error
+}
+
+func (b *failingBody) Read(p []byte) (int, error) {
+	if n, _ := b.Reader.Read(p); n > 0 {
+		return n, nil
+	}
+	return 0, b.err
+}
+
+// Guards against a refusal of a late body that can't be told from that of a malformed one,
+// and against one of an incomplete body that is sent on.
+func TestIncompleteBodies(t *testing.T) {
+	for err, want := range map[error]api.Kind{os.ErrDeadlineExceeded: api.KindRequestTimeout, io.ErrUnexpectedEOF: api.KindBadRequest} {
+		is := is.New(t)
+		e := newEnv(t, "desk", respondOK)
+		r := httptest.NewRequest("POST", "/v1/call/desk/stock", &failingBody{strings.NewReader("arm"), err})
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, r)
+		var got api.Refusal
+		is.NoErr(json.Unmarshal(w.Body.Bytes(), &got))
+		is.Equal(got.Kind, want)
+		is.Equal(got.Outcome, api.OutcomeNotRun)
+		is.Equal(e.executeCount(), 0)
+	}
+}
--- a/proof/ownform/deployment_test.go
+++ b/proof/ownform/deployment_test.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -115,7 +116,7 @@
 	config, err := deploy.Plan{
 		Name: "crowd", Zones: []string{"z1"}, Entries: 1, ModelAgents: 1, OrderAgents: 1, Organisations: []string{"one"},
 		Members: []string{"member"}, Threshold: 1, Operators: []string{"operator"},
-		ModelService: modelService, PlainService: plainService, NextAddr: deploy.FreeAddrs("127.0.0.1"),
+		ModelService: modelService, PlainService: plainService, NextAddr: deploy.FreeAddrs(ownAddress()),
 	}.Build()
 	d.must(err)
 	// The endpoints take the whole crowd at a time, so that it is the processes before
@@ -150,6 +151,12 @@
 	return d
 }
 
+// ownAddress returns a loopback address that outgoing connections don't use, so that none
+// takes a port between the time it was found free and the start of a process.
+func ownAddress() string {
+	return fmt.Sprintf("127.0.%d.%d", 1+rand.IntN(254), 1+rand.IntN(254))
+}
+
 func (d *deployment) must(err error) {
 	d.t.Helper()
 	if err != nil {
@@ -182,6 +189,15 @@
 	return p
 }
 
+// lastLines returns the end of the process's log.
+func (p *process) lastLines() string {
+	data, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-4<<10):])
+}
+
 func (d *deployment) processes() []*process { return []*process{d.entry, d.model, d.plain} }
 
 func (d *deployment) rollOut() {
@@ -220,7 +236,7 @@
 			}
 			select {
 			case <-p.exited:
-				d.t.Fatalf("%s has ended: %v", p.name, p.cmd.ProcessState)
+				d.t.Fatalf("%s has ended: %v\n%s", p.name, p.cmd.ProcessState, p.lastLines())
 			default:
 			}
 		}
@@ -300,7 +316,7 @@
 	for _, p := range d.processes() {
 		select {
 		case <-p.exited:
-			d.t.Errorf("%s has ended: %v", p.name, p.cmd.ProcessState)
+			d.t.Errorf("%s has ended: %v\n%s", p.name, p.cmd.ProcessState, p.lastLines())
 			continue
 		default:
 		}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -58,6 +58,21 @@
 	}
 }
 
+// Guards against an entry that accepts bodies for which its VM has no memory, and against
+// defaults that are refused.
+func TestBodiesFitMemory(t *testing.T) {
+	is := is.New(t)
+	e := Entry{Node: validAgent().Node, StoreAddrs: []string{"127.0.0.1:8500"}}
+	is.NoErr(e.Validate())
+	is.Equal(e.MemoryMB, defaultMemoryMB)
+	e.MemoryMB, e.MaxBodyBytes = 128, 4<<20
+	is.NoErr(e.Validate())
+	e.MaxBodyBytes = 5 << 20
+	var invalid *Error
+	is.True(errors.As(e.Validate(), &invalid))
+	is.Equal(invalid.Field, "max_body_bytes")
+}
+
 // Guards against ignoring misspelled or unknown settings, trailing data and values
 // of the wrong type.
 func TestStrictDecoding(t *testing.T) {
