--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -16,9 +16,11 @@
 
 // plainResponse is the response to a plain call, with status, headers and body.
 type plainResponse struct {
-	c          *call
-	head       *wire.Frame
-	body       []byte
+	c    *call
+	head *wire.Frame
+	// parts are the held parts of the body, of size bytes together.
+	parts      [][]byte
+	size       int
 	headerSent bool
 	callerLost bool
 }
@@ -33,15 +35,14 @@
 		r.head = f
 		return false, nil
 	case f.Kind == wire.FrameData && r.head != nil:
-		r.body = append(r.body, f.Data...)
-		// The memory of the slice is at most twice its length.
-		if len(r.body) > maxHeldBytes || r.c.hold(&r.c.held.response, 2*int64(len(r.body))) != nil {
+		r.parts, r.size = append(r.parts, f.Data), r.size+len(f.Data)
+		if r.size > maxHeldBytes || r.c.hold(&r.c.held.response, int64(r.size)) != nil {
 			return false, r.write()
 		}
 		return false, nil
 	case f.Kind == wire.FrameEnd && r.head != nil:
 		if !r.headerSent {
-			r.c.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+			r.c.w.Header().Set("Content-Length", strconv.Itoa(r.size))
 		}
 		return true, r.write()
 	}
@@ -55,24 +56,28 @@
 		r.headerSent = true
 		r.writeHead()
 	}
-	data := r.body
-	r.body = nil
+	parts, size := r.parts, r.size
+	r.parts, r.size = nil, 0
 	defer r.c.release(&r.c.held.response, 0)
-	if len(data) == 0 || r.callerLost {
+	if size == 0 || r.callerLost {
 		return nil
 	}
-	err := r.c.writeToCaller(len(data), func() error {
-		_, err := r.c.w.Write(data)
-		return err
-	})
-	if err == nil {
-		return nil
-	}
-	if r.c.isOrder {
-		r.callerLost = true // the order continues; a later attempt gets the response
-		return nil
+	for _, part := range parts {
+		// Part by part, so that a caller that reads makes progress.
+		err := r.c.writeToCaller(len(part), func() error {
+			_, err := r.c.w.Write(part)
+			return err
+		})
+		switch {
+		case err == nil:
+		case r.c.isOrder:
+			r.callerLost = true // the order continues; a later attempt gets the response
+			return nil
+		default:
+			return callerWriteError{err}
+		}
 	}
-	return callerWriteError{err}
+	return nil
 }
 
 func (r *plainResponse) writeHead() {
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -16,7 +16,7 @@
 	// (back-pressure).
 	streamFrameBuffer = 64
 	// plainFrameBuffer is the same for plain calls, whose frames are large.
-	plainFrameBuffer = 8
+	plainFrameBuffer = 2
 	// connReuseWait is the time to wait, after the end frame, for the end of
 	// the agent's HTTP response, so that the connection can be reused.
 	connReuseWait = 20 * time.Millisecond
