--- a/pipeline/decoder.go
+++ b/pipeline/decoder.go
@@ -24,8 +24,13 @@
 	wireID  string
 	attempt int
 	next    int
+	// buffer holds a line that is longer than r's buffer, until the next one is
+	// read. It is kept up to keptLineBytes, since data frames are all of one length.
+	buffer []byte
 }
 
+const keptLineBytes = 64 << 10
+
 func newDecoder(r io.Reader, wireID string, attempt int) *decoder {
 	return &decoder{r: bufio.NewReader(r), wireID: wireID, attempt: attempt}
 }
@@ -53,16 +58,21 @@
 	}
 }
 
-// readLine returns the next line with its newline. A line without a newline is
-// truncated, even if it is valid JSON.
+// readLine returns the next line with its newline, which is valid until the next
+// call. A line without a newline is truncated, even if it is valid JSON.
 func (d *decoder) readLine() ([]byte, error) {
-	var buffered []byte
+	buffered := d.buffer[:0]
+	defer func() {
+		if d.buffer = buffered; cap(buffered) > keptLineBytes {
+			d.buffer = nil
+		}
+	}()
 	for {
 		part, err := d.r.ReadSlice('\n')
 		if len(buffered)+len(part) > maxFrameBytes {
 			return nil, trace.LimitExceeded("a frame exceeds %d bytes", maxFrameBytes)
 		}
-		if err == nil && buffered == nil {
+		if err == nil && len(buffered) == 0 {
 			return part, nil
 		}
 		buffered = append(buffered, part...)
