node, forward, upstream, settings: what a process holds for its peers has bounds of all together

Cause: each body was bounded alone and collected with io.ReadAll, heads on internal ports had 1 MB each, the agent's RPC had no bound, and connections were accepted up to the last descriptor. Now all are claimed from limits.Memory, bodies are read in segments without copies, and each listener has a limits.Connections. Stalled bodies are revoked first.

--- a/forward/filters.go
+++ b/forward/filters.go
@@ -2,13 +2,13 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/limits"
 )
 
 // identify determines the request's ID, route, service, priority and deadline. A draining
@@ -86,42 +86,80 @@
 
 // readBody reads the whole request body, so that it can be sent more than once.
 func (x *exchange) readBody() *api.Refusal {
-	if x.r.Body == nil || x.r.ContentLength == 0 {
-		return nil
-	}
-	limit := x.config.Limits.BodyBytes
-	if limit > 0 && x.r.ContentLength > limit {
-		return api.NotRun(api.KindTooLarge, "the body is over the limit", "send a smaller body")
+	if x.r.Body != nil && x.r.ContentLength != 0 {
+		if refusal := x.collectBody(); refusal != nil {
+			return refusal
+		}
 	}
-	body := io.Reader(x.r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(x.w, x.r.Body, limit)
+	x.claim.EndWait()
+	if x.claim.Revoked() { // after the last byte had arrived
+		return x.refuseBody(limits.ErrRevoked)
 	}
+	x.bodyRead = true
+	limits.RequestRead(x.r.Context())
+	return nil
+}
+
+// collectBody reads the body into memory that is claimed.
+func (x *exchange) collectBody() *api.Refusal {
 	rc := http.NewResponseController(x.w)
 	if err := rc.SetReadDeadline(x.deadline); err != nil {
 		x.handler.cfg.Log.Error(err, "Cannot set the read deadline for a body.", "request", x.requestID)
 	}
-	b, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
+	body, err := limits.ReadBody(x.r.Body, x.r.ContentLength, x.config.Limits.BodyBytes, x.claim)
+	if err != nil {
+		return x.refuseBody(err)
+	}
+	if err := rc.SetReadDeadline(time.Time{}); err != nil {
+		x.handler.cfg.Log.Error(err, "Cannot clear the read deadline.", "request", x.requestID)
+	}
+	x.body = body
+	return nil
+}
+
+// refuseBody returns the refusal of a request whose body wasn't read to its end. No
+// endpoint has got any of it.
+func (x *exchange) refuseBody(err error) *api.Refusal {
+	x.claim.Release() // before a response for which the caller may make the entry wait
+	x.w.Header().Set("Connection", "close")
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, limits.ErrTooLarge):
 		return api.NotRun(api.KindTooLarge, "the body is over the limit", "send a smaller body")
-	case err != nil && x.remaining() <= 0:
+	case errors.Is(err, limits.ErrSpent), errors.Is(err, limits.ErrRevoked):
 		x.cause = err
-		x.w.Header().Set("Connection", "close")
+		x.setRetryAfter(spread(baseRetryAfter))
+		return api.NotRun(api.KindOverloaded, "this entry has no memory left for the body", "try again after the given time")
+	}
+	x.cause = err
+	if x.remaining() <= 0 {
 		return api.NotRun(api.KindRequestTimeout, "the body did not arrive in time", "send the request again")
-	case err != nil:
-		x.cause = err
-		x.w.Header().Set("Connection", "close")
-		return api.NotRun(api.KindBadRequest, "the body could not be read", "check the framing of the request")
 	}
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		x.handler.cfg.Log.Error(err, "Cannot clear the read deadline.", "request", x.requestID)
+	return api.NotRun(api.KindBadRequest, "the body could not be read", "check the framing of the request")
+}
+
+// revoke makes the exchange return from its wait for the caller; see limits.Memory.Claim.
+func (x *exchange) revoke() {
+	if x.writing.Load() {
+		limits.Abort(x.r.Context())
+		return
 	}
-	x.body = b
-	return nil
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+}
+
+// writeToCaller runs a write of a part of the response. While the caller doesn't read, the
+// claim may be revoked.
+func (x *exchange) writeToCaller(write func() error) error {
+	x.writing.Store(true)
+	x.claim.Wait()
+	err := write()
+	x.claim.EndWait()
+	x.writing.Store(false)
+	return err
 }
 
+// unreadBodyTime bounds the wait for the rest of a body that a refusal leaves unread.
+const unreadBodyTime = 500 * time.Millisecond
+
 // setRetryAfter sets the Retry-After header to d in seconds, as a decimal
 // fraction.
 func (x *exchange) setRetryAfter(d time.Duration) {
@@ -141,6 +179,9 @@
 		x.response.outcome = string(refusal.Kind)
 		return
 	}
+	if !x.bodyRead && x.r.ContentLength != 0 {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTime)) // fails only if the connection is closed
+	}
 	refusal.RequestID = x.requestID
 	if x.requestID != "" {
 		x.w.Header().Set(x.handler.cfg.Headers.RequestID, x.requestID)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -20,6 +20,7 @@
 
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/limits"
 	"github.com/wasabinotch/wasabinotch/quarantine"
 	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/upstream"
@@ -92,6 +93,8 @@
 	Quarantine *quarantine.Tracker
 	Fleet      *fleet.Fleet
 	Client     *upstream.Client
+	// Memory is the budget of what is held for callers; nil for no bound.
+	Memory *limits.Memory
 	// Log gets one line for each request. It should limit the rate of lines.
 	Log   logr.Logger
 	Stats *Stats
@@ -119,6 +122,9 @@
 // New returns a handler that refuses requests with status 503 until SetConfig
 // has given it a configuration.
 func New(cfg Config) *Handler {
+	if cfg.Memory == nil {
+		cfg.Memory = limits.NewMemory(0, nil)
+	}
 	return &Handler{cfg: cfg, retryBudgets: make(map[string]*fleet.RetryBudget)}
 }
 
@@ -175,7 +181,12 @@
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
 	priority int
-	body     []byte
+	body     limits.Body
+	// claim is what the exchange holds of Config.Memory; bodyRead is set once the whole
+	// body was read, writing while a part of the response is written.
+	claim    *limits.Claim
+	bodyRead bool
+	writing  atomic.Bool
 
 	// attempts counts the attempts that reached an endpoint, tried lists the endpoints
 	// of all attempts.
@@ -222,6 +233,8 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	x := &exchange{handler: h, w: w, r: r, config: h.current.Load(), arrived: time.Now()}
+	x.claim = h.cfg.Memory.Claim(limits.Host(r.RemoteAddr), x.revoke)
+	defer x.claim.Release()
 	if h.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"github.com/wasabinotch/wasabinotch/fleet"
+	"github.com/wasabinotch/wasabinotch/limits"
 	"github.com/wasabinotch/wasabinotch/quarantine"
 	"github.com/wasabinotch/wasabinotch/routing"
 	"github.com/wasabinotch/wasabinotch/upstream"
@@ -35,14 +36,24 @@
 // partialEvent accounts for the incomplete event that a stream holds.
 type partialEvent struct {
 	total   *atomic.Int64 // of all streams
+	claim   *limits.Claim
 	counted int64
 }
 
+// growthFactor is the memory of a buffer that grows, in relation to its content.
+const growthFactor = 2
+
 // resize records the size of the incomplete event in bytes, and reports whether it may
 // grow further.
 func (p *partialEvent) resize(size int) bool {
 	counted := int64(max(0, size-freePartialBytes))
 	grown := counted - p.counted
+	switch {
+	case grown < 0:
+		p.claim.Shrink(-grown * growthFactor)
+	case grown > 0 && p.claim.Grow(grown*growthFactor) != nil:
+		return false
+	}
 	p.counted = counted
 	return (p.total.Add(grown) <= maxPartialBytes || grown <= 0) && size <= maxEventBytes
 }
@@ -83,6 +94,21 @@
 		pick.EndFailed()
 		return failed
 	}
+	held := int64(maxBufferedBytes) * growthFactor
+	if resp.Length >= 0 {
+		held = min(resp.Length, maxBufferedBytes)
+	}
+	if err := x.claim.Grow(held); err != nil {
+		if !success {
+			x.cause = err
+			pick.EndFailed()
+			return failed
+		}
+		// Without memory to buffer it, the response is relayed as it arrives.
+		guard.Began()
+		return x.relayLong(ctx, pick, resp, nil)
+	}
+	defer x.claim.Shrink(held)
 	body, err := resp.ReadAll(maxBufferedBytes)
 	if success && (err == nil || int64(len(body)) > maxBufferedBytes) {
 		guard.Began()
@@ -127,7 +153,7 @@
 	x.copyHeaders(resp)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.startResponse(resp.Status)
-	if _, err := x.w.Write(body); err != nil {
+	if err := x.writeToCaller(func() error { _, err := x.w.Write(body); return err }); err != nil {
 		x.cause = err
 	}
 	x.response.outcome = "answered"
@@ -142,11 +168,14 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	x.startResponse(resp.Status)
-	_, err := x.w.Write(head)
 	body := &errorReader{Reader: resp}
-	if err == nil {
-		_, err = io.Copy(x.w, body)
-	}
+	err := x.writeToCaller(func() error {
+		if _, err := x.w.Write(head); err != nil {
+			return err
+		}
+		_, err := io.Copy(x.w, body)
+		return err
+	})
 	switch {
 	case err == nil:
 		x.response.outcome = "answered"
@@ -205,7 +234,7 @@
 		return failed
 	}
 	var pending []byte
-	partial := partialEvent{total: &x.handler.partialBytes}
+	partial := partialEvent{total: &x.handler.partialBytes, claim: x.claim}
 	defer partial.resize(0)
 	buf := make([]byte, streamReadBytes)
 	began := false
@@ -223,10 +252,12 @@
 				x.copyHeaders(resp)
 				x.startResponse(resp.Status)
 			}
-			_, writeErr := x.w.Write(events)
-			if writeErr == nil {
-				writeErr = controller.Flush()
-			}
+			writeErr := x.writeToCaller(func() error {
+				if _, err := x.w.Write(events); err != nil {
+					return err
+				}
+				return controller.Flush()
+			})
 			if writeErr != nil {
 				x.cause = writeErr
 				x.response.mustAbort = true
--- a/forward/send.go
+++ b/forward/send.go
@@ -530,7 +530,11 @@
 	if x.response.lastEventID != "" {
 		header.Set(names.LastEventID, x.response.lastEventID)
 	}
-	return &upstream.Request{Method: x.r.Method, Target: x.target, Host: x.r.Host, Header: header, Body: x.body}
+	req := &upstream.Request{Method: x.r.Method, Target: x.target, Host: x.r.Host, Header: header}
+	if len(x.body) > 0 {
+		req.Body, req.Rest = x.body[0], x.body[1:]
+	}
+	return req
 }
 
 // alwaysForwarded reports whether a header must reach the endpoint even if the
--- a/limits/body.go
+++ b/limits/body.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"bytes"
 	"errors"
 	"io"
 )
@@ -28,6 +29,15 @@
 	return n
 }
 
+// Reader returns a reader of the body.
+func (b Body) Reader() io.Reader {
+	readers := make([]io.Reader, len(b))
+	for i, s := range b {
+		readers[i] = bytes.NewReader(s)
+	}
+	return io.MultiReader(readers...)
+}
+
 // ReadBody reads r to its end, in memory that c claims before it is allocated. length is
 // the announced length, -1 if unknown; it limits the last segment and reserves nothing.
 // limit is the greatest length, 0 for none. The error is ErrTooLarge, ErrSpent,
--- a/limits/connections.go
+++ b/limits/connections.go
@@ -1,10 +1,12 @@
 package limits
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,9 +27,10 @@
 
 // Connections bounds the open connections of one listener, the memory of the heads that
 // they send, and how long they may leave what is sent to them unread. It answers the load
-// of connections that stay idle or stop within a head, up to the descriptors of the VM: if
-// there are as many as allowed, the idle or half-read one that has waited longest is
-// closed, of the address that has most of them. If none is idle, the new one is closed.
+// of connections that stay idle, stop within a request or read nothing, up to the
+// descriptors of the VM: if there are as many as allowed, the one that has waited longest
+// for its peer is closed, of the address that has most of them. If none waits, the new one
+// is closed.
 type Connections struct {
 	// WriteTimeout is DefaultWriteTimeout unless it is set before the first connection.
 	WriteTimeout time.Duration
@@ -57,21 +60,41 @@
 	return len(c.conns)
 }
 
-// Listener returns a listener whose connections are bounded. Connections of an HTTP server
-// must be reported with HTTPState; others call Conn.Busy and Conn.Idle themselves.
+// Listener returns a listener whose connections are bounded. Those of an HTTP server need
+// Server; others call Conn.Busy and Conn.Idle themselves.
 func (c *Connections) Listener(ln net.Listener) net.Listener { return &listener{ln, c} }
 
-// HTTPState is for http.Server.ConnState. A connection is busy while its handler runs.
-func (c *Connections) HTTPState(nc net.Conn, state http.ConnState) {
-	conn, ok := nc.(*Conn)
-	if !ok {
-		return
+// connKey is the key of a request's Conn in its context.
+type connKey struct{}
+
+// Server prepares an HTTP server for connections of c.
+func (c *Connections) Server(s *http.Server) {
+	s.ConnState = func(nc net.Conn, state http.ConnState) {
+		conn, ok := nc.(*Conn)
+		switch {
+		case ok && state == http.StateActive:
+			conn.headEnded()
+		case ok && state == http.StateIdle:
+			conn.Idle()
+		}
 	}
-	switch state {
-	case http.StateActive:
+	s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, nc)
+	}
+}
+
+// RequestRead records that the whole request of a context was read, so that its connection
+// doesn't wait for its peer until the next one, unless the peer doesn't read.
+func RequestRead(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(*Conn); ok {
 		conn.Busy()
-	case http.StateIdle:
-		conn.Idle()
+	}
+}
+
+// Abort closes the connection of a request's context. Reads and writes of it return.
+func Abort(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(*Conn); ok {
+		_ = conn.Conn.Close() // the peer gets no further bytes in any case
 	}
 }
 
@@ -119,17 +142,19 @@
 	return conn
 }
 
-// victim returns the idle connection to close for a new one, nil if there is none. c.mu is
-// held.
+// victim returns the connection to close for a new one, nil if none waits for its peer.
+// c.mu is held.
 func (c *Connections) victim() *Conn {
+	now := c.now()
 	var victim *Conn
+	var longest time.Duration
 	for conn := range c.conns {
-		if conn.busy {
+		waited, waits := conn.waited(now)
+		if !waits {
 			continue
 		}
-		if victim == nil || c.hosts[conn.host] > c.hosts[victim.host] ||
-			c.hosts[conn.host] == c.hosts[victim.host] && conn.waitsSince.Before(victim.waitsSince) {
-			victim = conn
+		if victim == nil || c.hosts[conn.host] > c.hosts[victim.host] || c.hosts[conn.host] == c.hosts[victim.host] && waited > longest {
+			victim, longest = conn, waited
 		}
 	}
 	return victim
@@ -158,32 +183,54 @@
 	set  *Connections
 	host string
 
-	// The fields below are guarded by set.mu.
-	busy bool
-	// waitsSince is when the connection was opened or became idle.
+	// writeBegan is when the current write began, in nanoseconds of Unix time, 0 for none.
+	writeBegan atomic.Int64
+
+	// busy is set between Busy and Idle, waitsSince when the connection was opened, became
+	// idle or its head was read. Both are guarded by set.mu.
+	busy       bool
 	waitsSince time.Time
 
 	mu sync.Mutex // guards the fields below
-	// headBytes is what was read since the last request, head what is claimed for it.
-	inHead    bool
+	// headBytes is what was read since the last request, head what is claimed for it,
+	// headRead whether it was read to its end.
+	headRead  bool
 	headBytes int64
 	head      *Claim
 }
 
-// Busy records that a whole head was read, and that the connection isn't idle.
-func (c *Conn) Busy() {
+// waited returns how long the connection has waited for its peer, and whether it does.
+// set.mu is held.
+func (c *Conn) waited(now time.Time) (time.Duration, bool) {
+	if began := c.writeBegan.Load(); began != 0 {
+		waited := now.Sub(time.Unix(0, began))
+		return waited, waited >= stallTime
+	}
+	return now.Sub(c.waitsSince), !c.busy
+}
+
+// headEnded records that the head of a request was read.
+func (c *Conn) headEnded() {
 	c.set.mu.Lock()
-	c.busy = true
+	c.waitsSince = c.set.now()
 	c.set.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inHead = true
+	c.headRead = true
 	if c.head != nil {
 		c.head.EndWait()
 	}
 }
 
-// Idle records that the connection waits for the next head.
+// Busy records that a whole request was read, and that the connection doesn't wait for its
+// peer.
+func (c *Conn) Busy() {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	c.busy = true
+}
+
+// Idle records that the connection waits for the next request.
 func (c *Conn) Idle() {
 	c.set.mu.Lock()
 	c.busy, c.waitsSince = false, c.set.now()
@@ -194,7 +241,7 @@
 func (c *Conn) releaseHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inHead, c.headBytes = false, 0
+	c.headRead, c.headBytes = false, 0
 	if c.head != nil {
 		c.head.Release()
 		c.head = nil
@@ -215,7 +262,7 @@
 func (c *Conn) claimHead(n int64) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inHead { // the bytes belong to a body
+	if c.headRead { // the bytes belong to a body
 		return nil
 	}
 	over := max(0, c.headBytes+n-freeHeadBytes) - max(0, c.headBytes-freeHeadBytes)
@@ -232,9 +279,12 @@
 // Write implements net.Conn. It fails if the peer doesn't read within the write timeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	written := 0
+	defer c.writeBegan.Store(0)
 	for {
+		now := c.set.now()
+		c.writeBegan.Store(now.UnixNano())
 		part := p[written:min(len(p), written+maxWriteBytes)]
-		if err := c.Conn.SetWriteDeadline(c.set.now().Add(c.set.WriteTimeout)); err != nil {
+		if err := c.Conn.SetWriteDeadline(now.Add(c.set.WriteTimeout)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(part)
@@ -249,6 +299,15 @@
 	}
 }
 
+// CloseWrite closes the sending side, if the connection has one, so that package http can
+// deliver a refusal before it closes a connection with unread bytes.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.set.mu.Lock()
--- a/node/agent.go
+++ b/node/agent.go
@@ -50,6 +50,7 @@
 	metrics    *metrics.Set
 	// limitedLog is log with a rate limit, for faults that can occur very often.
 	limitedLog logr.Logger
+	bounds     *bounds
 
 	mu          sync.Mutex
 	subscribers map[string]subscriber
@@ -69,6 +70,7 @@
 func NewAgent(s settings.PlatformAgent, log logr.Logger) *Agent {
 	a := &Agent{cfg: s, log: log, client: newClient(&s.PlatformNode), subscribers: make(map[string]subscriber),
 		metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst)}
+	a.bounds = newBounds(&s.PlatformNode, a.metrics, logs.Limit(log.WithName("limits"), faultLinesPerSecond, faultLineBurst))
 	a.store = platform.NewStore(s.StoreAddr, a.client)
 	a.rank = &localRank{Engine: platform.NewEngine(s.EndpointAddr, a.client)}
 	return a
@@ -90,13 +92,13 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathRank, a.serveRank)
 	mux.HandleFunc("GET "+pathMetrics, metricsPage(a.metrics))
-	defer serveMetrics(a.cfg.MetricsAddr, a.metrics, a.log).Close()
+	defer serveMetrics(a.cfg.MetricsAddr, a.metrics, a.bounds, a.log).Close()
 	ln, err := settings.Listen("peer_port", a.peerAddr())
 	if err != nil {
 		return err
 	}
-	server := newServer(mux)
-	go serve(server, ln, a.log)
+	server := newInternalServer(mux)
+	go serve(server, ln, a.bounds.internal(), a.log)
 	defer server.Close()
 	conn, err := net.ListenPacket("udp", a.peerAddr())
 	if err != nil {
@@ -264,11 +266,15 @@
 	}
 }
 
+// maxRankArgsBytes bounds the call of a coordinator. A whole map of 256 ranks is smaller.
+const maxRankArgsBytes = 1 << 20
+
 // serveRank serves requests of coordinators.
 func (a *Agent) serveRank(w http.ResponseWriter, r *http.Request) {
 	var args wire.RankArgs
-	if err := json.NewDecoder(r.Body).Decode(&args); err != nil {
-		http.Error(w, "the call can't be read; send a RankArgs object", http.StatusBadRequest)
+	claim, ok := a.bounds.decodeBody(w, r, maxRankArgsBytes, &args, "the call can't be read; send a RankArgs object")
+	defer claim.Release()
+	if !ok {
 		return
 	}
 	var reply wire.RankReply
--- a/node/entry.go
+++ b/node/entry.go
@@ -110,6 +110,7 @@
 	metrics *metrics.Set
 	// limitedLog is log with a rate limit, for faults that can occur very often.
 	limitedLog logr.Logger
+	bounds     *bounds
 	health     *storeHealth
 	operator   *operatorFollower
 	endpoints  *endpointFollower
@@ -125,6 +126,7 @@
 // NewEntry returns an entry that is started with Run.
 func NewEntry(s settings.PlatformEntry, log logr.Logger) *Entry {
 	e := &Entry{cfg: s, log: log, client: newClient(&s.PlatformNode), metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst)}
+	e.bounds = newBounds(&s.PlatformNode, e.metrics, logs.Limit(log.WithName("limits"), faultLinesPerSecond, faultLineBurst))
 	// Records lapse after heartbeatsToExpiry heartbeats; one that fails is harmless.
 	e.health = &storeHealth{log: log.WithName("store"), outages: e.metrics.NewCounter("wasabinotch_store_lost_total"), maxSilence: s.Bounds.Heartbeat()}
 	e.store = platform.NewStore(s.StoreAddr, e.client)
@@ -136,7 +138,7 @@
 		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, ParseWork: platform.ParseWork,
 		ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.notices.tellRateLimit,
 		ParseLeaving: platform.ParseLeaving, TellLeaving: e.notices.tellLeaving, ParsePause: platform.ParsePause,
-		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client,
+		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client, Memory: e.bounds.memory,
 		Log: logs.Limit(log.WithName("forward"), requestLinesPerSecond, requestLineBurst), Stats: forward.NewStats(e.metrics),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
 		RetryWindow: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
@@ -284,7 +286,7 @@
 			s.MaxHeaderBytes = c.Limits.HeaderBytes
 		}
 	}
-	go serve(s, ln, e.log)
+	go serve(s, ln, e.bounds.callers(), e.log)
 	return s, nil
 }
 
@@ -294,9 +296,9 @@
 	mux.HandleFunc("GET "+platform.PathReady, e.serveReady)
 	mux.HandleFunc("GET "+platform.PathDirectory, e.serveDirectory)
 	mux.HandleFunc("GET "+pathOperator, e.serveOperator)
-	mux.Handle("POST "+wire.PathQuarantine, e.holds)
+	mux.HandleFunc("POST "+wire.PathQuarantine, func(w http.ResponseWriter, r *http.Request) { e.holds.serve(w, r, e.bounds) })
 	mux.HandleFunc("GET "+pathMetrics, metricsPage(e.metrics))
-	e.servers = append(e.servers, serveMetrics(e.cfg.MetricsAddr, e.metrics, e.log))
+	e.servers = append(e.servers, serveMetrics(e.cfg.MetricsAddr, e.metrics, e.bounds, e.log))
 	for _, l := range []struct{ field, addr string }{
 		{"ready_addr", e.cfg.ReadyAddr}, {"directory_addr", e.cfg.DirectoryAddr}, {"peer_port", e.peerAddr()},
 	} {
@@ -304,9 +306,9 @@
 		if err != nil {
 			return err
 		}
-		s := newServer(mux)
+		s := newInternalServer(mux)
 		e.servers = append(e.servers, s)
-		go serve(s, ln, e.log)
+		go serve(s, ln, e.bounds.internal(), e.log)
 	}
 	return nil
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -34,10 +34,10 @@
 
 // serveMetrics serves a set of metrics at addr unless addr is empty. If addr
 // can't be opened, it logs the error and the process runs without metrics.
-func serveMetrics(addr string, set *metrics.Set, l logr.Logger) *http.Server {
+func serveMetrics(addr string, set *metrics.Set, b *bounds, l logr.Logger) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathMetrics, metricsPage(set))
-	s := newServer(mux)
+	s := newInternalServer(mux)
 	if addr == "" {
 		return s
 	}
@@ -46,6 +46,6 @@
 		l.Error(err, "Metrics are not served.", "address", addr)
 		return s
 	}
-	go serve(s, ln, l)
+	go serve(s, ln, b.internal(), l)
 	return s
 }
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -170,11 +169,12 @@
 	return reply, json.Unmarshal(b, &reply)
 }
 
-// ServeHTTP receives reports of other entries.
-func (h *holdSharer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// serve receives reports of other entries.
+func (h *holdSharer) serve(w http.ResponseWriter, r *http.Request, b *bounds) {
 	var report wire.QuarantineReport
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxReportBytes)).Decode(&report); err != nil {
-		http.Error(w, "the report can't be read; send a QuarantineReport object", http.StatusBadRequest)
+	claim, ok := b.decodeBody(w, r, maxReportBytes, &report, "the report can't be read; send a QuarantineReport object")
+	defer claim.Release()
+	if !ok {
 		return
 	}
 	reply := wire.QuarantineReply{Proven: h.tracker.Receive(report)}
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -36,8 +36,32 @@
 	MetricsAddr string `json:"metrics_addr"`
 	// MemoryLimitMB is the memory in megabytes (2^20 bytes) beyond which the
 	// platform ends the process; 0 for no limit.
-	MemoryLimitMB int    `json:"memory_mb"`
-	Bounds        Bounds `json:"bounds"`
+	MemoryLimitMB int `json:"memory_mb"`
+	// FileDescriptors is how many descriptors the process may open. Default 0: as many as
+	// the operating system allows.
+	FileDescriptors int           `json:"file_descriptors"`
+	Limits          ProcessLimits `json:"limits"`
+	Bounds          Bounds        `json:"bounds"`
+}
+
+// ProcessLimits bound what a process holds for its peers. 0 stands for the defaults, which
+// follow from MemoryLimitMB and FileDescriptors.
+type ProcessLimits struct {
+	// HeldMB is the memory for the bytes of requests and responses in megabytes (2^20
+	// bytes). Default: a quarter of MemoryLimitMB.
+	HeldMB int `json:"held_mb"`
+	// CallersConnections is the number of connections that callers may have open.
+	// Default: half of the descriptors that aren't reserved for files, but at most one for
+	// each 128 KiB of MemoryLimitMB.
+	CallersConnections int `json:"callers_connections"`
+	// WriteTimeoutMS is the time in milliseconds within which a peer must read 16 KiB that
+	// are sent to it. Default: 20,000.
+	WriteTimeoutMS float64 `json:"write_timeout_ms"`
+}
+
+// WriteTimeout returns WriteTimeoutMS, or 0 for the default.
+func (l *ProcessLimits) WriteTimeout() time.Duration {
+	return time.Duration(l.WriteTimeoutMS * float64(time.Millisecond))
 }
 
 // Bounds are the limits that the operators guarantee for the whole system.
@@ -89,6 +113,9 @@
 	if _, err := n.SourceAddr(); err != nil {
 		return &Error{Field: "dial_from", Reason: fmt.Sprintf("%q is not an IP address", n.SourceIP), Remedy: "use an IP address of this machine, or leave it out"}
 	}
+	if l := n.Limits; n.FileDescriptors < 0 || l.HeldMB < 0 || l.CallersConnections < 0 || l.WriteTimeoutMS < 0 {
+		return &Error{Field: "file_descriptors, limits", Reason: "a value is negative", Remedy: "use positive values, or 0 for the defaults"}
+	}
 	const lastPort = 65535 - 3
 	if n.PeerPort <= 0 || n.PeerPort > lastPort {
 		return &Error{Field: "peer_port", Reason: "is out of range", Remedy: "use the first of four consecutive free ports"}
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -21,6 +21,33 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Rest holds further parts of the body after Body.
+	Rest [][]byte
+}
+
+// bodyLen returns the length of the body in bytes.
+func (r *Request) bodyLen() int {
+	n := len(r.Body)
+	for _, b := range r.Rest {
+		n += len(b)
+	}
+	return n
+}
+
+// writeBody writes the body after its head.
+func (r *Request) writeBody(w io.Writer, head []byte) error {
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	if _, err := w.Write(r.Body); err != nil {
+		return err
+	}
+	for _, b := range r.Rest {
+		if _, err := w.Write(b); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Error is the error of a call without a usable response.
@@ -85,8 +112,12 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) }) // unblocks reads and writes
 	head := requestHead(req)
 	w := &bodyWrite{done: make(chan struct{})}
-	if len(req.Body) <= maxInlineBody {
-		_, w.err = conn.Write(append(head, req.Body...))
+	if req.bodyLen() <= maxInlineBody {
+		head = append(head, req.Body...)
+		for _, b := range req.Rest {
+			head = append(head, b...)
+		}
+		_, w.err = conn.Write(head)
 		close(w.done)
 		if w.err != nil {
 			stop()
@@ -96,9 +127,7 @@
 	} else {
 		go func() {
 			defer close(w.done)
-			if _, w.err = conn.Write(head); w.err == nil {
-				_, w.err = conn.Write(req.Body)
-			}
+			w.err = req.writeBody(conn, head)
 		}()
 	}
 	parsed, err := readHead(conn, req.Method)
@@ -134,8 +163,8 @@
 			b.WriteString("\r\n")
 		}
 	}
-	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(req.Body))
+	if n := req.bodyLen(); n > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", n)
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
@@ -209,16 +238,43 @@
 // ErrTooLong means that a response body is longer than its reader's limit.
 var ErrTooLong = errors.New("the response body is too long; ask for less, or raise the limit")
 
-// ReadAll reads the whole body. If it is longer than limit bytes, ReadAll
-// returns the first limit+1 bytes and an error.
+// readAllBytes is the size of the first read of a body of unknown length.
+const readAllBytes = 4 << 10
+
+// ReadAll reads the whole body, in memory of at most its announced length, or twice what
+// arrived if the length is unknown. If it is longer than limit bytes, ReadAll returns the
+// first limit+1 bytes and an error.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, limit+1))
+	size := int64(readAllBytes)
+	if r.Length >= 0 {
+		size = min(r.Length, limit) + 1 // one byte more, to find the end
+	}
+	b, err := readAll(r, make([]byte, 0, size), limit+1)
 	if err == nil && int64(len(b)) > limit {
 		return b, fmt.Errorf("%s: %w: over %d bytes", r.addr, ErrTooLong, limit)
 	}
 	return b, err
 }
 
+// readAll appends to b what r has until its end, up to limit bytes. The end is no error.
+func readAll(r io.Reader, b []byte, limit int64) ([]byte, error) {
+	for int64(len(b)) < limit {
+		if len(b) == cap(b) {
+			b = append(make([]byte, 0, min(2*int64(cap(b)), limit)), b...)
+		}
+		n, err := r.Read(b[len(b):min(int64(cap(b)), limit)])
+		b = b[:len(b)+n]
+		switch err {
+		case nil:
+		case io.EOF:
+			return b, nil
+		default:
+			return b, err
+		}
+	}
+	return b, nil
+}
+
 // Call makes one call and returns the status and the complete body of its
 // response, which may have at most limit bytes.
 func (c *Client) Call(ctx context.Context, addr string, req *Request, limit int64) (status int, body []byte, err error) {
