--- a/limits/sizes.go
+++ b/limits/sizes.go
@@ -34,24 +34,29 @@
 }
 
 // SizesFor returns the bounds of a process that is ended beyond memoryMB (2^20 bytes, 0 for
-// no bound) and may open fileDescriptors, 0 for those that the operating system allows.
+// no bound) and may open fileDescriptors, 0 for as many as the operating system allows.
 func SizesFor(memoryMB, fileDescriptors int) Sizes {
-	var s Sizes
-	memory := float64(memoryMB) * (1 << 20)
-	s.MemoryBytes = int64(memory * memoryPart)
-	descriptors := fileDescriptors
 	var allowed syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &allowed); err == nil && allowed.Cur < 1<<20 {
-		if n := int(allowed.Cur); descriptors <= 0 || n < descriptors {
-			descriptors = n
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &allowed); err == nil && allowed.Cur < unlimitedDescriptors {
+		if n := int(allowed.Cur); fileDescriptors <= 0 || n < fileDescriptors {
+			fileDescriptors = n
 		}
 	}
+	return sizesFor(memoryMB, fileDescriptors)
+}
+
+// unlimitedDescriptors is a limit of the operating system that is taken as none.
+const unlimitedDescriptors = 1 << 20
+
+func sizesFor(memoryMB, descriptors int) Sizes {
+	memory := float64(memoryMB) * (1 << 20)
+	s := Sizes{MemoryBytes: int64(memory * memoryPart)}
 	if descriptors > 0 {
 		sockets := descriptors - min(maxReservedFiles, int(float64(descriptors)*reservedPart))
 		s.Callers, s.Internal = int(float64(sockets)*callersPart), max(1, int(float64(sockets)*internalPart))
 	}
 	if n := int(memory * connectionsPart / bytesPerConnection); memoryMB > 0 && (s.Callers == 0 || n < s.Callers) {
-		s.Callers = n
+		s.Callers = max(1, n)
 	}
 	return s
 }
