forward, explain: a refused or late body gets its refusal; explain names the causes

Cause: package http cancels a request's context when a read of its body fails, also at our own deadline, so that the 408 for a late body was never sent (TestLateBodyIsRefused: an empty response before). A refusal of an unread body waited for its rest without a bound (TestRefusalDoesNotWaitForTheBody).

--- a/explain/describe.go
+++ b/explain/describe.go
@@ -28,6 +28,9 @@
 		if strings.Contains(l.stringField("cause"), "shutting down") {
 			return head + "refused; the entry was shutting down"
 		}
+		if strings.Contains(l.stringField("cause"), "memory for peers' requests") {
+			return head + "refused; the entry had no memory left for its body"
+		}
 		if strings.Contains(l.stringField("cause"), "rate limits") {
 			return head + "refused; all endpoints were at the rate limits that they named"
 		}
@@ -47,6 +50,8 @@
 			return head + fmt.Sprintf("the response broke off after %.0f events and no other endpoint continued it", l.numberField("events"))
 		}
 		return head + "the outcome is unknown; the endpoint gave no complete response"
+	case "request_timeout":
+		return head + "refused; the request's body did not arrive in time"
 	case "timeout":
 		return head + "no complete response arrived within the deadline or the route's timeout"
 	case "cancelled":
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/limits"
 )
 
 func textLog(name, lines string) Log {
@@ -68,6 +70,9 @@
 		{map[string]any{"outcome": "endpoint_failed", "status": json.Number("502"), "may_have_run": true}, "check before sending it again"},
 		{map[string]any{"outcome": "endpoint_failed", "status": json.Number("200"), "events": json.Number("7"), "may_have_run": true}, "broke off after 7 events"},
 		{map[string]any{"outcome": "overloaded", "cause": "this entry is shutting down"}, "the entry was shutting down"},
+		{map[string]any{"outcome": "overloaded", "cause": limits.ErrSpent.Error()}, "no memory left for its body"},
+		{map[string]any{"outcome": "overloaded", "cause": limits.ErrRevoked.Error()}, "no memory left for its body"},
+		{map[string]any{"outcome": "request_timeout", "cause": "i/o timeout"}, "did not arrive in time"},
 		{map[string]any{"outcome": "overloaded", "cause": "all endpoints are at the rate limits that they named"}, "at the rate limits that they named"},
 		{map[string]any{"outcome": "overloaded", "cause": "all endpoints ask for a pause", "attempts": json.Number("1")}, "had asked for a pause"},
 		{map[string]any{"outcome": "quarantined", "status": json.Number("503")}, "a part of the prompt is held"},
--- a/forward/filters.go
+++ b/forward/filters.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -121,6 +122,7 @@
 // endpoint has got any of it.
 func (x *exchange) refuseBody(err error) *api.Refusal {
 	x.claim.Release() // before a response for which the caller may make the entry wait
+	x.endedRead = errors.Is(err, limits.ErrSpent) || errors.Is(err, limits.ErrRevoked) || errors.Is(err, os.ErrDeadlineExceeded)
 	x.w.Header().Set("Connection", "close")
 	switch {
 	case errors.Is(err, limits.ErrTooLarge):
@@ -173,7 +175,7 @@
 
 // refuse ends a request with a response made by this entry.
 func (x *exchange) refuse(refusal *api.Refusal) {
-	if x.response.started || x.callerDisconnected() {
+	if x.response.started || x.callerDisconnected() && !x.endedRead {
 		// The response has begun, or the caller has disconnected.
 		x.response.mustAbort = x.response.mustAbort || x.response.started
 		x.response.outcome = string(refusal.Kind)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -183,10 +183,13 @@
 	priority int
 	body     limits.Body
 	// claim is what the exchange holds of Config.Memory; bodyRead is set once the whole
-	// body was read, writing while a part of the response is written.
-	claim    *limits.Claim
-	bodyRead bool
-	writing  atomic.Bool
+	// body was read, writing while a part of the response is written. endedRead is set if
+	// the entry itself ended the read of the body: package http then cancels the context
+	// of the request, as if the caller had disconnected.
+	claim     *limits.Claim
+	bodyRead  bool
+	endedRead bool
+	writing   atomic.Bool
 
 	// attempts counts the attempts that reached an endpoint, tried lists the endpoints
 	// of all attempts.
--- /dev/null
+++ b/forward/limits_test.go
@@ -0,0 +1,146 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/limits"
+	"github.com/wasabinotch/wasabinotch/routing"
+)
+
+// newLimitedEntry returns an entry with a budget of size bytes and bodies of up to 1 MiB.
+func newLimitedEntry(t *testing.T, size int64, route routing.Route, r responder) *testEntry {
+	t.Helper()
+	s := newTestEntry(t, route, r)
+	c := *s.handler.Config()
+	c.Version++
+	c.Limits.BodyBytes = 1 << 20
+	s.handler.SetConfig(&c)
+	s.handler.cfg.Memory = limits.NewMemory(size, nil)
+	return s
+}
+
+// sendPart sends a request with a body of length bytes up to the given part of it, and
+// returns the connection.
+func (s *testEntry) sendPart(t *testing.T, length, sent int) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := fmt.Fprintf(c, "POST /a/b HTTP/1.1\r\nHost: host\r\nRequest-Id: part\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", sent)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func (s *testEntry) awaitHeld(t *testing.T, reached func(held int64) bool) {
+	t.Helper()
+	for range 500 {
+		if reached(s.handler.cfg.Memory.Held()) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("the entry holds %d bytes", s.handler.cfg.Memory.Held())
+}
+
+// Guards against a body that stops before its end and costs another caller its request, and
+// against a refusal of it that is no promise, or comes without its reason.
+func TestStalledBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedEntry(t, 1<<20, orderRoute, respondOK("fine"))
+	stalled := s.sendPart(t, 700<<10, 700<<10-1)
+	s.awaitHeld(t, func(held int64) bool { return held >= 700<<10-1 })
+	time.Sleep(600 * time.Millisecond) // it counts as stalled then
+	resp, body, err := s.send(t, func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("y", 700<<10))), 700<<10
+	})
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, "fine")
+	is.NoErr(stalled.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	refusal, err := io.ReadAll(stalled) // the connection is closed
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(refusal), "HTTP/1.1 503 "))
+	for _, part := range []string{"Retry-After: ", "Connection: close", `"outcome":"not_run"`} {
+		is.True(strings.Contains(string(refusal), part))
+	}
+	is.Equal(s.requestCount(), 1)
+	s.awaitHeld(t, func(held int64) bool { return held == 0 })
+	is.True(strings.Contains(s.log.String(), limits.ErrRevoked.Error()))
+}
+
+// Guards against a body that doesn't arrive in time and is ended without a response: the
+// status 408 promises that the request has not run.
+func TestLateBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedEntry(t, 1<<20, routing.Route{Kind: routing.NonIdempotent, MaxAttempts: 1, Timeout: 200 * time.Millisecond}, respondOK("fine"))
+	late := s.sendPart(t, 1000, 999)
+	is.NoErr(late.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	refusal, err := io.ReadAll(late) // the connection is closed
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(refusal), "HTTP/1.1 408 "))
+	is.True(strings.Contains(string(refusal), `"outcome":"not_run"`))
+	is.Equal(s.requestCount(), 0)
+}
+
+// Guards against a refusal of a body that is already known to be too long, or not
+// authorised, which waits for the rest of it.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedEntry(t, 1<<20, orderRoute, respondOK("fine"))
+	for _, c := range []struct {
+		key    string
+		length int
+		status string
+	}{
+		{"key", 1 << 30, "413"},
+		{"unknown", 100, "401"},
+	} {
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST /a/b HTTP/1.1\r\nHost: host\r\nRequest-Id: part\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\nx", c.key, c.length)
+		is.NoErr(err)
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(10 * time.Second)))
+		refusal, err := io.ReadAll(conn) // the connection is closed
+		is.NoErr(err)
+		is.True(strings.HasPrefix(string(refusal), "HTTP/1.1 "+c.status))
+	}
+	is.Equal(s.requestCount(), 0)
+}
+
+// Guards against a ready response that is lost because there is no memory to buffer it.
+func TestResponseIsRelayedWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedEntry(t, 16<<10, orderRoute, respondOK(strings.Repeat("z", 40<<10)))
+	resp, body, err := s.send(t, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(len(body), 40<<10)
+	s.awaitHeld(t, func(held int64) bool { return held == 0 })
+}
+
+// Guards against bytes that stay claimed after their requests have ended.
+func TestClaimsEndWithTheirRequests(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedEntry(t, 1<<20, streamingRoute, respondRaw("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n"+
+		"c\r\nid: 1\ndata:a\r\n2\r\n\n\n\r\n0\r\n\r\n"))
+	for range 3 {
+		resp, _, err := s.send(t, func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("y", 100<<10))), -1
+		})
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	s.awaitHeld(t, func(held int64) bool { return held == 0 })
+}
--- a/proof/soak_checks_test.go
+++ b/proof/soak_checks_test.go
@@ -50,7 +50,7 @@
 		o.requestByID[a.id] = a
 	}
 	out := []*checkResult{o.responseDefects(), o.ordersRunOnce(), o.refusedOrdersNotRun(), o.oneMapPerStep(), o.zonesOut(), o.keysEnforced(),
-		o.drainingEndpoints(), o.leavingEndpoints(), o.pausesKept(), o.coldEndpoints(), o.rateLimitsKept(), o.retries(), o.gracefulStops(), o.timeouts(), o.onlySentRequestsArrive()}
+		o.drainingEndpoints(), o.leavingEndpoints(), o.pausesKept(), o.coldEndpoints(), o.rateLimitsKept(), o.retries(), o.gracefulStops(), o.timeouts(), o.onlySentRequestsArrive(), o.memoryKept()}
 	recovery := &checkResult{guarantee: "callers are served after the faults", caseCount: 1}
 	if recovered < 0 {
 		recovery.addViolation("", "not within %v", soakRecoveryBound)
--- a/proof/soak_system_test.go
+++ b/proof/soak_system_test.go
@@ -213,7 +213,7 @@
 	storeAddr := s.addr(s.ip(netStoreProxy, len(s.nodes)+1), portStore)
 	s.addProxy(storeAddr, s.store.Addr())
 	s.storeProxies[id] = s.proxies[len(s.proxies)-1]
-	d := settings.PlatformNode{ID: id, Zone: zone, IP: ip.String(), SourceIP: ip.String(), PeerPort: portPeer, StoreAddr: storeAddr, MemoryLimitMB: 100,
+	d := settings.PlatformNode{ID: id, Zone: zone, IP: ip.String(), SourceIP: ip.String(), PeerPort: portPeer, StoreAddr: storeAddr, MemoryLimitMB: soakMemoryMB,
 		CallersAddr: s.addr(ip, portCallers), ReadyAddr: s.addr(ip, portReady), DirectoryAddr: s.addr(ip, portDirectory),
 		Bounds: settings.Bounds{GracePeriodS: soakGracePeriod.Seconds(), RetryRatio: soakRetryRatio, RetrySlack: soakRetrySlack, RetryWindowS: soakRetryWindow.Seconds(),
 			ColdBurstFactor: soakColdBurstFactor, ColdBurstSlack: soakColdBurstSlack, DirectoryTTLS: soakDirectoryTTL.Seconds()}}
