--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -137,6 +137,20 @@
 	outlastAtPort(t, port{"entry", portPeer, http.MethodGet, "/operator?after=0"})
 }
 
+// Guards against large answers at the port for other entries that nobody reads.
+func TestUnreadOperatorState(t *testing.T) {
+	p := start(t, "entry")
+	p.writeLargeConfig()
+	ordinary := func() error { return p.get(portPeer, "/operator?after=0") }
+	p.awaitAnswer("the operator's state", ordinary)
+	c := p.gather(descriptorCrowd, portPeer, unread(http.MethodGet, "/operator?after=0", 4))
+	p.awaitAnswer("the operator's state beside the crowd", ordinary)
+	p.awaitAnswer("an ordinary request beside the crowd", func() error { return p.lookup(100) })
+	c.leave()
+	p.awaitAnswer("a request of the greatest size after the crowd", func() error { return p.lookup(maxBodyBytes) })
+	p.check()
+}
+
 func TestPeerPortQuarantine(t *testing.T) {
 	outlastAtPort(t, port{"entry", portPeer, http.MethodPost, wire.PathQuarantine})
 }
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -88,6 +88,7 @@
 type process struct {
 	t      *testing.T
 	ip     string
+	store  *platformsim.Store
 	cmd    *exec.Cmd
 	log    string
 	exited chan struct{}
@@ -102,6 +103,7 @@
 	t.Helper()
 	p := &process{t: t, exited: make(chan struct{}), stop: make(chan struct{}), stopped: make(chan struct{})}
 	store := p.claimAddress()
+	p.store = store
 	t.Cleanup(store.Close)
 	p.writeConfig(store)
 	startEndpoint(t, p.addr(portEndpoint), store)
@@ -153,15 +155,29 @@
 	}
 }
 
-func (p *process) writeConfig(store *platformsim.Store) {
+// largeConfigBytes is less than the longest value that the platform's store takes.
+const largeConfigBytes = 700 << 10
+
+// writeLargeConfig writes a configuration of that size, with many keys of one organisation.
+func (p *process) writeLargeConfig() {
+	keys := []string{apiKey}
+	for n := 0; n < largeConfigBytes; n += len(filler) {
+		keys = append(keys, fmt.Sprint(len(keys), filler))
+	}
+	p.putConfig(p.store, 2, keys)
+}
+
+func (p *process) writeConfig(store *platformsim.Store) { p.putConfig(store, 1, []string{apiKey}) }
+
+func (p *process) putConfig(store *platformsim.Store, version int, keys []string) {
 	route := func(name, kind string) map[string]any {
 		return map[string]any{"name": name, "host": "crowd.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": routeTimeout.Milliseconds(),
 			"target_latency_ms": 2000, "target_gap_ms": 2000, "priority": 0, "service": "desk", "max_attempts": 2}
 	}
 	b, err := json.Marshal(map[string]any{
-		"version": 1, "routes": []any{route("lookup", "idempotent"), route("draft", "streaming")},
+		"version": version, "routes": []any{route("lookup", "idempotent"), route("draft", "streaming")},
 		"services": []any{map[string]any{"name": "desk", "max_connections": 400}},
-		"tenants":  []any{map[string]any{"name": "menders", "api_keys": []string{apiKey}}},
+		"tenants":  []any{map[string]any{"name": "menders", "api_keys": keys}},
 		"limits": map[string]any{"max_header_bytes": maxHeaderBytes, "max_body_bytes": maxBodyBytes,
 			"header_timeout_ms": headerTimeout.Milliseconds(), "idle_timeout_ms": idleTimeout.Milliseconds()},
 	})
--- a/limits/connections.go
+++ b/limits/connections.go
@@ -137,7 +137,7 @@
 	c.mu.Unlock()
 	if victim != nil {
 		c.tell(Event{Limit: LimitConnections, Host: victim.host, Held: int64(n), Size: int64(c.max), Waited: conn.waitsSince.Sub(victim.waitsSince)})
-		_ = victim.Close() // its peer has sent no whole request
+		_ = victim.Conn.Close() // whoever uses it then gets an error and calls Close
 	}
 	return conn
 }
--- a/limits/memory.go
+++ b/limits/memory.go
@@ -80,6 +80,8 @@
 	// waits is set while the peer can be waited for: its body is incomplete, or it
 	// doesn't read. Only such a claim may be revoked.
 	waits bool
+	// complete is set once the peer has sent everything; it can wait to be read then.
+	complete bool
 	// marked is when the wait began or the claim last progressed, fresh what has arrived
 	// since.
 	marked  time.Time
@@ -158,7 +160,7 @@
 	if waits && !c.waits {
 		c.marked, c.fresh = c.memory.now(), 0
 	}
-	c.waits = waits
+	c.waits, c.complete = waits, c.complete || !waits
 }
 
 // Revoked reports whether the claim was revoked.
@@ -217,8 +219,8 @@
 // victim returns the claim to revoke so that another can grow, nil if there is none. It is
 // one of the address that holds most, among those that hold at least as much as the
 // address of the growing claim: of the stalled claims the one whose bytes have waited
-// longest, weighed by their number. If none is stalled, the large claim with the fewest
-// bytes gives way, which may be the growing one, so that the others can be completed.
+// longest, weighed by their number. If none is stalled, the incomplete large claim with the
+// fewest bytes gives way, which may be the growing one, so that the others can be completed.
 // m.mu is held.
 func (m *Memory) victim(growing *Claim) *Claim {
 	now := m.now()
@@ -235,7 +237,7 @@
 			if stalled == nil || m.hosts[c.host] > m.hosts[stalled.host] || m.hosts[c.host] == m.hosts[stalled.host] && cost > worst {
 				stalled, worst = c, cost
 			}
-		case c.bytes <= smallClaimBytes:
+		case c.complete || c.bytes <= smallClaimBytes:
 		case least == nil || m.hosts[c.host] > m.hosts[least.host] || m.hosts[c.host] == m.hosts[least.host] && c.bytes < least.bytes:
 			least = c
 		}
--- a/limits/memory_test.go
+++ b/limits/memory_test.go
@@ -161,6 +161,32 @@
 	})
 }
 
+// Guards against a response that is ended in the middle although its caller reads it.
+func TestResponseThatIsReadStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := NewMemory(1024*kib, nil)
+		read, unread := newPeer(m, "a"), newPeer(m, "a")
+		is.NoErr(unread.arrive(300 * kib))
+		is.NoErr(read.arrive(300 * kib))
+		read.claim.EndWait()
+		unread.claim.EndWait()
+		unread.claim.Wait()
+		unread.leaveWhenRevoked(m)
+		time.Sleep(time.Second)
+		read.claim.Wait() // it is written just now
+		other := newPeer(m, "a")
+		is.NoErr(other.arrive(100 * kib))
+		other.claim.EndWait()
+		is.True(!unread.revoked) // there was room
+		is.NoErr(newPeer(m, "a").arrive(200 * kib))
+		is.True(unread.revoked)
+		time.Sleep(stallTime / 2)
+		is.True(errors.Is(newPeer(m, "a").arrive(400*kib), ErrSpent))
+		is.True(!read.revoked)
+	})
+}
+
 // Guards against bytes of a revoked claim that count as free while they are still held.
 func TestGrowWaitsForRevokedBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -370,9 +370,8 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(state); err != nil {
-		e.log.Info("Operator state not sent.", "cause", err.Error())
+	if err := e.bounds.encodeBody(w, r, state); err != nil {
+		e.limitedLog.Info("Operator state not sent.", "cause", err.Error())
 	}
 }
 
