--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -141,7 +142,13 @@
 func TestUnreadOperatorState(t *testing.T) {
 	p := start(t, "entry")
 	p.writeLargeConfig()
-	ordinary := func() error { return p.get(portPeer, "/operator?after=0") }
+	ordinary := func() error {
+		state, err := p.send(http.MethodGet, portPeer, "/operator?after=0", nil, nil)
+		if err == nil && len(state) < largeConfigBytes {
+			err = errors.New("the entry hasn't read the configuration")
+		}
+		return err
+	}
 	p.awaitAnswer("the operator's state", ordinary)
 	c := p.gather(descriptorCrowd, portPeer, unread(http.MethodGet, "/operator?after=0", 4))
 	p.awaitAnswer("the operator's state beside the crowd", ordinary)
--- a/node/entry.go
+++ b/node/entry.go
@@ -113,10 +113,12 @@
 	bounds     *bounds
 	health     *storeHealth
 	operator   *operatorFollower
-	endpoints  *endpointFollower
-	peers      *entryFollower
-	holds      *holdSharer
-	notices    *noticeSharer
+	// encodedState is the operator's state as it was last sent to other entries.
+	encodedState encodedState
+	endpoints    *endpointFollower
+	peers        *entryFollower
+	holds        *holdSharer
+	notices      *noticeSharer
 	// ready is true while the entry accepts callers and is not draining.
 	ready atomic.Bool
 	// servers are the internal HTTP servers; they run until the end of a drain.
@@ -370,7 +372,12 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	if err := e.bounds.encodeBody(w, r, state); err != nil {
+	body, err := e.encodedState.encode(state)
+	if err == nil {
+		w.Header().Set("Content-Type", "application/json")
+		_, err = w.Write(body)
+	}
+	if err != nil {
 		e.limitedLog.Info("Operator state not sent.", "cause", err.Error())
 	}
 }
--- a/node/server.go
+++ b/node/server.go
@@ -130,20 +130,3 @@
 	http.Error(w, remedy+": "+err.Error(), status)
 	return claim, false
 }
-
-// encodeBody responds with v as JSON, in memory that it claims while the peer reads.
-func (b *bounds) encodeBody(w http.ResponseWriter, r *http.Request, v any) error {
-	body, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	claim := b.memory.Claim(limits.Host(r.RemoteAddr), func() { limits.Abort(r.Context()) })
-	defer claim.Release()
-	if err := claim.Grow(int64(len(body))); err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return err
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, err = w.Write(append(body, '\n'))
-	return err
-}
