--- a/explain/describe.go
+++ b/explain/describe.go
@@ -57,6 +57,9 @@
 	case "cancelled":
 		return head + "the caller closed its connection"
 	case "broken":
+		if strings.Contains(l.stringField("cause"), "did not read its response") {
+			return head + fmt.Sprintf("the caller did not read its response by the deadline; its connection was closed after %.0f events", l.numberField("events"))
+		}
 		return head + fmt.Sprintf("the connection to the caller ended after %.0f events", l.numberField("events"))
 	case "unauthenticated", "wrong_organisation", "unknown_service", "bad_request", "too_large":
 		return head + "refused by the configuration in force or as malformed"
--- a/forward/filters.go
+++ b/forward/filters.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/api"
@@ -159,6 +160,29 @@
 	return err
 }
 
+// errUnread is the logged cause if a caller didn't read its response by the deadline.
+var errUnread = errors.New("the caller did not read its response by the deadline")
+
+// unreadGrace is the time after the deadline in which a caller may still read what was sent.
+const unreadGrace = 500 * time.Millisecond
+
+// endUnread ends the response after the deadline if a write still waits for the caller
+// then: an endpoint and its slot wait too. The returned function ends the watch, and
+// reports whether the response was ended.
+func (x *exchange) endUnread() (stop func() bool) {
+	var ended atomic.Bool
+	timer := time.AfterFunc(x.remaining()+unreadGrace, func() {
+		if x.writing.Load() {
+			ended.Store(true)
+			limits.Abort(x.r.Context())
+		}
+	})
+	return func() bool {
+		timer.Stop()
+		return ended.Load()
+	}
+}
+
 // unreadBodyTime bounds the wait for the rest of a body that a refusal leaves unread.
 const unreadBodyTime = 500 * time.Millisecond
 
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -31,11 +31,19 @@
 // returns the connection.
 func (s *testEntry) sendPart(t *testing.T, length, sent int) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	return sendPart(t, s.Listener.Addr().String(), length, sent)
+}
+
+func sendPart(t *testing.T, addr string, length, sent int) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
+	if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := fmt.Fprintf(c, "POST /a/b HTTP/1.1\r\nHost: host\r\nRequest-Id: part\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", sent)); err != nil {
 		t.Fatal(err)
 	}
@@ -130,6 +138,53 @@
 	s.awaitHeld(t, func(held int64) bool { return held == 0 })
 }
 
+// smallBuffers is a listener whose connections hold little that isn't read.
+type smallBuffers struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l smallBuffers) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		err = c.(*net.TCPConn).SetWriteBuffer(4 << 10)
+	}
+	return c, err
+}
+
+// Guards against an endpoint whose slot is held by a caller that stays and reads nothing.
+func TestUnreadResponseEndsAfterItsDeadline(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind routing.Kind
+		part string
+	}{
+		"stream":        {routing.Streaming, ":" + strings.Repeat("x", 1000) + "\n\n"},
+		"long response": {routing.Idempotent, strings.Repeat("x", 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newLimitedEntry(t, 1<<20, routing.Route{Kind: c.kind, MaxAttempts: 1, Timeout: 300 * time.Millisecond},
+				respondEndlessly("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: 1000000000\r\n\r\n", c.part))
+			conns := limits.NewConnections(0, s.handler.cfg.Memory, nil)
+			server := &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Minute}
+			conns.Server(server)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			go func() { _ = server.Serve(conns.Listener(smallBuffers{ln})) }()
+			defer server.Close()
+			caller := sendPart(t, ln.Addr().String(), 1, 1)
+			<-s.endpoints[0].disconnected
+			s.awaitHeld(t, func(held int64) bool { return held == 0 })
+			for range 500 {
+				if strings.Contains(s.log.String(), errUnread.Error()) {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			is.True(strings.Contains(s.log.String(), errUnread.Error()))
+			is.NoErr(caller.Close())
+		})
+	}
+}
+
 // Guards against bytes that stay claimed after their requests have ended.
 func TestClaimsEndWithTheirRequests(t *testing.T) {
 	is := is.New(t)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -169,6 +169,7 @@
 	}
 	x.startResponse(resp.Status)
 	body := &errorReader{Reader: resp}
+	stop := x.endUnread()
 	err := x.writeToCaller(func() error {
 		if _, err := x.w.Write(head); err != nil {
 			return err
@@ -176,6 +177,9 @@
 		_, err := io.Copy(x.w, body)
 		return err
 	})
+	if stop() {
+		err = errUnread
+	}
 	switch {
 	case err == nil:
 		x.response.outcome = "answered"
@@ -239,6 +243,8 @@
 	buf := make([]byte, streamReadBytes)
 	began := false
 	controller := http.NewResponseController(x.w)
+	stop := x.endUnread()
+	defer stop()
 	for {
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
@@ -260,6 +266,9 @@
 			})
 			if writeErr != nil {
 				x.cause = writeErr
+				if stop() {
+					x.cause = errUnread
+				}
 				x.response.mustAbort = true
 				pick.EndInconclusive()
 				return delivered
