--- a/node/entry.go
+++ b/node/entry.go
@@ -129,12 +129,15 @@
 	metrics *metrics.Set
 	// limitedLog is log with a rate limit, for faults that can occur very often.
 	limitedLog logr.Logger
+	bounds     *bounds
 	health     *storeHealth
 	operator   *operatorFollower
-	endpoints  *endpointFollower
-	peers      *entryFollower
-	holds      *holdSharer
-	notices    *noticeSharer
+	// encodedState is the operator's state as it was last sent to other entries.
+	encodedState encodedState
+	endpoints    *endpointFollower
+	peers        *entryFollower
+	holds        *holdSharer
+	notices      *noticeSharer
 	// longPrompts are those of which the endpoints' agents are to be told.
 	longPrompts chan longPrompt
 	turns       *turnLender
@@ -149,6 +152,7 @@
 // NewEntry returns an entry that is started with Run.
 func NewEntry(s settings.PlatformEntry, log logr.Logger) *Entry {
 	e := &Entry{cfg: s, log: log, client: newClient(&s.PlatformNode), metrics: metrics.NewSet(), limitedLog: logs.Limit(log, faultLinesPerSecond, faultLineBurst)}
+	e.bounds = newBounds(&s.PlatformNode, e.metrics, logs.Limit(log.WithName("limits"), faultLinesPerSecond, faultLineBurst))
 	// Records lapse after heartbeatsToExpiry heartbeats; one that fails is harmless.
 	e.health = &storeHealth{log: log.WithName("store"), outages: e.metrics.NewCounter("wasabinotch_store_lost_total"), maxSilence: s.Bounds.Heartbeat()}
 	e.store = platform.NewStore(s.StoreAddr, e.client)
@@ -164,7 +168,7 @@
 		Headers: platform.Headers(), ParseLoad: platform.ParseLoad, SharedParts: platform.SharedParts, ParseWork: platform.ParseWork, FormatPriority: platform.FormatPriority,
 		ParseRateLimit: platform.ParseRateLimit, TellRateLimit: e.notices.tellRateLimit,
 		ParseLeaving: platform.ParseLeaving, TellLeaving: e.notices.tellLeaving, ParsePause: platform.ParsePause,
-		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client,
+		Quarantine: e.holds.tracker, Fleet: e.fleet, Client: e.client, Memory: e.bounds.memory,
 		Log: logs.Limit(log.WithName("forward"), requestLinesPerSecond, requestLineBurst), Stats: forward.NewStats(e.metrics),
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
 		RetryWindow: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
@@ -325,7 +329,7 @@
 			s.MaxHeaderBytes = c.Limits.HeaderBytes
 		}
 	}
-	go serve(s, ln, e.log)
+	go serve(s, ln, e.bounds.callers(), e.log)
 	return s, nil
 }
 
@@ -339,10 +343,10 @@
 	internal := http.NewServeMux()
 	internal.Handle("/", public)
 	internal.HandleFunc("GET "+pathOperator, e.serveOperator)
-	internal.Handle("POST "+wire.PathQuarantine, e.holds)
+	internal.HandleFunc("POST "+wire.PathQuarantine, func(w http.ResponseWriter, r *http.Request) { e.holds.serve(w, r, e.bounds) })
 	internal.HandleFunc("GET "+pathMetrics, metricsPage(e.metrics))
 	internal.HandleFunc("POST "+wire.PathPlacement, e.servePlacement)
-	e.servers = append(e.servers, serveMetrics(e.cfg.MetricsAddr, e.metrics, e.log))
+	e.servers = append(e.servers, serveMetrics(e.cfg.MetricsAddr, e.metrics, e.bounds, e.log))
 	for _, l := range []struct {
 		field, addr string
 		handler     http.Handler
@@ -353,9 +357,9 @@
 		if err != nil {
 			return err
 		}
-		s := newServer(l.handler)
+		s := newInternalServer(l.handler)
 		e.servers = append(e.servers, s)
-		go serve(s, ln, e.log)
+		go serve(s, ln, e.bounds.internal(), e.log)
 	}
 	return nil
 }
@@ -435,9 +439,13 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(state); err != nil {
-		e.log.Info("Operator state not sent.", "cause", err.Error())
+	body, err := e.encodedState.encode(state)
+	if err == nil {
+		w.Header().Set("Content-Type", "application/json")
+		_, err = w.Write(body)
+	}
+	if err != nil {
+		e.limitedLog.Info("Operator state not sent.", "cause", err.Error())
 	}
 }
 
--- a/proof/soak_faults_test.go
+++ b/proof/soak_faults_test.go
@@ -71,6 +71,7 @@
 	{"endpoint drains", 2, true, (*chaosRunner).drainEndpoint},
 	{"invalid endpoint record", 1, false, (*chaosRunner).writeInvalidRecord},
 	{"coordinator freezes in a switch", 3, false, (*chaosRunner).freezeCoordinator},
+	{"crowd at an entry", 6, false, (*chaosRunner).crowdEntry},
 }
 
 // meanActionInterval is the mean time between the starts of two actions. Most
--- a/proof/soak_system_test.go
+++ b/proof/soak_system_test.go
@@ -95,6 +95,9 @@
 	zoneOuts        []zoneOut
 	drainStarts     []drainStart
 	processFailures []string
+	// peakMemoryMB are the peaks of the processes' memory in megabytes, by process ID. Only
+	// the test's goroutine uses it.
+	peakMemoryMB map[string]float64
 }
 
 // disturbance is an interval of a fault or stop of one process, or of a fault of
@@ -135,7 +138,7 @@
 	t.Helper()
 	s := &soak{
 		cluster: &cluster{t: t, dir: t.TempDir(), linkRules: &linkRules{}, nodes: map[string]*node{}},
-		seed:    seed, rng: rand.New(rand.NewPCG(seed, 11)), size: size, ledger: platformsim.NewLedger(), storeProxies: map[string]*proxy{},
+		seed:    seed, rng: rand.New(rand.NewPCG(seed, 11)), size: size, ledger: platformsim.NewLedger(), storeProxies: map[string]*proxy{}, peakMemoryMB: map[string]float64{},
 	}
 	s.claimNetwork()
 	t.Cleanup(s.closeSoak)
@@ -213,7 +216,7 @@
 	storeAddr := s.addr(s.ip(netStoreProxy, len(s.nodes)+1), portStore)
 	s.addProxy(storeAddr, s.store.Addr())
 	s.storeProxies[id] = s.proxies[len(s.proxies)-1]
-	d := settings.PlatformNode{ID: id, Zone: zone, IP: ip.String(), SourceIP: ip.String(), PeerPort: portPeer, StoreAddr: storeAddr, MemoryLimitMB: 100,
+	d := settings.PlatformNode{ID: id, Zone: zone, IP: ip.String(), SourceIP: ip.String(), PeerPort: portPeer, StoreAddr: storeAddr, MemoryLimitMB: soakMemoryMB,
 		CallersAddr: s.addr(ip, portCallers), ReadyAddr: s.addr(ip, portReady), DirectoryAddr: s.addr(ip, portDirectory),
 		Bounds: settings.Bounds{GracePeriodS: soakGracePeriod.Seconds(), RetryRatio: soakRetryRatio, RetrySlack: soakRetrySlack, RetryWindowS: soakRetryWindow.Seconds(),
 			ColdBurstFactor: soakColdBurstFactor, ColdBurstSlack: soakColdBurstSlack, DirectoryTTLS: soakDirectoryTTL.Seconds()}}
