forward, fleet: refuse a prompt that no endpoint can hold without a time to come back

A request whose prompt exceeds the memory of every endpoint was refused as if no endpoint were in service, with a Retry-After. Its caller came back although it can never be served, and each return counted as demand and as a refusal, which lengthens the waits that other callers are told.

Fleet.Acquire now returns TooLarge for it at once, uncounted; the refusal says that the prompt is too long and has no Retry-After. It stays a 503, since callers may state wrong lengths and engines may be replaced. Endpoints out of service or with unknown memory count as able to hold it. An engine whose reports have ended no longer gets a prompt beyond its known memory.

--- a/explain/describe.go
+++ b/explain/describe.go
@@ -39,6 +39,9 @@
 		}
 		return head + fmt.Sprintf("refused for lack of capacity; no endpoint had a free slot in %.0f ms of waiting", l.numberField("waited_ms"))
 	case "no_endpoint":
+		if strings.Contains(l.stringField("cause"), "memory of every endpoint") {
+			return head + "refused; its prompt exceeds the memory of every endpoint of the service"
+		}
 		return head + "refused; no endpoint of the service could take work: zones out of service, stalled rank groups, or none listed"
 	case "quarantined":
 		return head + "refused; a part of the prompt is held because endpoints crashed on it"
--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -75,6 +75,9 @@
 		}
 		chosen[best.endpoint]++
 	}
+	if f.tooLarge(r) {
+		x.Availability = TooLarge
+	}
 	p.explain = true
 	for _, ep := range f.byService[r.Service] {
 		a := f.assess(ep, p, now)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -460,11 +460,14 @@
 	// Displaced means that the request was refused for more urgent ones since the queue was
 	// full.
 	Displaced
+	// TooLarge means that the prompt exceeds the memory of every endpoint of the service,
+	// so that none can ever take the request.
+	TooLarge
 )
 
 // String implements fmt.Stringer.
 func (a Availability) String() string {
-	return [...]string{"available", "all_busy", "unavailable", "rate_limited", "paused", "out_of_memory", "not_in_time", "displaced"}[a]
+	return [...]string{"available", "all_busy", "unavailable", "rate_limited", "paused", "out_of_memory", "not_in_time", "displaced", "too_large"}[a]
 }
 
 // choose returns the endpoint with the lowest cost among a random sample of a service's
--- a/fleet/placement_test.go
+++ b/fleet/placement_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/wasabinotch/wasabinotch/admission"
 	"github.com/wasabinotch/wasabinotch/placement"
 )
 
@@ -286,7 +287,7 @@
 		f.RecordLoad("e0", Load{Running: 4, MemoryShare: 0.6})
 		began := time.Now()
 		_, availability := acquire(t, f, Request{Work: Work{PromptTokens: 100_000}, MaxWait: time.Second})
-		is.Equal(availability, Unavailable)
+		is.Equal(availability, TooLarge)
 		is.True(time.Since(began) == 0)
 
 		long, short := make(chan *Pick, 1), make(chan *Pick, 1)
@@ -389,3 +390,45 @@
 		is.True(send(30_000) == nil)
 	})
 }
+
+// Guards against telling a caller that its request can never be served while an endpoint may
+// be able to hold it: one that is out of service now, or one whose memory isn't known.
+func TestTooLargeForAllEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := memoryFleet(1, 0, 2, 100_000)
+		for _, id := range []string{"e0", "e1"} {
+			f.RecordLoad(id, Load{Running: 4, MemoryShare: 0.6})
+		}
+		request := Request{Work: Work{PromptTokens: 150_000}}
+		asked := func() Availability {
+			_, availability := acquire(t, f, request)
+			return availability
+		}
+		is.Equal(asked(), TooLarge)
+		is.Equal(f.Explain(&Request{Service: service, Work: request.Work}).Availability, TooLarge)
+		// It must not lengthen the waits of callers whose requests fit.
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(asked(), TooLarge)
+		is.Equal(f.queueOf(service).control.ReturnAfter(&admission.Request{}, nil, false, time.Minute, 0, time.Now()), 300*time.Millisecond)
+		f.RecordLoad("e1", Load{Running: 4, MemoryTotal: 300_000, MemoryShare: 0.6})
+		is.Equal(asked(), AllBusy)
+		r := record("e1", "e1", 1)
+		r.Slots, r.Draining = 10, true
+		f.Update(r)
+		is.Equal(asked(), Unavailable)
+		f.Remove("e1")
+		is.Equal(asked(), TooLarge)
+		p, _ := acquire(t, f, Request{Work: Work{PromptTokens: 10, ResponseTokens: 1}})
+		p.RecordPause(10 * time.Second)
+		p.EndRejected()
+		is.Equal(asked(), TooLarge) // the end of the pause doesn't help
+		time.Sleep(20 * time.Second)
+		is.Equal(asked(), TooLarge) // without reports either
+		f.Update(record("e2", "e2", 1))
+		is.True(asked() != TooLarge) // its memory isn't known
+		f.Remove("e0")
+		f.Remove("e2")
+		is.Equal(asked(), Unavailable)
+	})
+}
--- a/fleet/placing.go
+++ b/fleet/placing.go
@@ -221,7 +221,7 @@
 	case !f.withinNamedLimit(ep, now):
 		return namedLimit
 	}
-	if a.room = f.room(ep, p, now); p.demand.Tokens > a.room {
+	if a.room = f.room(ep, p, now); p.demand.Tokens > a.room || !ep.memory.canHold(p.request) {
 		return noMemory
 	}
 	return none
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -92,11 +92,17 @@
 
 // Acquire chooses an endpoint for a request. If all are busy, it waits for one for at
 // most MaxWait, or until ctx ends; it returns AllBusy if there was none, NotInTime at once
-// if none is expected in that time, and Displaced if the queue is full. If no endpoint can take the request until then, because
-// the rate limits that the endpoints name leave no room, all asked for a longer pause or
-// none is in service, it returns RateLimited, Paused or Unavailable at once.
+// if none is expected in that time, and Displaced if the queue is full. If no endpoint can
+// take the request until then, because the rate limits that the endpoints name leave no
+// room, all asked for a longer pause, none is in service or none has so much memory, it
+// returns RateLimited, Paused, Unavailable or TooLarge at once.
 func (f *Fleet) Acquire(ctx context.Context, request *Request) (*Pick, Availability) {
 	f.mu.Lock()
+	if f.tooLarge(request) {
+		// It isn't counted as demand or as a refusal: it says nothing about the room there is.
+		f.mu.Unlock()
+		return nil, TooLarge
+	}
 	now := time.Now()
 	q := f.queueOf(request.Service)
 	w := &waiter{request: request, admission: request.admission(now), assigned: make(chan *Pick, 1)}
@@ -274,6 +280,13 @@
 	return Unavailable
 }
 
+// tooLarge reports whether the prompt exceeds the known memory of every endpoint of the
+// service, also of those that are out of service now.
+func (f *Fleet) tooLarge(r *Request) bool {
+	all := f.byService[r.Service]
+	return len(all) > 0 && !slices.ContainsFunc(all, func(ep *Endpoint) bool { return ep.memory.canHold(r) })
+}
+
 // queueRetryInterval is the interval at which waiting requests are retried, as
 // endpoints may become usable merely through the passage of time.
 const queueRetryInterval = 40 * time.Millisecond
--- a/forward/send.go
+++ b/forward/send.go
@@ -206,6 +206,11 @@
 	if x.callerDisconnected() {
 		return api.NotRun(api.KindCancelled, "the caller left", "none")
 	}
+	if availability == fleet.TooLarge {
+		// Callers return at the time that a refusal names; this one names none.
+		x.cause = errors.Join(x.cause, errTooLarge)
+		return api.NotRun(api.KindNoEndpoint, "the prompt exceeds the memory of every endpoint of the service", "send a shorter prompt")
+	}
 	x.setRetryAfter(x.retryAfterDelay(availability))
 	x.cause = errors.Join(x.cause, errors.New(x.handler.cfg.Fleet.Obstacles(x.fleetRequest()).String()))
 	switch availability {
@@ -252,6 +257,10 @@
 	errDisplaced = errors.New("the queue is full of requests that go first")
 )
 
+// errTooLarge is the logged cause if no endpoint can hold the prompt. Package explain
+// recognises it by the words "memory of every endpoint".
+var errTooLarge = errors.New("the prompt exceeds the memory of every endpoint")
+
 // retryAfterDelay returns the Retry-After time of a refusal: when the request can be
 // expected to be served, at most as long as the caller waits.
 func (x *exchange) retryAfterDelay(why fleet.Availability) time.Duration {
--- a/node/placement.go
+++ b/node/placement.go
@@ -103,6 +103,8 @@
 		return "goes to an endpoint below at once"
 	case x.Availability == fleet.Unavailable:
 		return "refused: no endpoint can take it, now or soon"
+	case x.Availability == fleet.TooLarge:
+		return "refused: its prompt exceeds the memory of every endpoint"
 	case x.Availability == fleet.OutOfMemory:
 		return fmt.Sprintf("waits behind %d requests: endpoints with a free slot lack memory for it", x.Waiting)
 	}
