placement: an idle engine takes the longest prompts

With several entries, a turn leaves half of the free memory to ordinary requests. A request that needs more than half of the usable memory was therefore never sent, not even to an idle engine: it waited and was refused as if all endpoints were busy, each time. The same held with one entry for requests between the usable nine tenths and the whole memory. Both are sent now, in a turn; the former when there is room for it, the latter to an idle engine only.

--- a/placement/memory.go
+++ b/placement/memory.go
@@ -37,9 +37,16 @@
 	Sent int
 }
 
+// idle reports whether the engine had no request at the report, and got none from this entry
+// since.
+func (m *Memory) idle() bool { return m.Used == 0 && m.Running+m.Waiting == 0 && m.Sent <= 0 }
+
+// usable returns the tokens that may be filled.
+func (m *Memory) usable() float64 { return memoryUse * float64(m.Total) }
+
 // free returns the tokens that were free at the report.
 func (m *Memory) free(e *Engine) int {
-	return int(memoryUse*float64(m.Total) - float64(m.Used) - float64(m.Running)*e.MeanResponse/2 - float64(m.Waiting)*(e.MeanPrompt+e.MeanResponse))
+	return int(m.usable() - float64(m.Used) - float64(m.Running)*e.MeanResponse/2 - float64(m.Waiting)*(e.MeanPrompt+e.MeanResponse))
 }
 
 // Room returns the tokens that a request which needs the given number may take. entries is
@@ -50,7 +57,7 @@
 	}
 	free := m.free(e)
 	if entries <= 1 {
-		return free - m.Sent
+		return m.atLeastOne(free-m.Sent, need)
 	}
 	places := max(1, queuedPerSlot*m.Slots-m.Running-m.Waiting)
 	if need*places <= free/2 {
@@ -59,11 +66,22 @@
 	if !ownTurn {
 		return 0
 	}
-	// Half is left for ordinary requests as long as they fit into it at any time.
-	if int(e.MeanPrompt+e.MeanResponse)*places <= free/2 {
+	// Half is left for ordinary requests as long as they fit into it at any time. A request
+	// that doesn't fit into half of an idle engine would never be sent then.
+	if int(e.MeanPrompt+e.MeanResponse)*places <= free/2 && need <= int(m.usable())/2 {
 		free -= free / 2
 	}
-	return free - m.Sent
+	return m.atLeastOne(free-m.Sent, need)
+}
+
+// atLeastOne returns the room for a request that needs the given number of tokens: an idle
+// engine takes any request. What it needs is an estimate, and it would never be sent
+// otherwise.
+func (m *Memory) atLeastOne(room, need int) int {
+	if m.idle() {
+		return max(room, need)
+	}
+	return room
 }
 
 // OwnTurn reports whether it is an entry's turn to send long prompts to an endpoint. Turns
