--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabinotch/wasabinotch/control"
 	"github.com/wasabinotch/wasabinotch/gate"
+	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/membership"
 	"github.com/wasabinotch/wasabinotch/order"
 	"github.com/wasabinotch/wasabinotch/peer"
@@ -45,6 +46,7 @@
 	rpc       *peer.Server
 	http      *khttp.Server
 
+	intake       *intake.Intake
 	httpListener net.Listener
 	rpcListener  net.Listener
 	// announceDone is closed when announceReady has returned. drain waits for it, so
@@ -71,6 +73,7 @@
 		executeToken: wire.ExecuteToken(key),
 		pool:         peer.NewPoolWithDialer(key, peer.DialFrom(s.SourceIP)),
 		announceDone: make(chan struct{}),
+		intake:       intake.New(s.Node, writeTimeout, log),
 	}
 	if err := a.assemble(key); err != nil {
 		return nil, err
@@ -82,12 +85,26 @@
 	return a, nil
 }
 
+// orderTableBytes returns the size of the order table: 0 for the default of package order,
+// or on a VM for which that is too much, a part of its memory. Callers can fill the table.
+func orderTableBytes(memoryMB int) int {
+	const (
+		part             = 1.0 / 8
+		enoughForTableMB = 192 // for the default of 24 MiB
+	)
+	if memoryMB == 0 || memoryMB >= enoughForTableMB {
+		return 0
+	}
+	return int(part * float64(memoryMB) * (1 << 20))
+}
+
 func (a *Agent) assemble(key []byte) error {
 	self := a.selfRecord()
 	a.orders = order.NewTable(order.TableConfig{
-		Self:  order.Binding{AgentID: self.ID, Incarnation: self.Incarnation},
-		Clock: a.deps.Clock,
-		Log:   a.log.WithName("order"),
+		Self:     order.Binding{AgentID: self.ID, Incarnation: self.Incarnation},
+		Clock:    a.deps.Clock,
+		Log:      a.log.WithName("order"),
+		MaxBytes: orderTableBytes(a.settings.MemoryMB),
 	})
 	var err error
 	a.control, err = a.deps.NewControl(ControlConfig{
@@ -124,6 +141,7 @@
 		_ = a.httpListener.Close()
 		return err
 	}
+	a.httpListener, a.rpcListener = a.intake.HTTP.Listener(a.httpListener), a.intake.RPC.Listener(a.rpcListener)
 	return nil
 }
 
--- a/pipeline/relay.go
+++ b/pipeline/relay.go
@@ -14,9 +14,9 @@
 	// streamFrameBuffer is the number of frames buffered for a slow caller.
 	// When the buffer is full, nothing more is read from the agent
 	// (back-pressure).
-	streamFrameBuffer = 512
+	streamFrameBuffer = 64
 	// plainFrameBuffer is the same for plain calls, whose frames are large.
-	plainFrameBuffer = 8
+	plainFrameBuffer = 2
 	// connReuseWait is the time to wait, after the end frame, for the end of
 	// the agent's HTTP response, so that the connection can be reused.
 	connReuseWait = 20 * time.Millisecond
--- a/rankgroup/delta_test.go
+++ b/rankgroup/delta_test.go
@@ -48,12 +48,12 @@
 	var history MapHistory
 	_, ok := history.Resolve(delta)
 	is.True(!ok)
-	for v := uint64(6); v < 10; v++ {
+	for v := uint64(6); v < 7+keptMaps; v++ {
 		history.Add(v, m)
 	}
 	_, ok = history.Resolve(delta)
 	is.True(ok)
-	history.Add(10, m)
+	history.Add(7+keptMaps, m)
 	_, ok = history.Resolve(delta)
 	is.True(!ok) // it is no longer kept
 	_, err = NewMapDelta(m, InitialMap(Dimensions{Ranks: 3, Sets: 1, Experts: 4}), 7, 4)
@@ -104,3 +104,27 @@
 		}
 	}
 }
+
+// Guards against windows that take the whole link of a coordinator's VM in groups of middle
+// size, whose rounds are short: at most windowBytesPerSecond, whatever the size.
+func TestWindowBytesPerSecondAreBounded(t *testing.T) {
+	for _, ranks := range []int{4, 12, 28, 40, 63, 72, 150, 256} {
+		for _, size := range []struct{ sets, experts int }{{6, 64}, {8, 252}, {12, 144}} {
+			is := is.New(t)
+			interval := max(100*time.Millisecond, time.Duration(ranks)*4*time.Millisecond) // as agents have it
+			k := NewCoordinator(Config{Dimensions: Dimensions{Ranks: ranks, Sets: size.sets, Experts: size.experts}, Engines: make([]Engine, ranks),
+				RoundInterval: interval, Log: logr.Discard(), Metrics: metrics.NewSet()})
+			between := interval * ((minWindowTime + interval - 1) / interval) // rounds with windows
+			bytes, now := 0, time.Duration(0)
+			for ; now < 10*time.Second; now += between {
+				k.lastWindowAt = time.Time{}
+				for _, w := range k.windowRequests() {
+					if w == ReadWindow {
+						bytes += size.sets*size.experts + windowOverhead
+					}
+				}
+			}
+			is.True(float64(bytes) <= windowBytesPerSecond*now.Seconds())
+		}
+	}
+}
--- a/rankgroup/rollout.go
+++ b/rankgroup/rollout.go
@@ -106,11 +106,22 @@
 		if err != nil || local.Epoch != c.epoch {
 			return err
 		}
-		if local.HeldStep != nil || local.Armed != nil {
+		at := c.cfg.Engines[holderOf(c.cfg.LocalRank, len(c.cfg.Engines))]
+		holder, err := at.Report(ctx)
+		if err != nil || holder.Epoch != c.epoch {
+			return nil
+		}
+		if isDirect(at) {
+			// Its reports lag, so that another coordinator's hold may not show.
+			c.limitedLog.Info("No switch; the agent of the rank that would hold the step is silent.", "rank", holder.Rank)
+			return nil
+		}
+		if local.HeldStep != nil || local.Armed != nil || holder.HeldStep != nil || holder.Armed != nil {
 			return nil // another coordinator is active; the next round checks its progress
 		}
 		step := max(local.Step+1, c.releasedStep) + 1
 		c.pendingSwitch = NewSwitch(c.cfg.Engines, c.epoch, c.plannedVersion, step, c.cfg.LocalRank, c.currentMap, c.nextVersion)
+		c.pendingSwitch.describeFence(c.currentVersion, c.cfg.Experts)
 		if err := c.advance(ctx); err != nil || c.pendingSwitch != nil {
 			return err
 		}
@@ -166,7 +177,7 @@
 		}
 		wg.Go(func() {
 			// An error comes with the result NoReply, after which Prepare is sent again.
-			results[r], _ = c.cfg.Engines[r].Send(ctx, Command{Operation: Prepare, Epoch: c.epoch, Version: c.plannedVersion, Map: c.nextPlan.Map, Delta: delta})
+			results[r], _ = c.cfg.Engines[r].Send(ctx, Command{Operation: Prepare, Epoch: c.epoch, Version: c.plannedVersion, Owner: c.cfg.LocalRank + 1, Map: c.nextPlan.Map, Delta: delta})
 		})
 	}
 	wg.Wait()
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -41,14 +41,17 @@
 	// platform ends the process; 0 for no limit.
 	MemoryLimitMB int `json:"memory_mb"`
 	// CoreShare is the part of a core that the VM gives the process, CoreSpeed its speed in
-	// multiples of a core. Descriptors and LinkMbps (megabits a second) are the other
-	// limits of the VM. Callers are sent to entries by what their VMs bear. Default 0:
-	// unknown; without any of them and MemoryLimitMB, the VM counts as an average one.
-	CoreShare   float64 `json:"core_share"`
-	CoreSpeed   float64 `json:"core_speed"`
-	Descriptors int     `json:"descriptors"`
-	LinkMbps    float64 `json:"link_mbit_per_s"`
-	Bounds      Bounds  `json:"bounds"`
+	// multiples of a core. LinkMbps is its link in megabits a second. Callers are sent to
+	// entries by what their VMs bear. Default 0: unknown; without any of them, MemoryLimitMB
+	// and FileDescriptors, the VM counts as an average one.
+	CoreShare float64 `json:"core_share"`
+	CoreSpeed float64 `json:"core_speed"`
+	LinkMbps  float64 `json:"link_mbit_per_s"`
+	// FileDescriptors is how many descriptors the process may open. Default 0: as many as
+	// the operating system allows.
+	FileDescriptors int           `json:"file_descriptors"`
+	Limits          ProcessLimits `json:"limits"`
+	Bounds          Bounds        `json:"bounds"`
 	// Placement is used by entries only.
 	Placement Placement `json:"placement"`
 }
@@ -88,6 +91,26 @@
 	return nil
 }
 
+// ProcessLimits bound what a process holds for its peers. 0 stands for the defaults, which
+// follow from MemoryLimitMB and FileDescriptors.
+type ProcessLimits struct {
+	// HeldMB is the memory for the bytes of requests and responses in megabytes (2^20
+	// bytes). Default: a quarter of MemoryLimitMB.
+	HeldMB int `json:"held_mb"`
+	// CallersConnections is the number of connections that callers may have open.
+	// Default: half of the descriptors that aren't reserved for files, but at most one for
+	// each 128 KiB of MemoryLimitMB.
+	CallersConnections int `json:"callers_connections"`
+	// WriteTimeoutMS is the time in milliseconds within which a peer must read 16 KiB that
+	// are sent to it. Default: 20,000.
+	WriteTimeoutMS float64 `json:"write_timeout_ms"`
+}
+
+// WriteTimeout returns WriteTimeoutMS, or 0 for the default.
+func (l *ProcessLimits) WriteTimeout() time.Duration {
+	return time.Duration(l.WriteTimeoutMS * float64(time.Millisecond))
+}
+
 // Bounds are the limits that the operators guarantee for the whole system.
 type Bounds struct {
 	// GracePeriodS is the time from SIGTERM to SIGKILL, in seconds.
@@ -142,10 +165,12 @@
 		value float64
 	}{
 		{"memory_mb", float64(n.MemoryLimitMB)}, {"core_share", n.CoreShare}, {"core_speed", n.CoreSpeed},
-		{"descriptors", float64(n.Descriptors)}, {"link_mbit_per_s", n.LinkMbps},
+		{"file_descriptors", float64(n.FileDescriptors)}, {"link_mbit_per_s", n.LinkMbps},
+		{"limits.held_mb", float64(n.Limits.HeldMB)}, {"limits.callers_connections", float64(n.Limits.CallersConnections)},
+		{"limits.write_timeout_ms", n.Limits.WriteTimeoutMS},
 	} {
 		if f.value < 0 {
-			return &Error{Field: f.name, Reason: "is negative", Remedy: "set what the VM has, or 0 if it is unknown"}
+			return &Error{Field: f.name, Reason: "is negative", Remedy: "set what the VM has, or 0 if it is unknown or for the default"}
 		}
 	}
 	const lastPort = 65535 - 3
@@ -169,7 +194,7 @@
 	if speed == 0 {
 		speed = 1
 	}
-	return share.Resources{Cores: n.CoreShare * speed, MemoryMB: float64(n.MemoryLimitMB), Descriptors: float64(n.Descriptors), LinkMbps: n.LinkMbps}
+	return share.Resources{Cores: n.CoreShare * speed, MemoryMB: float64(n.MemoryLimitMB), Descriptors: float64(n.FileDescriptors), LinkMbps: n.LinkMbps}
 }
 
 // SourceAddr returns SourceIP parsed, or the zero Addr if it is empty.
