fleet: a queue of long prompts isn't searched as a whole when a request ends

While engines lack memory, each waiting request looked at all endpoints whenever a request ended, with the fleet locked: 1.75 ms for 60 waiting requests and 63 endpoints (benchmark, loaded machine).

--- a/fleet/placing.go
+++ b/fleet/placing.go
@@ -128,8 +128,7 @@
 	if !r.Aim.IsZero() {
 		target = max(1, r.Aim.Sub(now))
 	}
-	w := placement.Work{Prompt: r.Work.PromptTokens, Response: r.Work.ResponseTokens, MaxResponse: r.Work.MaxResponseTokens}
-	p.demand = p.limits.Engine.Demand(w, target)
+	p.demand = p.limits.Engine.Demand(r.Work.placement(), target)
 	p.beginnings = p.limits.Engine.Beginnings(r.Work.Parts, target, f.reuse)
 	return p
 }
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -327,12 +328,17 @@
 func (f *Fleet) assignNext(q *queue, now time.Time) bool {
 	// Endpoints are too busy for requests with at most this room.
 	var tooBusyFor admission.Room
+	memoryTries, leastNeed := 0, math.MaxInt
 	waiting := q.waiting()
 	for _, c := range q.control.Order(waiting, now) {
 		if c.Room.Within(tooBusyFor) {
 			continue
 		}
 		w := q.waiters[c.Index]
+		need := f.memoryNeed(w.request)
+		if memoryTries >= maxMemoryTries && need >= leastNeed {
+			continue
+		}
 		p, availability := f.choose(w.request, c.Room, true)
 		if p != nil {
 			p.Expedited = c.Expedited
@@ -341,13 +347,29 @@
 			q.remove(w, now)
 			return true
 		}
-		if !w.request.isRepeat() && availability != OutOfMemory { // a smaller request may find room
+		switch {
+		case availability == OutOfMemory: // a smaller request may find room
+			memoryTries++
+			leastNeed = min(leastNeed, need)
+		case !w.request.isRepeat():
 			tooBusyFor = c.Room
 		}
 	}
 	return false
 }
 
+// maxMemoryTries is the number of waiting requests for which no endpoint has memory after
+// which only those that need less are tried. Each of them looks at all endpoints while the
+// fleet is locked: a queue of 60 took 1.8 ms before 63 endpoints, each time a request ended.
+const maxMemoryTries = 8
+
+// memoryNeed returns the tokens of an engine's memory that a request is expected to take.
+func (f *Fleet) memoryNeed(r *Request) int {
+	engine := f.limits[r.Service].Engine
+	d := engine.Demand(r.Work.placement(), 0)
+	return d.Tokens
+}
+
 // renewClaims determines how many places at an endpoint that has just reported its load may
 // be taken by waiting requests.
 func (f *Fleet) renewClaims(ep *Endpoint, now time.Time) {
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -19,3 +19,8 @@
 
 // PromptPart is a part of a prompt that other prompts may begin with too.
 type PromptPart = placement.Part
+
+// placement returns what package placement needs of the work.
+func (w *Work) placement() placement.Work {
+	return placement.Work{Prompt: w.PromptTokens, Response: w.ResponseTokens, MaxResponse: w.MaxResponseTokens}
+}
