--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -92,11 +93,17 @@
 
 // Acquire chooses an endpoint for a request. If all are busy, it waits for one for at
 // most MaxWait, or until ctx ends; it returns AllBusy if there was none, NotInTime at once
-// if none is expected in that time, and Displaced if the queue is full. If no endpoint can take the request until then, because
-// the rate limits that the endpoints name leave no room, all asked for a longer pause or
-// none is in service, it returns RateLimited, Paused or Unavailable at once.
+// if none is expected in that time, and Displaced if the queue is full. If no endpoint can
+// take the request until then, because the rate limits that the endpoints name leave no
+// room, all asked for a longer pause, none is in service or none has so much memory, it
+// returns RateLimited, Paused, Unavailable or TooLarge at once.
 func (f *Fleet) Acquire(ctx context.Context, request *Request) (*Pick, Availability) {
 	f.mu.Lock()
+	if f.tooLarge(request) {
+		// It isn't counted as demand or as a refusal: it says nothing about the room there is.
+		f.mu.Unlock()
+		return nil, TooLarge
+	}
 	now := time.Now()
 	q := f.queueOf(request.Service)
 	w := &waiter{request: request, admission: request.admission(now), assigned: make(chan *Pick, 1)}
@@ -274,6 +281,13 @@
 	return Unavailable
 }
 
+// tooLarge reports whether the prompt exceeds the known memory of every endpoint of the
+// service, also of those that are out of service now.
+func (f *Fleet) tooLarge(r *Request) bool {
+	all := f.byService[r.Service]
+	return len(all) > 0 && !slices.ContainsFunc(all, func(ep *Endpoint) bool { return ep.memory.canHold(r) })
+}
+
 // queueRetryInterval is the interval at which waiting requests are retried, as
 // endpoints may become usable merely through the passage of time.
 const queueRetryInterval = 40 * time.Millisecond
@@ -314,12 +328,17 @@
 func (f *Fleet) assignNext(q *queue, now time.Time) bool {
 	// Endpoints are too busy for requests with at most this room.
 	var tooBusyFor admission.Room
+	memoryTries, leastNeed := 0, math.MaxInt
 	waiting := q.waiting()
 	for _, c := range q.control.Order(waiting, now) {
 		if c.Room.Within(tooBusyFor) {
 			continue
 		}
 		w := q.waiters[c.Index]
+		need := f.memoryNeed(w.request)
+		if memoryTries >= maxMemoryTries && need >= leastNeed {
+			continue
+		}
 		p, availability := f.choose(w.request, c.Room, true)
 		if p != nil {
 			p.Expedited = c.Expedited
@@ -328,13 +347,29 @@
 			q.remove(w, now)
 			return true
 		}
-		if !w.request.isRepeat() && availability != OutOfMemory { // a smaller request may find room
+		switch {
+		case availability == OutOfMemory: // a smaller request may find room
+			memoryTries++
+			leastNeed = min(leastNeed, need)
+		case !w.request.isRepeat():
 			tooBusyFor = c.Room
 		}
 	}
 	return false
 }
 
+// maxMemoryTries is the number of waiting requests for which no endpoint has memory after
+// which only those that need less are tried. Each of them looks at all endpoints while the
+// fleet is locked: a queue of 60 took 1.8 ms before 63 endpoints, each time a request ended.
+const maxMemoryTries = 8
+
+// memoryNeed returns the tokens of an engine's memory that a request is expected to take.
+func (f *Fleet) memoryNeed(r *Request) int {
+	engine := f.limits[r.Service].Engine
+	d := engine.Demand(r.Work.placement(), 0)
+	return d.Tokens
+}
+
 // renewClaims determines how many places at an endpoint that has just reported its load may
 // be taken by waiting requests.
 func (f *Fleet) renewClaims(ep *Endpoint, now time.Time) {
