node: commands to engines on other VMs are bounded in rate

A switch retries a command without a reply every 5 ms. The Hold and the Release now go to the engine of another VM, and so do all commands for a silent agent: an engine that refuses connections or answers 503 got one every few ms. These calls are billed, and a Prepare carries a whole map. Now each engine gets 20 a second after the first 10.

--- a/node/coordinate.go
+++ b/node/coordinate.go
@@ -198,7 +198,7 @@
 		}
 		// The request carries the term, so that no other agent takes over meanwhile.
 		remote := &remoteRank{agentAddr: agent.String(), group: local.Group, engine: platform.NewEngine(r.Address, a.client), client: a.client, term: term, rank: local.Rank,
-			limit: a.directLimit, metrics: a.metrics, log: a.limitedLog}
+			limit: a.directLimit, commands: newCommandLimit(), metrics: a.metrics, log: a.limitedLog}
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
 			defer cancel()
--- a/node/remoterank.go
+++ b/node/remoterank.go
@@ -44,6 +44,12 @@
 	// calls to all engines would add to it.
 	silentAgentsPerSecond = 8
 	silentAgentsBurst     = 8
+	// directCommandsPerSecond and directCommandsBurst bound the commands that one engine gets
+	// over the network: they are billed, and a switch retries a command without a reply every
+	// few ms for as long as it takes. A switch without faults sends two, the rollback of one
+	// about four to each rank.
+	directCommandsPerSecond = 20
+	directCommandsBurst     = 10
 )
 
 // remoteRank is a rank on another VM, reached through its agent. Reports
@@ -57,8 +63,10 @@
 	term      uint64
 	rank      int
 	limit     *rate.Limiter
-	metrics   *metrics.Set
-	log       logr.Logger
+	// commands bounds the commands that are sent to the engine itself.
+	commands *rate.Limiter
+	metrics  *metrics.Set
+	log      logr.Logger
 
 	mu sync.Mutex
 	// silence follows the agent's replies.
@@ -102,6 +110,10 @@
 	return true
 }
 
+func newCommandLimit() *rate.Limiter {
+	return rate.NewLimiter(directCommandsPerSecond, directCommandsBurst)
+}
+
 // Direct reports whether the engine is called in place of its agent.
 func (r *remoteRank) Direct() bool {
 	r.mu.Lock()
@@ -266,6 +278,9 @@
 	reply, direct, err := r.sendCommand(ctx, c)
 	switch {
 	case direct:
+		if err := r.commands.Wait(ctx); err != nil {
+			return rankgroup.NoReply, err
+		}
 		r.countDirect(string(c.Operation))
 		result, err := r.engine.Send(ctx, c)
 		r.log.Info("Order given directly.", "agent", r.agentAddr, "operation", string(c.Operation), "version", c.Version, "step", c.Step, "result", result.String(), "term", r.term)
@@ -284,6 +299,9 @@
 
 // SendDirect sends a command to the engine itself.
 func (r *remoteRank) SendDirect(ctx context.Context, c rankgroup.Command) (rankgroup.Result, error) {
+	if err := r.commands.Wait(ctx); err != nil {
+		return rankgroup.NoReply, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, directCommandTimeout)
 	defer cancel()
 	r.countDirect(string(c.Operation))
--- a/node/silence_test.go
+++ b/node/silence_test.go
@@ -72,7 +72,7 @@
 	}
 	client := upstream.NewClient(time.Second)
 	return &remoteRank{agentAddr: serve(agent), group: "g", engine: platform.NewEngine(serve(engine), client), client: client, term: 1,
-		limit: rate.NewLimiter(silentAgentsPerSecond, silentAgentsBurst), metrics: metrics.NewSet(), log: logr.Discard()}
+		limit: rate.NewLimiter(silentAgentsPerSecond, silentAgentsBurst), commands: newCommandLimit(), metrics: metrics.NewSet(), log: logr.Discard()}
 }
 
 // Guards against a rank that can't be reached because its agent is silent although its
@@ -175,3 +175,33 @@
 	is.True(!restarted.unaccounted(&later)) // another hold
 	is.True(!restarted.unaccounted(&step))
 }
+
+// Guards against commands without a pause to an engine on another VM that doesn't accept
+// connections or doesn't reply: these calls are billed, and a Prepare carries a whole map.
+func TestCommandsToEnginesOfOtherVMsAreBoundedInRate(t *testing.T) {
+	for _, refused := range []bool{true, false} {
+		is := is.New(t)
+		var calls atomic.Int32
+		r := testRemote(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+			calls.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		if refused {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			r.engine, r.agentAddr = platform.NewEngine(ln.Addr().String(), r.client), ln.Addr().String()
+			is.NoErr(ln.Close())
+		}
+		began := time.Now()
+		for time.Since(began) < time.Second { // as a switch retries a command
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			_, _ = r.SendDirect(ctx, rankgroup.Command{Operation: rankgroup.Hold, Step: 5})
+			cancel()
+			time.Sleep(5 * time.Millisecond)
+		}
+		counted := int(r.metrics.GetOrCreateCounter(`wasabinotch_engine_calls_total{call="hold"}`).Get())
+		is.True(counted >= int(calls.Load()))
+		is.True(counted > directCommandsBurst) // it is tried again
+		is.True(float64(counted) <= directCommandsBurst+directCommandsPerSecond*time.Since(began).Seconds()+1)
+	}
+}
