rankgroup: no step is held further ahead than successors expect; rollbacks survive the missing rank's return

A new coordinator holds no step up to foreignReleaseSteps (2) ahead of the first one that it sees, since a Release of its predecessor beside the same rank may be carried out late. But it chose the step after these, 3 ahead, if none had begun since, so that its own successor could choose the same one. It now waits until a step has begun, and holds steps at most 2 ahead.

A coordinator that begins with a rollback without a rank had no formation yet: when that rank replied again, updateFormation dropped the rollback and forgot the step that it may have released. The formation now begins with the rollback.

Tests before: 'not true: held <= step+foreignReleaseSteps' and '<nil> != *rankgroup.Switch(...)'. Both are found by reading; no run has shown two maps.

--- a/rankgroup/coordinator.go
+++ b/rankgroup/coordinator.go
@@ -294,10 +294,7 @@
 		c.observeVersions(rep)
 	}
 	if first.Epoch != c.epoch {
-		c.cfg.Log.Info("Group formed.", "group", first.Group, "epoch", first.Epoch, "ranks", len(reports))
-		c.epoch, c.currentMap, c.nextPlan, c.pendingSwitch = first.Epoch, nil, nil, nil
-		c.lastStep, c.lastStepAt, c.releasedStep = first.Step, now, first.Step+foreignReleaseSteps
-		c.demandUpdated = c.demand.Current() != nil
+		c.beginFormation(first, now)
 	}
 	if first.Step > c.lastStep {
 		c.lastStep, c.lastStepAt = first.Step, now
@@ -306,6 +303,14 @@
 	return true
 }
 
+// beginFormation drops what is known of an earlier formation. first is a report of the new one.
+func (c *Coordinator) beginFormation(first Report, now time.Time) {
+	c.cfg.Log.Info("Group formed.", "group", first.Group, "epoch", first.Epoch, "ranks", len(c.cfg.Engines))
+	c.epoch, c.currentMap, c.nextPlan, c.pendingSwitch = first.Epoch, nil, nil, nil
+	c.lastStep, c.lastStepAt, c.releasedStep = first.Step, now, first.Step+foreignReleaseSteps
+	c.demandUpdated = c.demand.Current() != nil
+}
+
 // updatePace takes the paces of the ranks from their reports.
 func (c *Coordinator) updatePace(reports []Report) {
 	for r, rep := range reports {
@@ -383,6 +388,9 @@
 	c.cfg.Log.Info("Undoing the switch of a silent coordinator.", "rank", absent, "epoch", first.Epoch, "step", first.Step, "version", s.version, "proof", s.proof)
 	c.incCounter("wasabinotch_switches_undone_without_coordinator_total")
 	s.describeFence(first.MapVersion, c.cfg.Experts)
+	if first.Epoch != c.epoch {
+		c.beginFormation(first, time.Now())
+	}
 	c.nextPlan, c.pendingSwitch = nil, s
 }
 
--- a/rankgroup/rollout.go
+++ b/rankgroup/rollout.go
@@ -119,7 +119,10 @@
 		if local.HeldStep != nil || local.Armed != nil || holder.HeldStep != nil || holder.Armed != nil {
 			return nil // another coordinator is active; the next round checks its progress
 		}
-		step := max(local.Step+1, c.releasedStep) + 1
+		if local.Step+1 < c.releasedStep {
+			return nil // a step further ahead might be held by a successor too, see foreignReleaseSteps
+		}
+		step := local.Step + 2
 		c.pendingSwitch = NewSwitch(c.cfg.Engines, c.epoch, c.plannedVersion, step, c.cfg.LocalRank, c.currentMap, c.nextVersion)
 		c.pendingSwitch.describeFence(c.currentVersion, c.cfg.Experts)
 		if err := c.advance(ctx); err != nil || c.pendingSwitch != nil {
