--- a/rankgroup/rollout.go
+++ b/rankgroup/rollout.go
@@ -18,8 +18,8 @@
 	// dropped.
 	prepareTimeout = 6 * time.Second
 	// maxHoldAttempts bounds the steps that are tried in a row for one switch. A Hold
-	// reaches the coordinator's local rank within a few ms, so a step seldom begins
-	// before it.
+	// reaches the engine of the rank that holds steps within a few ms, so a step seldom
+	// begins before it.
 	maxHoldAttempts = 2
 	// switchAttemptTimeout bounds one attempt at a switch; the next round continues it.
 	switchAttemptTimeout = 400 * time.Millisecond
