--- a/rankgroup/rollout.go
+++ b/rankgroup/rollout.go
@@ -18,8 +18,8 @@
 	// dropped.
 	prepareTimeout = 6 * time.Second
 	// maxHoldAttempts bounds the steps that are tried in a row for one switch. A Hold
-	// reaches the coordinator's local rank within a few ms, so a step seldom begins
-	// before it.
+	// reaches the engine of the rank that holds steps within a few ms, so a step seldom
+	// begins before it.
 	maxHoldAttempts = 2
 	// switchAttemptTimeout bounds one attempt at a switch; the next round continues it.
 	switchAttemptTimeout = 400 * time.Millisecond
@@ -119,7 +119,10 @@
 		if local.HeldStep != nil || local.Armed != nil || holder.HeldStep != nil || holder.Armed != nil {
 			return nil // another coordinator is active; the next round checks its progress
 		}
-		step := max(local.Step+1, c.releasedStep) + 1
+		if local.Step+1 < c.releasedStep {
+			return nil // a step further ahead might be held by a successor too, see foreignReleaseSteps
+		}
+		step := local.Step + 2
 		c.pendingSwitch = NewSwitch(c.cfg.Engines, c.epoch, c.plannedVersion, step, c.cfg.LocalRank, c.currentMap, c.nextVersion)
 		c.pendingSwitch.describeFence(c.currentVersion, c.cfg.Experts)
 		if err := c.advance(ctx); err != nil || c.pendingSwitch != nil {
