--- a/node/remoterank.go
+++ b/node/remoterank.go
@@ -280,7 +280,7 @@
 
 // directCommandTimeout bounds one attempt to send a command to an engine over the network; a
 // reply takes a few ms, and the group may be held meanwhile.
-const directCommandTimeout = 40 * time.Millisecond
+const directCommandTimeout = 20 * time.Millisecond
 
 // SendDirect sends a command to the engine itself.
 func (r *remoteRank) SendDirect(ctx context.Context, c rankgroup.Command) (rankgroup.Result, error) {
--- a/rankgroup/switch.go
+++ b/rankgroup/switch.go
@@ -46,11 +46,12 @@
 // once a newer version is prepared. After the Release the switch changes nothing any
 // more, so a Release that is carried out late meets the state for which it was sent.
 //
-// A coordinator's own rank is armed last, after all others are known to be armed, and one
-// other rank, the witness, is armed alone before it. A rank that was never armed and can't
+// A coordinator's own rank is armed last, after all others are known to be armed, and one of
+// these, the witness, only once half of the others have replied, so that a batch of commands
+// which is under way when the coordinator freezes doesn't arm all. A rank that was never armed and can't
 // be any more therefore proves that the coordinator's rank isn't armed with that version and
 // won't be. So others roll the switch back without the rank of a coordinator whose VM is
-// frozen, unless that happened after the witness was armed. Other versions can't be armed
+// frozen, unless that happened after all others were armed. Other versions can't be armed
 // at that rank: all ranks have copied the version since, and while a rank is armed with it
 // no newer one is copied to all. The step is held at another VM than the coordinator's, at
 // a different rank for each coordinator.
@@ -69,7 +70,8 @@
 	newestVersion uint64
 	// step is the step that is held; if ranks hold several, the first of them.
 	step uint64
-	// self is the coordinator's rank and witness the one that is armed before it.
+	// self is the coordinator's rank and witness the one that is armed once
+	// half of the others have replied.
 	self, witness int
 	// absent is the rank without which the switch is rolled back, -1 for none; proof is the
 	// rank that proves that the absent one isn't armed.
@@ -379,20 +381,51 @@
 	return ranks
 }
 
-// arm arms all ranks, the witness after the others and the coordinator's own last. If one
-// refuses, the switch is rolled back.
+// arm arms all ranks, the coordinator's own after all others, and the witness once half of the
+// others have replied: where replies are lost, waiting for all of them prolongs the hold. If
+// one refuses, the switch is rolled back.
 func (s *Switch) arm(ctx context.Context) error {
-	for _, wave := range [][]int{s.ranksWithout(s.witness, s.self), {s.witness}, {s.self}} {
-		refused := make([]bool, len(s.ranks))
-		all, err := s.forAll(wave, func(r int) (bool, error) {
-			result, err := s.send(ctx, r, Command{Operation: Arm, Version: s.version, Step: s.step, Owner: s.self + 1})
-			refused[r] = result == Refused
-			return result == Accepted, err
-		})
+	others := s.ranksWithout(s.self)
+	var awaited atomic.Int32 // replies without which the witness isn't armed
+	awaited.Store(int32(len(others) / 2))
+	replied := make(chan struct{})
+	countReply := func() {
+		if awaited.Add(-1) == 0 {
+			close(replied)
+		}
+	}
+	if len(others) < 2 {
+		close(replied)
+	}
+	for _, done := range s.rankDone {
+		if done {
+			countReply()
+		}
+	}
+	var refused atomic.Bool
+	arm := func(r int) (bool, error) {
+		if r == s.witness && r != s.self {
+			select {
+			case <-replied:
+			case <-ctx.Done():
+			}
+			if refused.Load() || ctx.Err() != nil {
+				return false, nil
+			}
+		}
+		result, err := s.send(ctx, r, Command{Operation: Arm, Version: s.version, Step: s.step, Owner: s.self + 1})
+		if result == Refused || err != nil {
+			refused.Store(true)
+		}
+		countReply()
+		return result == Accepted, err
+	}
+	for _, wave := range [][]int{others, {s.self}} {
+		all, err := s.forAll(wave, arm)
 		if err != nil {
 			return err
 		}
-		if slices.Contains(refused, true) {
+		if refused.Load() {
 			s.RolledBack = true
 			s.phase = rollingBack
 			clear(s.rankDone)
