--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -18,9 +18,10 @@
 	turnLifetime = 1500 * time.Millisecond
 	// coldTurnUse and coldTurnLifetime keep the turns that open within a second, and those
 	// that are still open from before, below the number that a cold endpoint bears: 0.95 of
-	// it, which leaves room for clocks that differ.
+	// it, which leaves room for clocks that differ. With a shorter lifetime turns could be more
+	// frequent, but fewer endpoints would be open to an entry at a time, to choose from.
 	coldTurnUse      = 0.95 / (1 + float64(coldTurnLifetime)/float64(time.Second))
-	coldTurnLifetime = 500 * time.Millisecond
+	coldTurnLifetime = 900 * time.Millisecond
 	// minTurnsPerSecond is the rate of turns to an endpoint with a limit of 0, whose
 	// responses show when the limit ends.
 	minTurnsPerSecond = 0.25
--- a/fleet/turnloan_test.go
+++ b/fleet/turnloan_test.go
@@ -30,7 +30,7 @@
 			}
 			fleets[i] = f
 		}
-		// All turns together are 24 x 16.5 a second, those of an entry 9.9: the busy half has
+		// All turns together are 24 x 13 a second, those of an entry 7.8: the busy half has
 		// 13 requests a second each, the other half 1.
 		for n := range int(30 * time.Second / step) {
 			time.Sleep(step)
