--- a/explain/describe.go
+++ b/explain/describe.go
@@ -34,6 +34,12 @@
 		if strings.Contains(l.stringField("cause"), "ask for a pause") {
 			return head + "refused; all endpoints had asked for a pause"
 		}
+		if strings.Contains(l.stringField("cause"), "expected to come free in time") {
+			return head + "refused at once; with the requests before it, no endpoint was expected to come free in time"
+		}
+		if strings.Contains(l.stringField("cause"), "full of requests that go first") {
+			return head + "refused; the queue was full of requests that go first"
+		}
 		if attempts > 0 {
 			return head + fmt.Sprintf("refused; %.0f endpoints rejected it without running it", attempts)
 		}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -70,6 +70,8 @@
 		{map[string]any{"outcome": "overloaded", "cause": "this entry is shutting down"}, "the entry was shutting down"},
 		{map[string]any{"outcome": "overloaded", "cause": "all endpoints are at the rate limits that they named"}, "at the rate limits that they named"},
 		{map[string]any{"outcome": "overloaded", "cause": "all endpoints ask for a pause", "attempts": json.Number("1")}, "had asked for a pause"},
+		{map[string]any{"outcome": "overloaded", "cause": "endpoints: 0 out of service\nno endpoint is expected to come free in time"}, "refused at once"},
+		{map[string]any{"outcome": "overloaded", "cause": "the queue is full of requests that go first"}, "the queue was full"},
 		{map[string]any{"outcome": "quarantined", "status": json.Number("503")}, "a part of the prompt is held"},
 		{map[string]any{"outcome": "timeout", "endpoint": "i-1", "load_age_ms": json.Number("-1")}, "had not reported its load"},
 		{map[string]any{"outcome": "answered", "status": json.Number("500")}, "the endpoint itself responded"},
--- a/forward/send.go
+++ b/forward/send.go
@@ -245,7 +245,8 @@
 var errRateLimited = errors.New("all endpoints are at the rate limits that they named")
 
 // errNotInTime and errDisplaced are the logged causes of refusals by the forecast and by a
-// full queue.
+// full queue. Package explain recognises them by the words "expected to come free in time"
+// and "full of requests that go first".
 var (
 	errNotInTime = errors.New("no endpoint is expected to come free in time")
 	errDisplaced = errors.New("the queue is full of requests that go first")
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -75,3 +75,38 @@
 	})
 	is.New(t).Equal(c.TargetGaps()["s"], 120*time.Millisecond)
 }
+
+// Guards against urgent routes that lose their precedence where organisations have a
+// priority of their own, and against organisations that lose theirs.
+func TestRanksFollowOrganisationThenRoute(t *testing.T) {
+	is := is.New(t)
+	first, second := 0, 1
+	s, u := []Target{{"s", 1}}, []Target{{"u", 1}}
+	bulk, urgent, other := &Route{Priority: 2, Targets: s}, &Route{Priority: 0, Targets: s}, &Route{Priority: 1, Targets: u}
+	large, small, plain := &Organisation{Name: "large", Priority: &first}, &Organisation{Name: "small", Priority: &second}, &Organisation{Name: "plain"}
+	c := config(t, []*Route{bulk, urgent, other}, large, small, plain)
+	is.Equal(c.Ranks("s"), 5) // (0, 0) of both large and plain, (0, 2), (1, 0), (1, 2), (2, 2)
+	is.Equal(c.Ranks("unknown"), 0)
+	is.Equal(c.Rank("s", urgent, large), 0)
+	is.Equal(c.Rank("s", urgent, plain), 0)
+	is.Equal(c.Rank("s", bulk, large), 1)
+	is.Equal(c.Rank("s", urgent, small), 2)
+	is.Equal(c.Rank("s", bulk, small), 3)
+	is.Equal(c.Rank("s", bulk, nil), 4)
+	is.Equal(config(t, []*Route{bulk, other}).Ranks("s"), 1)
+	is.Equal(config(t, []*Route{bulk, urgent}, small).Ranks("s"), 2)
+}
+
+// Guards against callers that are counted as cheap, or that cost others their share, by a
+// wrong statement of their request's length.
+func TestClaimedCostIsBounded(t *testing.T) {
+	is := is.New(t)
+	e := &Engine{Slots: 10, StepTime: 5 * time.Millisecond, StepTimePerRequest: 500 * time.Microsecond, PromptTokensPerSecond: 50_000, MeanPromptTokens: 1000, MeanResponseTokens: 100}
+	usual := e.SlotSeconds(0, 0)
+	is.Equal(usual, e.SlotSeconds(1000, 100))
+	is.True(usual > 1.01 && usual < 1.03) // 0.02 s of reading, 100 steps of 10 ms
+	is.True(e.SlotSeconds(1000, 200) > 1.9*usual)
+	is.Equal(e.SlotSeconds(1, 1), usual/claimRange)
+	is.Equal(e.SlotSeconds(1<<24, 1<<24), usual*claimRange)
+	is.Equal((&Engine{}).SlotSeconds(1000, 100), 0.0)
+}
