--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -107,7 +107,7 @@
 	is.Equal(c.Room(bulk, start).Of(10, 0, 0), 8)
 	is.Equal(c.Room(urgent, start).Of(10, 0, 0), 12)
 	is.Equal(c.Room(bulk, start).Of(1, 0, 0), 1)
-	is.Equal(c.Room(bulk, start).Of(10, 1, 0), 5) // steps take the whole target gap
+	is.Equal(c.Room(bulk, start).Of(10, 1, 0), 5)    // steps take the whole target gap
 	is.Equal(c.Room(urgent, start).Of(10, 1, 8), 10) // more would delay all streams
 	is.Equal(c.Room(urgent, start).Of(10, 0, 8), 16) // half of those that wait there are less urgent
 	is.Equal(c.Room(bulk, start).Of(10, 0, 8), 8)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -323,15 +323,21 @@
 // those of most agents of the service arrive. If they don't, the network or this entry
 // is at fault.
 func (f *Fleet) isSilent(ep *Endpoint, now time.Time) bool {
-	missing := func(ep *Endpoint) bool { return now.Sub(ep.agentReportAt) > reportSilence }
-	if ep.agentReportAt.IsZero() || !missing(ep) {
-		return false
-	}
+	return ep.missesReports(now) && f.mostReport(ep.Service, now)
+}
+
+// missesReports reports whether the reports of the endpoint's agent are missing.
+func (ep *Endpoint) missesReports(now time.Time) bool {
+	return !ep.agentReportAt.IsZero() && now.Sub(ep.agentReportAt) > reportSilence
+}
+
+// mostReport reports whether the reports of most agents of a service arrive.
+func (f *Fleet) mostReport(service string, now time.Time) bool {
 	balance := 0
-	for _, other := range f.byService[ep.Service] {
+	for _, ep := range f.byService[service] {
 		switch {
-		case other.agentReportAt.IsZero():
-		case missing(other):
+		case ep.agentReportAt.IsZero():
+		case ep.missesReports(now):
 			balance--
 		default:
 			balance++
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -226,6 +226,7 @@
 	defer f.mu.Unlock()
 	now, limits := time.Now(), f.limits[r.Service]
 	room := f.queueOf(r.Service).control.Room(r.admission(now), now)
+	mostReport := f.mostReport(r.Service, now)
 	var o Obstacles
 	for _, ep := range f.byService[r.Service] {
 		switch {
@@ -235,7 +236,7 @@
 			o.Full++
 		case !f.belowConnectionLimit(ep, limits) || !ep.testedSincePause() || !f.withinRateLimit(ep, limits, now) || !f.withinNamedLimit(ep, now):
 			o.Limited++
-		case now.Before(ep.backoffUntil) || ep.isSlow(now) || f.isSilent(ep, now):
+		case now.Before(ep.backoffUntil) || ep.isSlow(now) || mostReport && ep.missesReports(now):
 			o.BackedOff++
 		case !ep.mayClaim(now):
 			o.Unclaimed++
--- a/forward/send.go
+++ b/forward/send.go
@@ -45,9 +45,10 @@
 	// as a fraction of the time left, beyond which callers don't wait.
 	maxRetryAfter      = 2500 * time.Millisecond
 	maxRetryAfterShare = 0.3
-	// maxStreamStartWait bounds the time from the arrival of a request for a stream to its
-	// place at an endpoint; the first event must still arrive within streamSilence.
-	maxStreamStartWait = streamSilence / 2
+	// maxStartWait bounds the time from the arrival of a request whose target latency is
+	// shorter to its place at an endpoint. The first event of a stream must still arrive
+	// within streamSilence.
+	maxStartWait = streamSilence / 2
 )
 
 // verdict classifies the result of one attempt at an endpoint.
@@ -177,20 +178,17 @@
 	return service.Engine.SlotSeconds(x.work.PromptTokens, x.work.ResponseTokens)
 }
 
-// maxAcquireWait returns how long the request may wait for an endpoint. That is at most a
-// quarter of the time left, since a longer wait isn't worth it to the caller; a late
-// response is better than none, but for a stream it must begin within the time that
-// callers wait for its first event. A request that may have run already, such as one on a
-// group that stalled, can't be refused as not run; it waits up to maxFailoverWait.
+// maxAcquireWait returns how long the request may wait for an endpoint: until the target
+// latency or maxStartWait has passed since its arrival, whichever is later, since a late
+// response is better than none; but at most a quarter of the time left, since a longer wait
+// isn't worth it to the caller. A request that may have run already, such as one on a group
+// that stalled, can't be refused as not run; it waits up to maxFailoverWait.
 func (x *exchange) maxAcquireWait() time.Duration {
 	quarter := x.remaining() / 4
-	switch {
-	case x.mayHaveRun:
+	if x.mayHaveRun {
 		return min(maxFailoverWait, quarter)
-	case x.route.Kind == routing.Streaming:
-		return min(quarter, max(x.route.TargetLatency, maxStreamStartWait)-time.Since(x.arrived))
 	}
-	return quarter
+	return min(quarter, max(x.route.TargetLatency, maxStartWait)-time.Since(x.arrived))
 }
 
 // refuseUnplaced returns the refusal of a request for which no endpoint could be
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"fmt"
 	"hash/maphash"
+	"maps"
 	"net"
 	"slices"
 	"sort"
@@ -210,22 +211,23 @@
 			priorities[*o.Priority] = o
 		}
 	}
-	byService := make(map[string][]rank)
+	found := make(map[string]map[rank]bool)
 	for _, r := range routes {
-		var ranks []rank
-		if plain || r.AllowAnonymous {
-			ranks = append(ranks, rankOf(r, nil))
-		}
-		for _, o := range priorities {
-			ranks = append(ranks, rankOf(r, o))
-		}
 		for _, t := range r.Targets {
-			byService[t.Service] = append(byService[t.Service], ranks...)
+			if found[t.Service] == nil {
+				found[t.Service] = make(map[rank]bool)
+			}
+			if plain || r.AllowAnonymous {
+				found[t.Service][rankOf(r, nil)] = true
+			}
+			for _, o := range priorities {
+				found[t.Service][rankOf(r, o)] = true
+			}
 		}
 	}
-	for service, ranks := range byService {
-		slices.SortFunc(ranks, rank.compare)
-		byService[service] = slices.Compact(ranks)
+	byService := make(map[string][]rank, len(found))
+	for service, ranks := range found {
+		byService[service] = slices.SortedFunc(maps.Keys(ranks), rank.compare)
 	}
 	return byService
 }
