--- a/admission/admission.go
+++ b/admission/admission.go
@@ -14,6 +14,8 @@
 	// Cost is what the request takes of an endpoint, in any unit that is the same for all
 	// requests of a service. Values that aren't positive count as 1.
 	Cost float64
+	// Repeat is set if the request was sent to an endpoint before.
+	Repeat bool
 	// Arrived is when the request arrived, Aim when the response is late; the zero time means
 	// never.
 	Arrived, Aim time.Time
@@ -80,6 +82,9 @@
 
 // Arrive records that a request arrived.
 func (c *Controller) Arrive(r *Request, now time.Time) {
+	if r.Repeat {
+		return
+	}
 	d := c.demand[r.Priority]
 	if d == nil {
 		dropIdle(c.demand, maxPriorities, func(d *decaying) bool { return d.get(now, demandHalfLife) < idleWeight })
@@ -101,6 +106,9 @@
 		c.usage[r.Organisation] = u
 	}
 	u.add(r.cost(), now, usageHalfLife)
+	if r.Repeat {
+		return
+	}
 	c.all.served.add(1, now, ratioHalfLife)
 	c.ratioOf(c.kinds, r.Kind, now).served.add(1, now, ratioHalfLife)
 	c.ratioOf(c.orgs, r.Organisation, now).served.add(1, now, ratioHalfLife)
--- a/admission/claims.go
+++ b/admission/claims.go
@@ -1,11 +1,13 @@
 package admission
 
 const (
-	// claimCut and claimGain change the share of free places that waiting requests claim,
-	// with each load report. The share settles where about one report in six shows an
-	// endpoint with more requests than it has room for.
+	// claimCut is the factor by which the share of free places that waiting requests claim
+	// falls with each report of an overrun endpoint; claimGain is its relative rise with
+	// each report of an idle one, and in proportion if only a part of the slots is free.
+	// With a tenth of the slots free, the share settles where about one report in six shows
+	// an overrun endpoint.
 	claimCut  = 0.8
-	claimGain = 1.05
+	claimGain = 0.5
 )
 
 // Claims bounds what the waiting requests of one entry take of the places that a load
@@ -28,7 +30,7 @@
 	case float64(load) > (1+queuedAtEngine)*float64(slots):
 		c.share = max(c.share*claimCut, 1/float64(max(1, entries)))
 	case load < slots:
-		c.share = min(c.share*claimGain, 1)
+		c.share = min(c.share*(1+claimGain*float64(slots-load)/float64(slots)), 1)
 	}
 }
 
--- a/fleet/queue.go
+++ b/fleet/queue.go
@@ -87,22 +87,21 @@
 func (r *Request) isRepeat() bool { return len(r.Exclude) > 0 }
 
 func (r *Request) admission(now time.Time) *admission.Request {
-	return &admission.Request{Arrived: now, Priority: r.Priority, Organisation: r.Organisation, Kind: r.Kind, Cost: r.Cost, Aim: r.Aim}
+	return &admission.Request{Arrived: now, Repeat: r.isRepeat(), Priority: r.Priority, Organisation: r.Organisation, Kind: r.Kind, Cost: r.Cost, Aim: r.Aim}
 }
 
 // Acquire chooses an endpoint for a request. If all are busy, it waits for one for at
 // most MaxWait, or until ctx ends; it returns AllBusy if there was none, NotInTime at once
-// if none is expected in that time, and Displaced if the queue is full. If no endpoint can take the request until then, because
-// the rate limits that the endpoints name leave no room, all asked for a longer pause or
-// none is in service, it returns RateLimited, Paused or Unavailable at once.
+// if none is expected in that time, and Displaced if the queue is full. If no endpoint can
+// take the request until then, because the rate limits that the endpoints name leave no
+// room, all asked for a longer pause or none is in service, it returns RateLimited, Paused
+// or Unavailable at once.
 func (f *Fleet) Acquire(ctx context.Context, request *Request) (*Pick, Availability) {
 	f.mu.Lock()
 	now := time.Now()
 	q := f.queueOf(request.Service)
 	w := &waiter{request: request, admission: request.admission(now), assigned: make(chan *Pick, 1)}
-	if !request.isRepeat() {
-		q.control.Arrive(w.admission, now)
-	}
+	q.control.Arrive(w.admission, now)
 	if len(q.waiters) == 0 {
 		if p, availability := f.choose(request, q.control.Room(w.admission, now), false); p != nil {
 			q.control.Grant(w.admission, now)
