--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -154,7 +154,9 @@
 	c := NewController()
 	r := &Request{}
 	is.Equal(c.ReturnAfter(r, nil, false, time.Minute, 0, start), minReturn)
-	is.Equal(c.ReturnAfter(r, nil, true, time.Minute, 0, start), minReturnAfterHalt)
+	is.Equal(c.ReturnAfter(r, nil, true, time.Minute, 0, start), haltTime)
+	c.Refused(start)
+	is.Equal(c.ReturnAfter(r, nil, true, time.Minute, 0, start.Add(pressureGap)), haltTime-pressureGap)
 	now := start
 	for ; now.Sub(start) < 2*time.Second; now = now.Add(100 * time.Millisecond) {
 		c.Refused(now)
--- a/admission/retry.go
+++ b/admission/retry.go
@@ -7,9 +7,9 @@
 	pressureGap = time.Second
 	// minReturn is the least time after which a refused caller returns.
 	minReturn = 300 * time.Millisecond
-	// minReturnAfterHalt is the least time after which a caller returns that was refused
-	// while no endpoint was in service: rank groups stand still for a second or more.
-	minReturnAfterHalt = time.Second
+	// haltTime is how long no endpoint is in service at least: a rank group that loses a
+	// rank stands still until it notices and is formed again.
+	haltTime = 2 * time.Second
 	// returnSpread is the range over which callers return, as a fraction of the earliest
 	// return.
 	returnSpread = 0.5
@@ -31,15 +31,16 @@
 //
 // It answers the load in which callers that were refused return together, or so soon that
 // they are refused again. Pressure that has lasted for some time is expected to last as
-// long again; the caller returns after that, and not before the backlog that it saw can
-// have been served. Callers spread over half as long again.
+// long again, and a halt haltTime at least; the caller returns after that, and not before
+// the backlog that it saw can have been served. Callers spread over half as long again.
 func (c *Controller) ReturnAfter(r *Request, waiting []*Request, halted bool, limit time.Duration, random float64, now time.Time) time.Duration {
-	d := minReturn
-	if halted {
-		d = minReturnAfterHalt
-	}
+	d, lasted := minReturn, time.Duration(0)
 	if !c.pressure.since.IsZero() && now.Sub(c.pressure.last) <= pressureGap {
-		d = max(d, now.Sub(c.pressure.since))
+		lasted = now.Sub(c.pressure.since)
+	}
+	d = max(d, lasted)
+	if halted {
+		d = max(d, haltTime-lasted)
 	}
 	if wait, known := c.Wait(r, waiting, now); known {
 		d = max(d, wait)
--- a/fleet/admission_test.go
+++ b/fleet/admission_test.go
@@ -80,12 +80,20 @@
 
 func (r result) share(n int) float64 { return float64(n) / float64(max(1, r.sent)) }
 
-// play sends a load for the given time to entries that share engines of ten slots, and
-// returns what each kind of caller got. Callers return once after a refusal. Loads are
-// reported every 100 ms.
-func play(t *testing.T, entries, engines int, length time.Duration, callers ...caller) []result {
+// plan is the setting of a load: entries that share engines of ten slots, for a time in
+// which the engines may stand still.
+type plan struct {
+	entries, engines int
+	length           time.Duration
+	haltFrom, haltTo time.Duration
+}
+
+// play sends a load and returns what each kind of caller got. Callers return once after a
+// refusal. Loads are reported every 100 ms.
+func play(t *testing.T, p plan, callers ...caller) []result {
 	t.Helper()
 	const slots = 10
+	entries, engines, length := p.entries, p.engines, p.length
 	results := make([]result, len(callers))
 	synctest.Test(t, func(t *testing.T) {
 		all := make(map[string]*fakeEngine)
@@ -104,13 +112,17 @@
 				fleets[i].Update(r)
 			}
 		}
+		began := time.Now()
+		halted := func() bool { return time.Since(began) >= p.haltFrom && time.Since(began) < p.haltTo }
 		ctx, stop := context.WithCancel(t.Context())
 		var reporters, requests sync.WaitGroup
 		reporters.Go(func() {
 			for ctx.Err() == nil {
 				for id, e := range all {
 					for _, f := range fleets {
-						f.RecordLoad(id, e.load())
+						l := e.load()
+						l.Stalled = halted()
+						f.RecordLoad(id, l)
 					}
 				}
 				time.Sleep(100 * time.Millisecond)
@@ -119,7 +131,6 @@
 		var mu sync.Mutex
 		for i, c := range callers {
 			requests.Go(func() {
-				began := time.Now()
 				if c.to == 0 {
 					c.to = length
 				}
@@ -133,8 +144,8 @@
 						r := c.request
 						r.Service, r.Aim, r.Deadline = service, time.Now().Add(c.aim), sent.Add(8*time.Second)
 						r.MaxWait = time.Second
-						p, availability := f.Acquire(context.Background(), &r)
-						if p == nil && first {
+						pick, availability := f.Acquire(context.Background(), &r)
+						if pick == nil && first {
 							first = false
 							time.Sleep(f.RetryAfter(&r, availability, 2500*time.Millisecond))
 							mu.Lock()
@@ -142,19 +153,22 @@
 							mu.Unlock()
 							goto again
 						}
-						if p != nil {
-							if p.Expedited {
+						if pick != nil {
+							if pick.Expedited {
 								r.Priority = 0
 							}
-							all[p.Endpoint.ID].begin(r.Priority)
+							all[pick.Endpoint.ID].begin(r.Priority)
+							if halted() {
+								time.Sleep(time.Until(began.Add(p.haltTo)))
+							}
 							time.Sleep(50 * time.Millisecond) // the prompt is read
-							p.RecordBegin()
+							pick.RecordBegin()
 						}
 						took := time.Since(sent)
 						mu.Lock()
 						results[i].sent++
 						switch {
-						case p == nil:
+						case pick == nil:
 							results[i].refusedTwice++
 						case took <= c.aim:
 							results[i].inTime++
@@ -165,10 +179,10 @@
 							}
 						}
 						mu.Unlock()
-						if p != nil {
+						if pick != nil {
 							time.Sleep(c.duration/2 + rand.N(c.duration))
-							all[p.Endpoint.ID].end()
-							p.EndSucceeded()
+							all[pick.Endpoint.ID].end()
+							pick.EndSucceeded()
 						}
 					})
 					time.Sleep(c.every/2 + rand.N(c.every))
@@ -189,7 +203,7 @@
 // engine's queue, and against starving the latter. Bulk work bursts to more than the
 // engines can run; 80 of 200 slots are enough for the urgent requests.
 func TestBulkDoesNotDelayUrgentRequests(t *testing.T) {
-	results := play(t, 20, 20, 10*time.Second,
+	results := play(t, plan{entries: 20, engines: 20, length: 10 * time.Second},
 		caller{request: Request{Priority: 0, Kind: "urgent"}, every: 12 * time.Millisecond, duration: time.Second, aim: 400 * time.Millisecond},
 		caller{request: Request{Priority: 2, Kind: "bulk"}, every: 4 * time.Millisecond, duration: time.Second, aim: time.Second},
 	)
@@ -206,7 +220,7 @@
 // Guards against starving bulk when the urgent requests alone are more than the engines
 // can run.
 func TestUrgentOverloadDoesNotStarveBulk(t *testing.T) {
-	results := play(t, 20, 20, 10*time.Second,
+	results := play(t, plan{entries: 20, engines: 20, length: 10 * time.Second},
 		caller{request: Request{Priority: 0, Kind: "urgent"}, every: 3 * time.Millisecond, duration: time.Second, aim: 400 * time.Millisecond},
 		caller{request: Request{Priority: 2, Kind: "bulk"}, every: 20 * time.Millisecond, duration: time.Second, aim: time.Second},
 	)
@@ -220,11 +234,11 @@
 // Guards against an organisation that takes the room of others by sending more, and
 // against leaving room unused that only one of them wants.
 func TestLargeOrganisationLeavesOthersTheirShare(t *testing.T) {
-	const length = 10 * time.Second
 	large := caller{request: Request{Organisation: "large"}, every: 4 * time.Millisecond, duration: time.Second, aim: 400 * time.Millisecond}
 	small := caller{request: Request{Organisation: "small"}, every: 100 * time.Millisecond, duration: time.Second, aim: 400 * time.Millisecond}
-	alone := play(t, 4, 10, length, large)
-	both := play(t, 4, 10, length, large, small)
+	p := plan{entries: 4, engines: 10, length: 10 * time.Second}
+	alone := play(t, p, large)
+	both := play(t, p, large, small)
 	if share := both[1].served(); share < 0.95 {
 		t.Errorf("%.3f of the small organisation's requests were served", share)
 	}
@@ -237,7 +251,7 @@
 // Guards against callers that return together or too soon and are refused once more. A
 // burst of two seconds asks for twice what the engines can run.
 func TestRefusedCallersReturnWhenThereIsRoom(t *testing.T) {
-	results := play(t, 20, 20, 8*time.Second,
+	results := play(t, plan{entries: 20, engines: 20, length: 8 * time.Second},
 		caller{request: Request{Kind: "steady"}, every: 8 * time.Millisecond, duration: time.Second, aim: 400 * time.Millisecond},
 		caller{request: Request{Kind: "burst"}, every: 4 * time.Millisecond, duration: time.Second, aim: 400 * time.Millisecond, from: 2 * time.Second, to: 4 * time.Second},
 	)
@@ -252,9 +266,27 @@
 // what the engines can run. An eighth of what is granted may go to late ones, and as many
 // again may become late in an engine's queue, since loads are known 100 ms late.
 func TestOverloadDoesNotMakeAllRequestsLate(t *testing.T) {
-	r := play(t, 20, 20, 10*time.Second,
+	r := play(t, plan{entries: 20, engines: 20, length: 10 * time.Second},
 		caller{request: Request{Kind: "all"}, every: 3300 * time.Microsecond, duration: time.Second, aim: 400 * time.Millisecond})[0]
 	if served := r.inTime + r.lateAtOnce; r.lateAtOnce*4 > served {
 		t.Errorf("%d of %d requests were served late at once", r.lateAtOnce, served)
 	}
 }
+
+// Guards against callers that are refused during a halt, return while it lasts or all at its
+// end, and make those late that come after it. The engines have room for both at once.
+func TestLoadAfterAHalt(t *testing.T) {
+	const from, to = 2 * time.Second, 4 * time.Second
+	steady := caller{request: Request{Kind: "steady"}, every: 12 * time.Millisecond, duration: time.Second, aim: 400 * time.Millisecond}
+	during, after := steady, steady
+	steady.to = from
+	during.from, during.to = from, to
+	after.from = to + 500*time.Millisecond
+	results := play(t, plan{entries: 20, engines: 20, length: 10 * time.Second, haltFrom: from, haltTo: to}, steady, during, after)
+	if share := results[1].served(); share < 0.9 {
+		t.Errorf("%.3f of those who came during the halt were served in the end", share)
+	}
+	if share := results[2].share(results[2].inTime); share < 0.9 {
+		t.Errorf("%.3f of those who came after the halt were served in time", share)
+	}
+}
