--- a/admission/claims.go
+++ b/admission/claims.go
@@ -3,11 +3,12 @@
 const (
 	// claimCut is the factor by which the share of free places that waiting requests claim
 	// falls with each report of an overrun endpoint; claimGain is its relative rise with
-	// each report of an idle one, and in proportion if only a part of the slots is free.
-	// With a tenth of the slots free, the share settles where about one report in six shows
-	// an overrun endpoint.
-	claimCut  = 0.8
-	claimGain = 0.5
+	// each report of one with places left, and idleClaimGain that if at least half of the
+	// slots are free. The share settles where about one report in six shows an overrun
+	// endpoint.
+	claimCut      = 0.8
+	claimGain     = 0.05
+	idleClaimGain = 0.25
 )
 
 // Claims bounds what the waiting requests of one entry take of the places that a load
@@ -30,7 +31,11 @@
 	case float64(load) > (1+queuedAtEngine)*float64(slots):
 		c.share = max(c.share*claimCut, 1/float64(max(1, entries)))
 	case load < slots:
-		c.share = min(c.share*(1+claimGain*float64(slots-load)/float64(slots)), 1)
+		gain := claimGain
+		if 2*load <= slots {
+			gain = idleClaimGain
+		}
+		c.share = min(c.share*(1+gain), 1)
 	}
 }
 
