--- a/fleet/placing.go
+++ b/fleet/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/admission"
@@ -118,12 +119,16 @@
 	// the queue.
 	room   admission.Room
 	queued bool
+	// mostReport reports whether the reports of most agents of the service arrive. It is
+	// found out once, since it takes a look at all endpoints.
+	mostReport func() bool
 	// explain is set if the request is only asked about.
 	explain bool
 }
 
 func (f *Fleet) newPlacing(r *Request, room admission.Room, queued bool, now time.Time) *placing {
 	p := &placing{request: r, limits: f.limits[r.Service], room: room, queued: queued}
+	p.mostReport = sync.OnceValue(func() bool { return f.mostReport(r.Service, now) })
 	target := time.Duration(0)
 	if !r.Aim.IsZero() {
 		target = max(1, r.Aim.Sub(now))
@@ -191,7 +196,7 @@
 		a.lastResort = inBackoff
 	case ep.isSlow(now):
 		a.lastResort = slow
-	case f.isSilent(ep, now):
+	case ep.missesReports(now) && p.mostReport():
 		a.lastResort = silent
 	}
 	return a
