--- a/forward/relay.go
+++ b/forward/relay.go
@@ -174,7 +174,7 @@
 		if _, err := x.w.Write(head); err != nil {
 			return err
 		}
-		_, err := io.Copy(x.w, body)
+		_, err := io.Copy(progressWriter{x.w, x.claim}, body)
 		return err
 	})
 	if stop() {
@@ -195,6 +195,19 @@
 	return delivered
 }
 
+// progressWriter is a Writer that records what the caller has read as progress of its claim.
+type progressWriter struct {
+	io.Writer
+	claim *limits.Claim
+}
+
+// Write implements io.Writer.
+func (w progressWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	w.claim.Progress(int64(n))
+	return n, err
+}
+
 // errorReader is a Reader that keeps its error, so that it can be told from one of the
 // Writer in io.Copy.
 type errorReader struct {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -95,3 +95,20 @@
 		_ = Load(in, &Entry{})
 	})
 }
+
+// Guards against limits of a process that are negative and would refuse everything.
+func TestNegativeProcessLimitsAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, change := range []func(*PlatformNode){
+		func(n *PlatformNode) { n.FileDescriptors = -1 },
+		func(n *PlatformNode) { n.Limits.HeldMB = -1 },
+		func(n *PlatformNode) { n.Limits.CallersConnections = -1 },
+		func(n *PlatformNode) { n.Limits.WriteTimeoutMS = -1 },
+	} {
+		n := PlatformNode{ID: "a", Zone: "z", IP: "192.0.2.1", PeerPort: 7300, StoreAddr: "192.0.2.2:80", Bounds: Bounds{GracePeriodS: 1}}
+		is.NoErr(n.Validate())
+		change(&n)
+		var invalid *Error
+		is.True(errors.As(n.Validate(), &invalid))
+	}
+}
