intake: whole bodies have room for their copies; refusals reach their sender

A body's claim now grows with room for the copies that its processing takes at a time.

A refusal before the end of a body could be lost by a reset of the connection (TestRefusalReachesSender): package http waits for the sender only if it knows that the body was left.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -272,7 +272,7 @@
 	is.NoErr(err)
 	is.True(strings.HasPrefix(string(response), "HTTP/1.1 401 "))
 
-	// Two copies of 7 MiB don't fit into the 12 MiB that large requests get of 64 MB.
+	// Three copies of 7 MiB don't fit into the 12 MiB that large requests get of 64 MB.
 	resp, err := a.post(wire.PathExecute, a.executeToken, wire.ExecuteRequest{RequestID: "r1", Generate: &wire.GenerateCall{Prompt: strings.Repeat("p", 7<<20)}})
 	is.NoErr(err)
 	defer func() { _ = resp.Body.Close() }()
--- a/agent/http.go
+++ b/agent/http.go
@@ -32,6 +32,9 @@
 	// writeTimeout bounds one write to an entry. It exceeds the time for which an entry
 	// waits for a caller that doesn't read, during which it may not read either.
 	writeTimeout = 2 * wire.CallerWriteTimeout
+	// envelopeCopies is the memory that a request takes at a time, in multiples of its
+	// envelope: a prompt, and its encoding for the endpoint with the encoder's buffer.
+	envelopeCopies = 3
 	// retryAfter is the wait requested after a refusal for lack of memory: about the time in
 	// which a large body arrives.
 	retryAfter = time.Second
@@ -81,10 +84,7 @@
 // readExecute reads an execute envelope. The claim then holds the request and what is sent
 // to the endpoint. No request of which the envelope wasn't decoded has run.
 func readExecute(r *http.Request, claim *intake.Claim) (*wire.ExecuteRequest, *api.Refusal) {
-	data, err := claim.ReadBody(r, maxEnvelopeBytes)
-	if err == nil {
-		err = claim.Resize(2 * int64(len(data)))
-	}
+	data, err := claim.ReadBody(r, maxEnvelopeBytes, envelopeCopies)
 	switch {
 	case errors.Is(err, limits.ErrSpent), errors.Is(err, limits.ErrRevoked):
 		refusal := api.NotRun(api.KindOverloaded, "the agent has no memory left for the request", "send the request to another endpoint, or again later")
@@ -120,7 +120,7 @@
 		n += len(req.Call.Body)
 	}
 	if req.Generate != nil {
-		n += 2 * (len(req.Generate.Prompt) + len(req.Generate.Prefix))
+		n += envelopeCopies * (len(req.Generate.Prompt) + len(req.Generate.Prefix))
 	}
 	return int64(n)
 }
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -74,7 +74,7 @@
 	if r.Method != http.MethodPost {
 		return nil, api.NotRun(api.KindBadRequest, "method is "+r.Method, "use POST")
 	}
-	command, err := claim.ReadBody(r, maxAdminBytes)
+	command, err := claim.ReadBody(r, maxAdminBytes, 2)
 	if err == nil {
 		parts := bytes.Count(command, []byte(",")) + bytes.Count(command, []byte("{")) + bytes.Count(command, []byte("["))
 		// The command, the decoder's copy, and the decoded values with their texts.
--- a/intake/body.go
+++ b/intake/body.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,8 @@
 		controller := http.NewResponseController(w)
 		_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // httptest.ResponseRecorder does not support deadlines
 		body := &trackedBody{ReadCloser: r.Body, controller: controller, ctx: r.Context()}
+		// Package http looks at the body of its own request after the response.
+		r = r.WithContext(r.Context())
 		r.Body = body
 		response := &closingWriter{ResponseWriter: w, body: body}
 		next.ServeHTTP(response, r)
@@ -86,7 +89,10 @@
 	}
 	w.begun = true
 	if !w.body.complete.Load() {
-		w.Header().Set("Connection", "close")
+		// Makes package http close the connection after the response, and wait before it so
+		// that the sender can read it.
+		_, _ = http.MaxBytesReader(w.ResponseWriter, io.NopCloser(strings.NewReader("over")), 0).Read(make([]byte, 1))
+		w.Header().Set("Connection", "close") // if w isn't that of package http
 		_ = w.body.controller.SetReadDeadline(past)
 	}
 }
--- a/intake/claim.go
+++ b/intake/claim.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"io"
 	"net/http"
 	"sync/atomic"
 
@@ -32,25 +33,49 @@
 	return c
 }
 
-// ReadBody reads the request's body of at most limit bytes, which the claim holds after it.
-func (c *Claim) ReadBody(r *http.Request, limit int64) ([]byte, error) {
-	segments, err := limits.ReadBody(r.Body, r.ContentLength, limit, c.Claim)
+// reserveStep is the step in which the reserve for the copies of a body grows.
+const reserveStep = 4 << 10
+
+// reservingReader claims memory for further copies of what it reads.
+type reservingReader struct {
+	io.Reader
+	claim             *limits.Claim
+	further           int64 // copies
+	arrived, reserved int64
+}
+
+// Read implements io.Reader.
+func (r *reservingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.arrived += int64(n)
+	if missing := r.further*r.arrived - r.reserved; missing > 0 {
+		step := (missing + reserveStep - 1) / reserveStep * reserveStep
+		if growErr := r.claim.Grow(step); growErr != nil {
+			return n, growErr
+		}
+		r.reserved += step
+	}
+	r.claim.Progress(r.further * int64(n)) // beside that of package limits
+	return n, err
+}
+
+// ReadBody reads the request's body of at most limit bytes into one piece. After it the
+// claim holds room for as many copies of the body as its processing needs at a time, the
+// body included; at least 2. Room that was missing only then would refuse whole bodies,
+// after all had displaced each other.
+func (c *Claim) ReadBody(r *http.Request, limit, copies int64) ([]byte, error) {
+	reader := &reservingReader{Reader: r.Body, claim: c.Claim, further: copies - 1}
+	segments, err := limits.ReadBody(reader, r.ContentLength, limit, c.Claim)
 	c.EndWait()
 	if err != nil {
 		return nil, err
 	}
-	if len(segments) == 1 {
-		return segments[0], nil
-	}
-	n, held := segments.Len(), c.Bytes()
-	if err := c.Grow(n); err != nil {
-		return nil, err
-	}
+	n := segments.Len()
 	body := make([]byte, 0, n)
 	for _, s := range segments {
 		body = append(body, s...)
 	}
-	c.Shrink(held)
+	c.Shrink(max(0, c.Bytes()-copies*n))
 	return body, nil
 }
 
--- a/pipeline/classify.go
+++ b/pipeline/classify.go
@@ -67,9 +67,6 @@
 	if c.r.Method != http.MethodPost {
 		return notStarted(api.KindBadRequest, "method is "+c.r.Method, "use POST")
 	}
-	if err := c.hold(&c.held.request, 2*int64(len(c.body))); err != nil {
-		return noMemory()
-	}
 	var g api.GenerateRequest
 	if err := json.Unmarshal(c.body, &g); err != nil {
 		return notStarted(api.KindBadRequest, "body is not a generate request: "+err.Error(), "send a JSON object with prompt and max_tokens")
@@ -82,7 +79,6 @@
 	c.cost = float64(g.MaxTokens)
 	c.prefix = g.Prompt[:min(len(g.Prompt), prefixBytes)]
 	c.body = nil
-	c.release(&c.held.request, int64(len(g.Prompt)))
 	return nil
 }
 
--- a/pipeline/dispatch.go
+++ b/pipeline/dispatch.go
@@ -48,7 +48,10 @@
 		defer stop(nil)
 		defer p.watchAgent(c, stop)()
 		connected := &atomic.Bool{}
-		if err := c.hold(&c.held.envelope, c.envelopeBytes()); err != nil {
+		// In the first attempt the room for the envelope is part of the body's.
+		c.held.request, c.held.envelope = c.requestBytes(), c.envelopeBytes()
+		if err := c.claimHeld(); err != nil {
+			c.held.envelope = 0
 			return noMemory()
 		}
 		defer c.release(&c.held.envelope, 0)
@@ -119,6 +122,14 @@
 	return b.Bytes(), nil
 }
 
+// requestBytes returns the memory of the decoded request.
+func (c *call) requestBytes() int64 {
+	if c.generateCall != nil {
+		return int64(len(c.generateCall.Prompt))
+	}
+	return int64(len(c.plainCall.Body))
+}
+
 // envelopeBytes returns the memory that encoding the request for an agent takes.
 func (c *call) envelopeBytes() int64 {
 	n := 0
--- a/pipeline/identify.go
+++ b/pipeline/identify.go
@@ -123,7 +123,7 @@
 		return nil, tooLarge
 	}
 	// A body that is too slow ends by the deadline that intake.Handler has set.
-	body, err := c.claim.ReadBody(c.r, p.MaxBodyBytes)
+	body, err := c.claim.ReadBody(c.r, p.MaxBodyBytes, bodyCopies)
 	switch {
 	case errors.Is(err, limits.ErrTooLarge):
 		return nil, tooLarge
--- a/pipeline/memory.go
+++ b/pipeline/memory.go
@@ -8,6 +8,9 @@
 // Memory of a call. Its parts are claimed from the budget of the entry before they are
 // allocated; the claim is released when the call ends.
 const (
+	// bodyCopies is the memory that a request takes at a time until it is sent, in
+	// multiples of its body: that of a plain call and its envelope in base64.
+	bodyCopies = 4
 	// encodeFactor is the memory that encoding takes, in multiples of its result: the
 	// encoder's growing buffer and the copy that is sent.
 	encodeFactor = 2
