limits: the greatest announced length doesn't overflow

Cause: ReadBody added one to the announced length or the limit. With 2^63-1 (a configuration without max_body_bytes) the size of the segment was negative: a panic, after a negative claim.

Change: the byte is added after the minimum. TestReadBodyOfGreatestLength panicked before (makeslice: len out of range).

--- a/limits/body.go
+++ b/limits/body.go
@@ -52,9 +52,9 @@
 		// One byte more than may arrive, so that the end is found without a new segment.
 		switch {
 		case length >= 0:
-			size = min(size, length-total+1)
+			size = min(size-1, length-total) + 1
 		case limit > 0:
-			size = min(size, limit-total+1)
+			size = min(size-1, limit-total) + 1
 		}
 		if err := c.Grow(size); err != nil {
 			return b, err
--- a/limits/memory_test.go
+++ b/limits/memory_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"runtime"
 	"testing"
 	"testing/iotest"
@@ -265,3 +266,18 @@
 type neverEnding struct{}
 
 func (neverEnding) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against an announced length whose sum with a byte overflows.
+func TestReadBodyOfGreatestLength(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory(0, nil)
+	c := m.Claim("a", func() {})
+	_, err := ReadBody(iotest.ErrReader(io.ErrUnexpectedEOF), math.MaxInt64, 0, c)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is.Equal(m.Held(), int64(minSegmentBytes))
+	c.Release()
+	c = m.Claim("a", func() {})
+	_, err = ReadBody(iotest.ErrReader(io.ErrUnexpectedEOF), -1, math.MaxInt64, c)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is.Equal(m.Held(), int64(minSegmentBytes))
+}
