limits, peer, forward, intake: RPC bytes are no heads; requests of displaced connections stay

Cause: a connection that isn't of an HTTP server never ends its head, so all that an RPC connection read was claimed 16 times, until the connection closed: 1 MiB of messages took 16 MiB of the budget, and the connection was then revoked. Besides, a connection chosen to give way could become busy before it was closed, and its request was passed on although the response had nowhere to go.

Change: Busy ends the head of such a connection, and reports whether the connection is still open; a request that was read on a closed one isn't passed on.

--- a/forward/filters.go
+++ b/forward/filters.go
@@ -93,10 +93,16 @@
 		return x.refuseBody(limits.ErrRevoked)
 	}
 	x.bodyRead = true
-	limits.RequestRead(x.r.Context())
+	if !limits.RequestRead(x.r.Context()) {
+		x.cause = errConnectionDisplaced
+		return api.NotRun(api.KindOverloaded, "the connection was closed for another one", "try again on a new connection")
+	}
 	return nil
 }
 
+// errConnectionDisplaced is the logged cause if a connection was closed while its request was read.
+var errConnectionDisplaced = errors.New("the connection was closed for another one before the request was passed on")
+
 // collectBody reads the body into memory that is claimed.
 func (x *exchange) collectBody() *api.Refusal {
 	rc := http.NewResponseController(x.w)
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -199,3 +199,37 @@
 	}
 	s.awaitHeld(t, func(held int64) bool { return held == 0 })
 }
+
+// Guards against a request that is passed on although its connection was closed for another
+// one while it was read: the caller can't get the response.
+func TestRequestOfDisplacedConnectionIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedEntry(t, 1<<20, orderRoute, respondOK("fine"))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	conns := limits.NewConnections(1, s.handler.cfg.Memory, nil)
+	served := make(chan struct{})
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(served)
+		other, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer other.Close()
+		for _, err := r.Body.Read(nil); err == nil; _, err = r.Body.Read(nil) { // closing a connection fails its deadlines
+			if http.NewResponseController(w).SetReadDeadline(time.Time{}) != nil {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		s.handler.ServeHTTP(w, r)
+	})}
+	conns.Server(server)
+	go func() { _ = server.Serve(conns.Listener(ln)) }()
+	defer server.Close()
+	sendPart(t, ln.Addr().String(), 4, 4)
+	<-served
+	is.Equal(s.requestCount(), 0)
+	is.True(strings.Contains(s.log.String(), errConnectionDisplaced.Error()))
+}
--- a/intake/body.go
+++ b/intake/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -27,8 +28,9 @@
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
-			limits.RequestRead(r.Context())
-			next.ServeHTTP(w, r)
+			if limits.RequestRead(r.Context()) {
+				next.ServeHTTP(w, r)
+			}
 			return
 		}
 		controller := http.NewResponseController(w)
@@ -56,7 +58,9 @@
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.complete.Swap(true) {
 		_ = b.controller.SetReadDeadline(time.Time{})
-		limits.RequestRead(b.ctx)
+		if !limits.RequestRead(b.ctx) {
+			return n, net.ErrClosed
+		}
 	}
 	return n, err
 }
--- a/limits/connections.go
+++ b/limits/connections.go
@@ -84,11 +84,14 @@
 }
 
 // RequestRead records that the whole request of a context was read, so that its connection
-// doesn't wait for its peer until the next one, unless the peer doesn't read.
-func RequestRead(ctx context.Context) {
+// doesn't wait for its peer until the next one, unless the peer doesn't read. It returns
+// false if the connection was closed for another one: the request must not be passed on
+// then, since its sender can't get a response.
+func RequestRead(ctx context.Context) bool {
 	if conn, ok := ctx.Value(connKey{}).(*Conn); ok {
-		conn.Busy()
+		return conn.Busy()
 	}
+	return true
 }
 
 // Abort closes the connection of a request's context. Reads and writes of it return.
@@ -223,11 +226,19 @@
 }
 
 // Busy records that a whole request was read, and that the connection doesn't wait for its
-// peer.
-func (c *Conn) Busy() {
+// peer. What is read until Idle is no head. It returns false if the connection is closed.
+func (c *Conn) Busy() bool {
 	c.set.mu.Lock()
-	defer c.set.mu.Unlock()
+	_, open := c.set.conns[c]
 	c.busy = true
+	c.set.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.headRead { // not of an HTTP server, where the head is held until Idle
+		c.endHead()
+		c.headRead = true
+	}
+	return open
 }
 
 // Idle records that the connection waits for the next request.
@@ -241,6 +252,11 @@
 func (c *Conn) releaseHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.endHead()
+}
+
+// endHead releases what is claimed for a head. c.mu is held.
+func (c *Conn) endHead() {
 	c.headRead, c.headBytes = false, 0
 	if c.head != nil {
 		c.head.Release()
--- a/limits/connections_test.go
+++ b/limits/connections_test.go
@@ -157,3 +157,23 @@
 	is.True(agent.Internal >= 72) // one for each rank of the largest group
 	is.Equal(sizesFor(0, 0).MemoryBytes, int64(0))
 }
+
+// Guards against everything that a long-lived connection of another protocol than HTTP
+// reads being claimed as a head, until its bytes fill the budget.
+func TestOnlyHeadsAreClaimed(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory(1024*kib, nil)
+	c := NewConnections(0, m, nil)
+	p, theirs := newPipe("10.0.0.1")
+	conn := c.admit(p)
+	go func() { _, _ = io.WriteString(theirs, strings.Repeat("x", 1024*kib)) }()
+	_, err := io.ReadFull(conn, make([]byte, 4*kib))
+	is.NoErr(err)
+	is.Equal(m.Held(), int64(2*kib*headFactor)) // it could be an HTTP head
+	conn.Busy()
+	is.Equal(m.Held(), int64(0))
+	_, err = io.ReadFull(conn, make([]byte, 1000*kib))
+	is.NoErr(err)
+	is.Equal(m.Held(), int64(0))
+	is.NoErr(conn.Close())
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -62,7 +62,7 @@
 
 // boundedConn is a connection that may be closed for another one until Busy is called, as
 // package limits does.
-type boundedConn interface{ Busy() }
+type boundedConn interface{ Busy() bool }
 
 func (s *Server) serveConn(accepted net.Conn) {
 	c := &framedConn{Conn: countedConn{accepted}}
@@ -75,8 +75,8 @@
 		return
 	}
 	defer s.untrack(c)
-	if bounded, ok := accepted.(boundedConn); ok {
-		bounded.Busy()
+	if bounded, ok := accepted.(boundedConn); ok && !bounded.Busy() {
+		return
 	}
 	s.rpc.ServeConn(c)
 }
