intake: a body that is revoked after its last byte is refused

Cause: the claim could be revoked between the last byte and the end of the wait. Its connection then has a read deadline in the past, and package http cancels the request while it runs at an endpoint.

Change: ReadBody looks at the claim after the wait, as package forward does. TestBodyRevokedAfterItsLastByteIsRefused failed before: ReadBody returned no error.

--- a/intake/claim.go
+++ b/intake/claim.go
@@ -70,6 +70,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.Revoked() { // after the last byte had arrived
+		return nil, limits.ErrRevoked
+	}
 	n := segments.Len()
 	body := make([]byte, 0, n)
 	for _, s := range segments {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -209,3 +209,45 @@
 	is.NoErr(err)
 	is.True(<-ended != nil)
 }
+
+// revokingBody is a body whose claim is revoked between its last byte and its end.
+type revokingBody struct {
+	io.Reader
+	revoke func()
+}
+
+func (b *revokingBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		b.revoke()
+	}
+	return n, err
+}
+
+func (b *revokingBody) Close() error { return nil }
+
+// Guards against a request that is passed on although its claim was revoked when its last
+// byte had just arrived: its connection then has a read deadline in the past, for which
+// package http cancels the request while it runs.
+func TestBodyRevokedAfterItsLastByteIsRefused(t *testing.T) {
+	is := is.New(t)
+	m := limits.NewMemory(1<<20, nil)
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	r.ContentLength = -1
+	c := NewClaim(m, httptest.NewRecorder(), r)
+	other := m.Claim("other", func() {})
+	is.NoErr(other.Grow(400 << 10))
+	other.EndWait()
+	growing := m.Claim("192.0.2.1", func() {})
+	grown := make(chan error, 1)
+	r.Body = &revokingBody{strings.NewReader(strings.Repeat("b", 100<<10)), func() {
+		go func() { grown <- growing.Grow(300 << 10) }()
+		for !c.Revoked() {
+			time.Sleep(time.Millisecond)
+		}
+	}}
+	_, err := c.ReadBody(r, 1<<20, 2)
+	is.True(errors.Is(err, limits.ErrRevoked))
+	c.Release()
+	is.NoErr(<-grown)
+}
