forward: a pause of the endpoint doesn't end a long response

Cause: the whole relay of a long response counted as a wait for the caller, including the reads from the endpoint. After 500 ms without bytes from the endpoint the claim could be revoked, and the connection of a caller that reads everything was closed.

Change: only each write counts as a wait. TestPauseOfEndpointEndsNoResponse failed before: the other request waited for the revoked bytes until its deadline (408 instead of 503).

--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -200,6 +201,38 @@
 	s.awaitHeld(t, func(held int64) bool { return held == 0 })
 }
 
+// Guards against a long response that is ended in the middle, although its caller reads it,
+// because its endpoint pauses while others need memory.
+func TestPauseOfEndpointEndsNoResponse(t *testing.T) {
+	is := is.New(t)
+	const length = 200 << 10
+	resume := make(chan struct{})
+	s := newLimitedEntry(t, 1<<20, orderRoute, func(c net.Conn, r *http.Request, n int) {
+		if n > 1 {
+			respondOK("fine")(c, r, n)
+			return
+		}
+		respondRaw(fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("z", length/2)))(c, r, n)
+		<-resume
+		_, _ = io.WriteString(c, strings.Repeat("z", length/2))
+	})
+	caller := s.sendPart(t, 300<<10, 300<<10)
+	is.NoErr(caller.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	is.NoErr(err)
+	_, err = io.CopyN(io.Discard, resp.Body, length/4) // package http holds back the last bytes
+	is.NoErr(err)
+	time.Sleep(600 * time.Millisecond) // a caller that doesn't read would count as stalled then
+	other, _, err := s.send(t, func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("y", 700<<10))), 700<<10
+	})
+	is.NoErr(err)
+	is.Equal(other.StatusCode, http.StatusServiceUnavailable) // there is no room for both
+	close(resume)
+	_, err = io.CopyN(io.Discard, resp.Body, length-length/4)
+	is.NoErr(err)
+}
+
 // Guards against a request that is passed on although its connection was closed for another
 // one while it was read: the caller can't get the response.
 func TestRequestOfDisplacedConnectionIsNotPassedOn(t *testing.T) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -170,13 +170,11 @@
 	x.startResponse(resp.Status)
 	body := &errorReader{Reader: resp}
 	stop := x.endUnread()
-	err := x.writeToCaller(func() error {
-		if _, err := x.w.Write(head); err != nil {
-			return err
-		}
-		_, err := io.Copy(progressWriter{x.w, x.claim}, body)
-		return err
-	})
+	caller := callerWriter{x}
+	_, err := caller.Write(head)
+	if err == nil {
+		_, err = io.Copy(caller, body)
+	}
 	if stop() {
 		err = errUnread
 	}
@@ -195,16 +193,16 @@
 	return delivered
 }
 
-// progressWriter is a Writer that records what the caller has read as progress of its claim.
-type progressWriter struct {
-	io.Writer
-	claim *limits.Claim
-}
+// callerWriter writes parts of a response to the caller. Its claim may be revoked only
+// within a write, not while the endpoint is waited for.
+type callerWriter struct{ x *exchange }
 
 // Write implements io.Writer.
-func (w progressWriter) Write(p []byte) (int, error) {
-	n, err := w.Writer.Write(p)
-	w.claim.Progress(int64(n))
+func (w callerWriter) Write(p []byte) (n int, err error) {
+	err = w.x.writeToCaller(func() error {
+		n, err = w.x.w.Write(p)
+		return err
+	})
 	return n, err
 }
 
