limits: a request waits a second at most for revoked bytes

Cause: Grow waited without an end for the bytes of revoked claims. An order whose caller doesn't read is revoked and continues without it, with its claim, for as long as its service's timeout; whoever needed its bytes waited as long.

Change: after a second Grow refuses. TestGrowGivesUpOnRevokedBytes failed before: it still waited after a minute.

--- a/limits/memory.go
+++ b/limits/memory.go
@@ -22,6 +22,9 @@
 	progressBytes = 4 << 10
 	progressPart  = 1.0 / 16
 	stallTime     = 500 * time.Millisecond
+	// releaseTime is how long Grow waits for the bytes of revoked claims. Their holders
+	// release them at once, except for calls that continue without their caller.
+	releaseTime = time.Second
 )
 
 // Errors of Claim.Grow. In both cases the claimed bytes have not been added.
@@ -102,12 +105,13 @@
 }
 
 // Grow adds n bytes that are about to be held. If they don't fit, claims with less
-// progress are revoked, and Grow waits until these have released their bytes. The error is
-// ErrSpent or ErrRevoked.
+// progress are revoked, and Grow waits up to releaseTime until these have released their
+// bytes. The error is ErrSpent or ErrRevoked.
 func (c *Claim) Grow(n int64) error {
 	m := c.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var giveUp time.Time // zero before the first wait
 	for {
 		if c.revoked {
 			return ErrRevoked
@@ -125,6 +129,18 @@
 			m.revokeClaim(victim)
 			continue
 		}
+		switch now := m.now(); {
+		case giveUp.IsZero():
+			giveUp = now.Add(releaseTime)
+			defer time.AfterFunc(releaseTime, func() {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.freed.Broadcast()
+			}).Stop()
+		case !now.Before(giveUp):
+			m.tell(Event{Limit: LimitMemory, Host: c.host, Refused: true, Held: m.held, Size: m.size})
+			return ErrSpent
+		}
 		m.freed.Wait()
 	}
 	c.add(n)
--- a/limits/memory_test.go
+++ b/limits/memory_test.go
@@ -281,3 +281,25 @@
 	is.True(errors.Is(err, io.ErrUnexpectedEOF))
 	is.Equal(m.Held(), int64(minSegmentBytes))
 }
+
+// Guards against a request that waits for the bytes of a revoked claim for as long as its
+// holder runs, which may be a call that continues without its caller.
+func TestGrowGivesUpOnRevokedBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := NewMemory(1024*kib, nil)
+		stays, growing := newPeer(m, "a"), newPeer(m, "a")
+		is.NoErr(stays.arrive(700 * kib))
+		time.Sleep(time.Second)
+		done := make(chan error, 1)
+		go func() { done <- growing.arrive(700 * kib) }()
+		synctest.Wait()
+		is.True(stays.revoked)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(len(done), 1)
+		stays.claim.Release()
+		is.True(errors.Is(<-done, ErrSpent))
+		is.NoErr(growing.arrive(700 * kib))
+	})
+}
