--- a/limits/memory_test.go
+++ b/limits/memory_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"runtime"
 	"testing"
 	"testing/iotest"
@@ -265,3 +266,40 @@
 type neverEnding struct{}
 
 func (neverEnding) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against an announced length whose sum with a byte overflows.
+func TestReadBodyOfGreatestLength(t *testing.T) {
+	is := is.New(t)
+	m := NewMemory(0, nil)
+	c := m.Claim("a", func() {})
+	_, err := ReadBody(iotest.ErrReader(io.ErrUnexpectedEOF), math.MaxInt64, 0, c)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is.Equal(m.Held(), int64(minSegmentBytes))
+	c.Release()
+	c = m.Claim("a", func() {})
+	_, err = ReadBody(iotest.ErrReader(io.ErrUnexpectedEOF), -1, math.MaxInt64, c)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	is.Equal(m.Held(), int64(minSegmentBytes))
+}
+
+// Guards against a request that waits for the bytes of a revoked claim for as long as its
+// holder runs, which may be a call that continues without its caller.
+func TestGrowGivesUpOnRevokedBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := NewMemory(1024*kib, nil)
+		stays, growing := newPeer(m, "a"), newPeer(m, "a")
+		is.NoErr(stays.arrive(700 * kib))
+		time.Sleep(time.Second)
+		done := make(chan error, 1)
+		go func() { done <- growing.arrive(700 * kib) }()
+		synctest.Wait()
+		is.True(stays.revoked)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(len(done), 1)
+		stays.claim.Release()
+		is.True(errors.Is(<-done, ErrSpent))
+		is.NoErr(growing.arrive(700 * kib))
+	})
+}
