share, settings, node: bounds for entries known from datagrams, held memory and load reports

Found in review: the entries that others name in datagrams had no bound, an absurd held_mb became negative as bytes, and a load report with negative counts made an endpoint look empty.

--- a/node/loads.go
+++ b/node/loads.go
@@ -144,7 +144,7 @@
 			e.notices.recordLeaving(fleet.Run{ID: r.Endpoint, Incarnation: r.Incarnation}, "agent")
 		}
 		e.fleet.RecordLoad(r.Endpoint, fleet.Load{
-			Running: r.Running, Waiting: r.Waiting, Stalled: r.Stalled,
+			Running: max(0, r.Running), Waiting: max(0, r.Waiting), Stalled: r.Stalled,
 			StepTime: time.Duration(r.StepTimeMS) * time.Millisecond, ColdFor: time.Duration(r.ColdRemainingMS) * time.Millisecond,
 			Pace: float64(r.PacePercent) / 100, MemoryTotal: max(0, r.MemoryTotal), MemoryShare: memoryShare(&r),
 			Reading: time.Duration(min(max(0, r.ReadingMS), maxReadingMS)) * time.Millisecond,
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -106,6 +106,9 @@
 	WriteTimeoutMS float64 `json:"write_timeout_ms"`
 }
 
+// maxHeldMB bounds HeldMB, so that it can be counted in bytes on every platform.
+const maxHeldMB = 1 << 20
+
 // WriteTimeout returns WriteTimeoutMS, or 0 for the default.
 func (l *ProcessLimits) WriteTimeout() time.Duration {
 	return time.Duration(l.WriteTimeoutMS * float64(time.Millisecond))
@@ -173,6 +176,9 @@
 			return &Error{Field: f.name, Reason: "is negative", Remedy: "set what the VM has, or 0 if it is unknown or for the default"}
 		}
 	}
+	if n.Limits.HeldMB > maxHeldMB {
+		return &Error{Field: "limits.held_mb", Reason: "is out of range", Remedy: fmt.Sprintf("use at most %d megabytes, or 0 for the default", maxHeldMB)}
+	}
 	const lastPort = 65535 - 3
 	if n.PeerPort <= 0 || n.PeerPort > lastPort {
 		return &Error{Field: "peer_port", Reason: "is out of range", Remedy: "use the first of four consecutive free ports"}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -119,6 +119,7 @@
 	for _, change := range []func(*PlatformNode){
 		func(n *PlatformNode) { n.FileDescriptors = -1 },
 		func(n *PlatformNode) { n.Limits.HeldMB = -1 },
+		func(n *PlatformNode) { n.Limits.HeldMB = 1 << 44 }, // as bytes, it would be negative
 		func(n *PlatformNode) { n.Limits.CallersConnections = -1 },
 		func(n *PlatformNode) { n.Limits.WriteTimeoutMS = -1 },
 	} {
--- a/share/members.go
+++ b/share/members.go
@@ -54,12 +54,19 @@
 	}
 }
 
+// maxHeard bounds the entries without a record that are kept, as anything that reaches the
+// peer port can name some.
+const maxHeard = 1 << 10
+
 // Heard records that an entry serves although its record may be gone: it counts as if its
-// record had just been removed.
+// record had just been removed. Beyond maxHeard such entries further ones are ignored.
 func (m *Members) Heard(e Member, now time.Time) {
 	if _, ok := m.present[e.ID]; ok {
 		return
 	}
+	if _, ok := m.lapsed[e.ID]; !ok && len(m.lapsed) >= maxHeard {
+		return
+	}
 	m.Join(e)
 	m.Leave(e.ID, now)
 }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -378,3 +378,18 @@
 		Named(all, "caller", 64, now)
 	}
 }
+
+// Guards against an unbounded number of entries that exist in datagrams only.
+func TestHeardMembersAreBounded(t *testing.T) {
+	is := is.New(t)
+	var m Members
+	now := time.Now()
+	m.Join(Member{"registered", 1})
+	for i := range 2 * maxHeard {
+		m.Heard(Member{fmt.Sprint("heard-", i), 1}, now)
+	}
+	is.Equal(len(m.Within(time.Minute, now)), 1+maxHeard)
+	m.Heard(Member{"heard-0", 1}, now.Add(30*time.Second)) // a known one is still renewed
+	m.Forget(time.Minute, now.Add(time.Minute))
+	is.Equal(len(m.Within(time.Minute, now.Add(time.Minute))), 2)
+}
