--- a/gate/client.go
+++ b/gate/client.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/httpguard"
 )
 
 const (
@@ -27,15 +29,16 @@
 // order is not sent if it returns an error.
 type preSendCheckKey struct{}
 
-// newClients returns the HTTP clients for retryable calls, orders and probes.
+// newClients returns the HTTP clients for retryable calls, orders and probes, whose
+// connections dial opens.
 //
 // Each order gets a dedicated connection: net/http retries a request that
 // carries an Idempotency-Key when a reused connection breaks, and the endpoint
 // could then run it twice. Redirects are passed on to the caller.
-func newClients() (calls, orders, probe *http.Client) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, addr)
+func newClients(dial httpguard.DialFunc) (calls, orders, probe *http.Client) {
+	dial = httpguard.Dial(dial)
+	dialChecked := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
@@ -48,7 +51,7 @@
 	client := func(keepAlive bool, idle int) *http.Client {
 		return &http.Client{
 			Transport: &http.Transport{
-				DialContext:            dial,
+				DialContext:            dialChecked,
 				DisableCompression:     true,
 				DisableKeepAlives:      !keepAlive,
 				MaxIdleConnsPerHost:    idle,
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -63,7 +64,7 @@
 	g.queue = newFairQueue(g.weight)
 	g.endpoint.minReportTime = cfg.Clock.Now()
 	g.endpoint.unaccountedSince = cfg.Clock.Now()
-	g.callClient, g.orderClient, g.probeClient = newClients()
+	g.callClient, g.orderClient, g.probeClient = newClients((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return g
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/httpguard"
 )
 
 const (
@@ -38,6 +40,7 @@
 
 type conn struct {
 	net.Conn
+	tcp     net.Conn // the same connection without the guard
 	reader  *bufio.Reader
 	head    *headLimiter
 	reused  bool
@@ -133,7 +136,7 @@
 		if idle == nil {
 			break
 		}
-		if time.Now().Before(idle.expires) && isReusable(idle.Conn) {
+		if time.Now().Before(idle.expires) && isReusable(idle.tcp) {
 			idle.reused = true
 			return idle, nil
 		}
@@ -173,8 +176,9 @@
 		c.addOpen(addr, -1)
 		return nil, err
 	}
-	head := &headLimiter{Reader: nc}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
+	guarded := httpguard.NewConn(nc)
+	head := &headLimiter{Reader: guarded}
+	return &conn{Conn: guarded, tcp: nc, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 func (c *Client) popIdle(addr string) *conn {
@@ -207,7 +211,7 @@
 // late sees that nobody waits for the response, and the kernel drops bytes that
 // are still to be sent.
 func (c *Client) discard(addr string, conn *conn) {
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.tcp.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // on failure the connection is closed without a reset
 	}
 	_ = conn.Close() // the connection isn't used any more
