--- a/cli/parser.go
+++ b/cli/parser.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/wasabinotch/wasabinotch/api"
+	"github.com/wasabinotch/wasabinotch/httpguard"
 )
 
 // GlobalOptions holds the output and the options that all commands share.
@@ -24,7 +25,11 @@
 	if len(g.Entries) == 0 {
 		return nil, trace.BadParameter("no entry is given; give --entry IP:port")
 	}
-	return &client{entries: g.Entries, apiKey: g.APIKey, httpClient: &http.Client{}}, nil
+	return &client{entries: g.Entries, apiKey: g.APIKey, httpClient: newHTTPClient()}, nil
+}
+
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: httpguard.NewTransport(nil)}
 }
 
 // get requests path from the first entry that responds and decodes the JSON
@@ -43,7 +48,7 @@
 	var all []api.Decision
 	var errs []error
 	for _, entry := range g.Entries {
-		c := &client{entries: []string{entry}, apiKey: g.APIKey, httpClient: &http.Client{}}
+		c := &client{entries: []string{entry}, apiKey: g.APIKey, httpClient: newHTTPClient()}
 		var found []api.Decision
 		if err := c.do(http.MethodGet, api.PathExplain+url.PathEscape(requestID), nil, &found); err != nil {
 			errs = append(errs, err)
--- a/control/vmlist.go
+++ b/control/vmlist.go
@@ -7,6 +7,8 @@
 	"maps"
 	"net/http"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/httpguard"
 )
 
 // Limits on reading the platform's VM list. The list is only a supplementary
@@ -59,7 +61,7 @@
 
 // pollVMs reads the list every vmPollInterval; a failed read keeps the last list.
 func (l *Loop) pollVMs(ctx context.Context) {
-	client := &http.Client{Timeout: peerCallTimeout, Transport: &http.Transport{}}
+	client := &http.Client{Timeout: peerCallTimeout, Transport: httpguard.NewTransport(&http.Transport{})}
 	for ctx.Err() == nil {
 		at := l.clock.Now()
 		if leaving, err := readVMs(ctx, client, l.cfg.VMListAddr); err == nil {
--- a/expertmap/maploader.go
+++ b/expertmap/maploader.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/wasabinotch/wasabinotch/httpguard"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
@@ -55,7 +56,7 @@
 // NewMapLoader returns the map loader of a rank.
 func NewMapLoader(cfg MapLoaderConfig) *MapLoader {
 	if cfg.Client == nil {
-		cfg.Client = &http.Client{Timeout: rankTimeout}
+		cfg.Client = &http.Client{Timeout: rankTimeout, Transport: httpguard.NewTransport(nil)}
 	}
 	if cfg.Clock == nil {
 		cfg.Clock = clockwork.NewRealClock()
--- a/forward/reset_test.go
+++ b/forward/reset_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/fleet"
-	"github.com/wasabinotch/wasabinotch/routing"
 )
 
 const (
@@ -80,8 +79,7 @@
 		// wait for the caller.
 		resetPause = 100 * time.Millisecond
 	)
-	for name, route := range map[string]routing.Route{"order": orderRoute, "idempotent": idempotentRoute, "stream": streamingRoute} {
-		route.MaxAttempts = 1
+	for name, route := range singleAttemptRoutes() {
 		t.Run(name+"/short", func(t *testing.T) {
 			s := newTestEntry(t, route)
 			var responses atomic.Int32
--- a/gate/client.go
+++ b/gate/client.go
@@ -36,7 +36,6 @@
 // carries an Idempotency-Key when a reused connection breaks, and the endpoint
 // could then run it twice. Redirects are passed on to the caller.
 func newClients(dial httpguard.DialFunc) (calls, orders, probe *http.Client) {
-	dial = httpguard.Dial(dial)
 	dialChecked := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
@@ -50,13 +49,13 @@
 	}
 	client := func(keepAlive bool, idle int) *http.Client {
 		return &http.Client{
-			Transport: &http.Transport{
+			Transport: httpguard.NewTransport(&http.Transport{
 				DialContext:            dialChecked,
 				DisableCompression:     true,
 				DisableKeepAlives:      !keepAlive,
 				MaxIdleConnsPerHost:    idle,
 				MaxResponseHeaderBytes: maxResponseHeaderBytes,
-			},
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
--- /dev/null
+++ b/gate/malformed_test.go
@@ -0,0 +1,69 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wasabinotch/wasabinotch/wire"
+)
+
+// respondTo serves an endpoint that answers each request with text, and returns its address.
+func respondTo(t *testing.T, text string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, text)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// testMalformed checks that a gate takes nothing from an endpoint's response.
+func testMalformed(t *testing.T, response string) {
+	t.Helper()
+	is := is.New(t)
+	h := newHarness(t)
+	h.cfg.EndpointAddr = respondTo(t, response)
+	sink := &resetAfterHead{reset: make(chan struct{})}
+	res := h.runPlain(t.Context(), h.callClient, &wire.ExecuteRequest{RequestID: "r1", Call: &wire.PlainCall{Method: http.MethodGet, Path: "/stock"}}, sink, &slot{})
+	if res.refusal == nil || res.succeeded || sink.body.Len() > 0 {
+		t.Errorf("the call ended with %+v, body %q", res, sink.body.String())
+	}
+	status, _, err := h.get(context.Background(), "/health")
+	if err == nil {
+		t.Errorf("the health check ended with status %d", status)
+	}
+	is.True(!h.cancelAtEndpoint("r1")) // a cancellation is not confirmed
+}
+
+// Guards against a response without a valid status that counts as an endpoint's response,
+// as that of a sound endpoint, or as the confirmation of a cancellation.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000 Unknown", "099 Low", "101 Switching Protocols", "600 High", "999 High"} {
+		t.Run(status, func(t *testing.T) {
+			testMalformed(t, fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: 4\r\n\r\npart", status))
+		})
+	}
+}
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -15,6 +15,7 @@
 	"github.com/wasabinotch/wasabinotch/api"
 	"github.com/wasabinotch/wasabinotch/balance"
 	"github.com/wasabinotch/wasabinotch/control"
+	"github.com/wasabinotch/wasabinotch/httpguard"
 	"github.com/wasabinotch/wasabinotch/intake"
 	"github.com/wasabinotch/wasabinotch/limits"
 	"github.com/wasabinotch/wasabinotch/order"
@@ -80,12 +81,12 @@
 		decisions: &Decisions{},
 		running:   newRunningCalls(),
 	}
-	p.client = &http.Client{Transport: &http.Transport{
+	p.client = &http.Client{Transport: httpguard.NewTransport(&http.Transport{
 		DialContext:         dialWithin(cfg.Dial),
 		MaxIdleConnsPerHost: idleConnsPerAgent,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}}
+	})}
 	p.handle = compose(
 		p.account,  // counts and logs the call, reports its failure to the caller
 		p.identify, // checks headers, API key and body
--- a/store/consul.go
+++ b/store/consul.go
@@ -19,6 +19,8 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
+
+	"github.com/wasabinotch/wasabinotch/httpguard"
 )
 
 // Limits of the client.
@@ -57,7 +59,7 @@
 
 // NewConsul returns a client of the service.
 func NewConsul(cfg ConsulConfig) *Consul {
-	transport := &http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	transport := httpguard.NewTransport(&http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute})
 	return &Consul{
 		addrs:   cfg.Addrs,
 		limiter: rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst),
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/wasabinotch/wasabinotch/httpguard"
 )
 
 // Request is an HTTP request with its complete body.
@@ -182,6 +184,9 @@
 		case err != nil:
 			return nil, err
 		}
+		if err := httpguard.CheckHead(parsed); err != nil {
+			return nil, err
+		}
 		if parsed.StatusCode >= 200 {
 			return parsed, nil
 		}
