--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -57,3 +57,31 @@
 		"999":                      "HTTP/1.1 999 High\r\n" + fields + "Content-Length: 15\r\n\r\n" + event,
 	})
 }
+
+// Guards against a response with a malformed line in its head that a caller gets as an
+// answer: without that line, with another signature, or with a body of another length.
+func TestMalformedFieldIsNoAnswer(t *testing.T) {
+	const (
+		event = "id: 1\ndata: x\n\n"
+		end   = "Content-Type: text/event-stream\r\nContent-Length: 15\r\n\r\n" + event
+		start = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\n"
+	)
+	testNoAnswer(t, map[string]string{
+		"blank in a name":           start + "X Odd: 1\r\n" + end,
+		"blank before a colon":      start + "X-Odd : 1\r\n" + end,
+		"signature continued":       start + " X-Odd: 1\r\n" + end,
+		"signature continued (tab)": start + "\tX-Odd: 1\r\n" + end,
+		"0x01 in a name":            start + "X\x01Odd: 1\r\n" + end,
+		"0x00 in a name":            start + "X\x00Odd: 1\r\n" + end,
+		"0x7f in a name":            start + "X\x7fOdd: 1\r\n" + end,
+		"tab in a name":             start + "X\tOdd: 1\r\n" + end,
+		"CR in a name":              start + "X\rOdd: 1\r\n" + end,
+		"empty name":                start + ": 1\r\n" + end,
+		"0x01 in a value":           start + "X-Odd: 1\x012\r\n" + end,
+		"CR in a value":             start + "X-Odd: 1\r2\r\n" + end,
+		"length with a blank":       start + "Content-Length : 1000\r\n\r\n" + event,
+		"chunks with a blank":       start + "Transfer-Encoding : chunked\r\n\r\ne\r\n" + event + "\r\n0\r\n\r\n",
+		"error":                     "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nX Odd: 1\r\n" + end,
+		"refusal":                   "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
+	})
+}
--- a/gate/malformed_test.go
+++ b/gate/malformed_test.go
@@ -67,3 +67,11 @@
 		})
 	}
 }
+
+// Guards against a response with a malformed line in its head, which may be the one that
+// tells where its body ends.
+func TestMalformedFieldIsNoAnswer(t *testing.T) {
+	for _, field := range []string{"X Odd: 1", "X-Odd : 1", "X\x01Odd: 1", "X-Odd: 1\x002", "X-Odd: 1\x012", "Content-Length : 1000", "Transfer-Encoding : chunked"} {
+		t.Run(field, func(t *testing.T) { testMalformed(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\npart") })
+	}
+}
--- a/httpguard/head.go
+++ b/httpguard/head.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformedHead means that the head of a response isn't that of an HTTP/1 response.
@@ -22,5 +24,15 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %.40q is not between %d and %d", ErrMalformedHead, r.Status, minStatus, maxStatus)
 	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.40q", ErrMalformedHead, name)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return fmt.Errorf("%w: value %.40q of field %s", ErrMalformedHead, v, name)
+			}
+		}
+	}
 	return nil
 }
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -183,6 +183,8 @@
 			return nil, errHeadTooLong // err may be that of the line that was cut
 		case err != nil:
 			return nil, err
+		case conn.head.continuations.found:
+			return nil, errContinuationLine
 		}
 		if err := httpguard.CheckHead(parsed); err != nil {
 			return nil, err
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -48,12 +48,13 @@
 }
 
 // headLimiter is a Reader that fails while it limits, once it has read too many bytes or
-// lines.
+// lines. It looks for continuation lines in what it reads then.
 type headLimiter struct {
 	io.Reader
-	limits       bool
-	bytes, lines int
-	exceeded     bool
+	limits        bool
+	bytes, lines  int
+	exceeded      bool
+	continuations continuationScanner
 }
 
 const (
@@ -83,6 +84,7 @@
 	n, err := l.Reader.Read(p[:min(len(p), maxHeadBytes-l.bytes)])
 	l.bytes += n
 	l.lines += bytes.Count(p[:n], []byte{'\n'})
+	l.continuations.scan(p[:n])
 	return n, err
 }
 
