control: an error response is not read as the platform's VM list

Found while looking for the cause of the status fault elsewhere; own form only, no caller saw it. Cause: readVMs decoded the body whatever the status. An error in JSON is a list without leaving VMs, and replaces the last one: endpoints on a leaving VM could get work until the next read, 5 s later. Evidence: TestErrorIsNoVMList failed before for statuses 404, 429, 500 and 503. Change: any status but 200 is an error; the last list stays, for at most 15 s as before. Result: the test passes; tests of control pass.

--- a/control/vmlist.go
+++ b/control/vmlist.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/wasabinotch/wasabinotch/httpguard"
 )
 
@@ -82,6 +84,9 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, trace.ConnectionProblem(nil, "the VM list responded with status %s; check vm_list_addr", resp.Status)
+	}
 	var list vmListResponse
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxVMListBytes)).Decode(&list); err != nil {
 		return nil, err
