upstream: continuation lines are found in the kept bytes of a head

Cause: a state machine of its own followed heads byte by byte, beside the parser. Change: the head's bytes are kept until it is parsed; what the parser has consumed is the head. No change of behaviour.

--- a/upstream/call.go
+++ b/upstream/call.go
@@ -183,12 +183,14 @@
 			return nil, errHeadTooLong // err may be that of the line that was cut
 		case err != nil:
 			return nil, err
-		case conn.head.continuations.found:
-			return nil, errContinuationLine
 		}
 		if err := httpguard.CheckHead(parsed); err != nil {
 			return nil, err
 		}
+		parsedBytes := len(conn.head.kept) - conn.reader.Buffered()
+		if err := checkLines(conn.head.kept[:parsedBytes]); err != nil {
+			return nil, err
+		}
 		if parsed.StatusCode >= 200 {
 			return parsed, nil
 		}
@@ -198,6 +200,21 @@
 	}
 }
 
+// errContinuationLine means that a line of the head continues the one before it. Package
+// net/http joins the two, so a value would not be the one that the server named. RFC 9112,
+// section 5.2, lets a proxy refuse such a response.
+var errContinuationLine = fmt.Errorf("%w: a line begins with a blank", httpguard.ErrMalformedHead)
+
+// checkLines checks what can't be seen in a parsed head any more.
+func checkLines(head []byte) error {
+	for line := range bytes.Lines(head) {
+		if line[0] == ' ' || line[0] == '\t' {
+			return errContinuationLine
+		}
+	}
+	return nil
+}
+
 // idleTimeout returns how long the connection may be kept idle before the
 // server closes it, 0 if the server closes it after this response.
 func idleTimeout(r *http.Response) time.Duration {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -48,13 +48,13 @@
 }
 
 // headLimiter is a Reader that fails while it limits, once it has read too many bytes or
-// lines. It looks for continuation lines in what it reads then.
+// lines. It keeps what it reads then.
 type headLimiter struct {
 	io.Reader
-	limits        bool
-	bytes, lines  int
-	exceeded      bool
-	continuations continuationScanner
+	limits   bool
+	kept     []byte
+	lines    int
+	exceeded bool
 }
 
 const (
@@ -69,22 +69,21 @@
 // start limits the reads from now on to one head.
 func (l *headLimiter) start() { *l = headLimiter{Reader: l.Reader, limits: true} }
 
-// stop ends the limit.
-func (l *headLimiter) stop() { l.limits = false }
+// stop ends the limit and forgets what was read.
+func (l *headLimiter) stop() { l.limits, l.kept = false, nil }
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.limits {
 		return l.Reader.Read(p)
 	}
-	if l.bytes >= maxHeadBytes || l.lines >= maxHeadLines {
+	if len(l.kept) >= maxHeadBytes || l.lines >= maxHeadLines {
 		l.exceeded = true
 		return 0, errHeadTooLong
 	}
-	n, err := l.Reader.Read(p[:min(len(p), maxHeadBytes-l.bytes)])
-	l.bytes += n
+	n, err := l.Reader.Read(p[:min(len(p), maxHeadBytes-len(l.kept))])
+	l.kept = append(l.kept, p[:n]...)
 	l.lines += bytes.Count(p[:n], []byte{'\n'})
-	l.continuations.scan(p[:n])
 	return n, err
 }
 
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -1,9 +1,13 @@
 package upstream
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,17 +131,16 @@
 		text  string
 		found bool
 	}{
-		{"HTTP/1.1 200 OK\r\nA: 1\r\n 2\r\n\r\nbody", true},
+		{"HTTP/1.1 200 OK\r\nA: 1\r\n 2\r\nContent-Length: 4\r\n\r\nbody", true},
 		{"HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\t2\r\n\r\n", true},
 		{"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n body\n body", false},
 		{"HTTP/1.1 103 Early Hints\nA: 1\n\nHTTP/1.1 200 OK\nA: 1 \n\n\n body", false},
 	} {
 		for i := range c.text {
-			var s continuationScanner
-			s.scan([]byte(c.text[:i]))
-			s.scan([]byte(c.text[i:]))
-			if s.found != c.found {
-				t.Errorf("%q and %q: found is %v", c.text[:i], c.text[i:], s.found)
+			r := &headLimiter{Reader: io.MultiReader(strings.NewReader(c.text[:i]), strings.NewReader(c.text[i:]))}
+			_, err := readHead(&conn{reader: bufio.NewReaderSize(r, readBufferBytes), head: r}, http.MethodGet)
+			if errors.Is(err, errContinuationLine) != c.found || !c.found && err != nil {
+				t.Errorf("%q and %q: %v", c.text[:i], c.text[i:], err)
 			}
 		}
 	}
