--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -85,3 +85,15 @@
 		"refusal":                   "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
 	})
 }
+
+// Guards against a body with the lines of its chunks in it that a caller gets as an answer.
+func TestUnknownFramingIsNoAnswer(t *testing.T) {
+	const (
+		fields = "Request-Id: {id}\r\nResponse-Signature: sig\r\nContent-Type: text/event-stream\r\n"
+		event  = "id: 1\ndata: x\n\n"
+	)
+	testNoAnswer(t, map[string]string{
+		"chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n0\r\n\r\n",
+		"HTTP/2.0":           "HTTP/2.0 200 OK\r\n" + fields + "Content-Length: 15\r\n\r\n" + event,
+	})
+}
--- a/gate/malformed_test.go
+++ b/gate/malformed_test.go
@@ -75,3 +75,10 @@
 		t.Run(field, func(t *testing.T) { testMalformed(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\npart") })
 	}
 }
+
+// Guards against responses of versions whose framing is another one.
+func TestUnknownVersionIsNoAnswer(t *testing.T) {
+	for _, version := range []string{"HTTP/2.0", "HTTP/0.9"} {
+		t.Run(version, func(t *testing.T) { testMalformed(t, version+" 200 OK\r\nContent-Length: 4\r\n\r\npart") })
+	}
+}
--- a/httpguard/head.go
+++ b/httpguard/head.go
@@ -21,6 +21,9 @@
 // head that is not valid. Nothing that such a response says may be used, its status, load
 // or framing included.
 func CheckHead(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %.40q on a connection of HTTP/1", ErrMalformedHead, r.Proto)
+	}
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %.40q is not between %d and %d", ErrMalformedHead, r.Status, minStatus, maxStatus)
 	}
--- a/upstream/call.go
+++ b/upstream/call.go
@@ -187,8 +187,9 @@
 		if err := httpguard.CheckHead(parsed); err != nil {
 			return nil, err
 		}
+		// The reader was empty when the call began, see release.
 		parsedBytes := len(conn.head.kept) - conn.reader.Buffered()
-		if err := checkLines(conn.head.kept[:parsedBytes]); err != nil {
+		if err := checkLines(conn.head.kept[:parsedBytes], parsed); err != nil {
 			return nil, err
 		}
 		if parsed.StatusCode >= 200 {
@@ -200,16 +201,27 @@
 	}
 }
 
-// errContinuationLine means that a line of the head continues the one before it. Package
-// net/http joins the two, so a value would not be the one that the server named. RFC 9112,
-// section 5.2, lets a proxy refuse such a response.
-var errContinuationLine = fmt.Errorf("%w: a line begins with a blank", httpguard.ErrMalformedHead)
+var (
+	// errContinuationLine means that a line of the head continues the one before it.
+	// Package net/http joins the two, so a value would not be the one that the server
+	// named. RFC 9112, section 5.2, lets a proxy refuse such a response.
+	errContinuationLine = fmt.Errorf("%w: a line begins with a blank", httpguard.ErrMalformedHead)
+	// errUnknownFraming means that a response of HTTP/1.0 has a transfer encoding. Package
+	// net/http ignores it, so the lines of chunks would count as the body. RFC 9112, section
+	// 6.1, calls the framing of such a response faulty.
+	errUnknownFraming = fmt.Errorf("%w: a transfer encoding in HTTP/1.0", httpguard.ErrMalformedHead)
+)
+
+var transferEncoding = []byte("transfer-encoding:")
 
-// checkLines checks what can't be seen in a parsed head any more.
-func checkLines(head []byte) error {
+// checkLines checks in the bytes of a head what can't be seen any more once it is parsed.
+func checkLines(head []byte, parsed *http.Response) error {
 	for line := range bytes.Lines(head) {
-		if line[0] == ' ' || line[0] == '\t' {
+		switch {
+		case line[0] == ' ', line[0] == '\t':
 			return errContinuationLine
+		case !parsed.ProtoAtLeast(1, 1) && bytes.HasPrefix(bytes.ToLower(line), transferEncoding):
+			return errUnknownFraming
 		}
 	}
 	return nil
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -145,3 +145,32 @@
 		}
 	}
 }
+
+// Guards against a body with the lines of its chunks in it, and against responses of
+// versions whose framing is another one.
+func TestUnknownFramingIsNoResponse(t *testing.T) {
+	for name, response := range map[string]string{
+		"chunks in HTTP/1.0":                "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0, length":        "HTTP/1.0 200 OK\r\nContent-Length: 4\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0, interim first": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\nTRANSFER-ENCODING:chunked\n\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/2.0":                          "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/0.9":                          "HTTP/0.9 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			status, body, err := NewClient(time.Second).Call(t.Context(), respondTo(t, response), getRequest, 100)
+			if err == nil {
+				t.Errorf("status %d, body %q", status, body)
+			}
+		})
+	}
+	is := is.New(t)
+	for _, response := range []string{
+		"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.0 200 OK\r\nTransfer: chunked\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		_, body, err := NewClient(time.Second).Call(t.Context(), respondTo(t, response), getRequest, 100)
+		is.NoErr(err)
+		is.Equal(string(body), "body")
+	}
+}
