httpguard, gate, platform: one raw server for tests, no exported dialer

Read as a newcomer: the stand-in for raw responses stood twice (now lab/rawhttp, used by gate and platform), httpguard exported a dialer that only its transport used, and a sink of gate's tests did two things. No change of behaviour.

--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -80,7 +80,7 @@
 		"0x01 in a value":           start + "X-Odd: 1\x012\r\n" + end,
 		"CR in a value":             start + "X-Odd: 1\r2\r\n" + end,
 		"length with a blank":       start + "Content-Length : 1000\r\n\r\n" + event,
-		"chunks with a blank":       start + "Transfer-Encoding : chunked\r\n\r\ne\r\n" + event + "\r\n0\r\n\r\n",
+		"chunks with a blank":       start + "Transfer-Encoding : chunked\r\n\r\nf\r\n" + event + "\r\n0\r\n\r\n",
 		"error":                     "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nX Odd: 1\r\n" + end,
 		"refusal":                   "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
 	})
--- a/gate/client.go
+++ b/gate/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wasabinotch/wasabinotch/httpguard"
+	"github.com/wasabinotch/wasabinotch/peer"
 )
 
 const (
@@ -35,7 +36,7 @@
 // Each order gets a dedicated connection: net/http retries a request that
 // carries an Idempotency-Key when a reused connection breaks, and the endpoint
 // could then run it twice. Redirects are passed on to the caller.
-func newClients(dial httpguard.DialFunc) (calls, orders, probe *http.Client) {
+func newClients(dial peer.DialFunc) (calls, orders, probe *http.Client) {
 	dialChecked := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
--- a/gate/malformed_test.go
+++ b/gate/malformed_test.go
@@ -1,20 +1,18 @@
 package gate
 
 import (
-	"bufio"
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/wasabinotch/wasabinotch/lab/rawhttp"
 	"github.com/wasabinotch/wasabinotch/wire"
 )
 
-// respondTo serves an endpoint that answers each request with text, and returns its address.
+// respondTo serves an address that answers each request with text.
 func respondTo(t *testing.T, text string) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -22,21 +20,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(c, text)
-				}
-			}()
-		}
-	}()
+	go rawhttp.Serve(ln, text)
 	return ln.Addr().String()
 }
 
@@ -46,12 +30,12 @@
 	is := is.New(t)
 	h := newHarness(t)
 	h.cfg.EndpointAddr = respondTo(t, response)
-	sink := &resetAfterHead{reset: make(chan struct{})}
+	sink := &bodySink{}
 	res := h.runPlain(t.Context(), h.callClient, &wire.ExecuteRequest{RequestID: "r1", Call: &wire.PlainCall{Method: http.MethodGet, Path: "/stock"}}, sink, &slot{})
 	if res.refusal == nil || res.succeeded || sink.body.Len() > 0 {
 		t.Errorf("the call ended with %+v, body %q", res, sink.body.String())
 	}
-	status, _, err := h.get(context.Background(), "/health")
+	status, _, err := h.get(t.Context(), "/health")
 	if err == nil {
 		t.Errorf("the health check ended with status %d", status)
 	}
--- a/gate/reset_test.go
+++ b/gate/reset_test.go
@@ -44,14 +44,23 @@
 	return c.Conn.Read(p)
 }
 
-// resetAfterHead is a sink that has the endpoint reset the connection.
-type resetAfterHead struct {
-	reset chan<- struct{}
-	body  bytes.Buffer
+// bodySink keeps the body of a response. onHead, if set, is called with its head.
+type bodySink struct {
+	onHead func()
+	body   bytes.Buffer
 }
 
-func (s *resetAfterHead) head(int, map[string][]string) error { close(s.reset); return nil }
-func (s *resetAfterHead) data(p []byte) error                 { s.body.Write(p); return nil }
+func (s *bodySink) head(int, map[string][]string) error {
+	if s.onHead != nil {
+		s.onHead()
+	}
+	return nil
+}
+
+func (s *bodySink) data(p []byte) error {
+	s.body.Write(p)
+	return nil
+}
 
 // Guards against a part of a response that counts as the whole one: the endpoint responds
 // before it has read the call, without a length, and resets the connection.
@@ -78,7 +87,7 @@
 		c, err := new(net.Dialer).DialContext(ctx, network, addr)
 		return &writeMeetsReset{Conn: c, met: make(chan struct{}), readEnded: make(chan struct{})}, err
 	})
-	sink := &resetAfterHead{reset: reset}
+	sink := &bodySink{onHead: func() { close(reset) }}
 	call := &wire.PlainCall{Method: http.MethodPost, Path: "/stock", Body: make([]byte, 64<<20)}
 	res := h.runPlain(t.Context(), calls, &wire.ExecuteRequest{RequestID: "r1", Call: call}, sink, &slot{})
 	if res.refusal == nil {
--- a/httpguard/conn.go
+++ b/httpguard/conn.go
@@ -1,7 +1,6 @@
 package httpguard
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -11,20 +10,6 @@
 	"time"
 )
 
-// DialFunc opens a connection, as net.Dialer.DialContext does.
-type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// Dial returns dial with each connection wrapped in a Conn.
-func Dial(dial DialFunc) DialFunc {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dial(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(c), nil
-	}
-}
-
 // Conn is a connection whose reads report that it was lost even if a write met the loss
 // first. The system reports the loss of a connection once, to whichever operation comes
 // first; later reads return io.EOF, as after an orderly end, and a response that ends with
@@ -57,7 +42,8 @@
 }
 
 // Read implements net.Conn. At the end of what the peer sends it ends a write in progress,
-// whose result tells an orderly end from a loss. No response can follow.
+// whose result tells an orderly end from a loss. What was still to be written can't be
+// responded to any more.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != io.EOF {
--- a/httpguard/transport.go
+++ b/httpguard/transport.go
@@ -1,6 +1,7 @@
 package httpguard
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,9 +11,9 @@
 // transport is a RoundTripper that returns no response with a malformed head.
 type transport struct{ base *http.Transport }
 
-// NewTransport returns a RoundTripper that makes requests with t, which it changes to use
-// connections of type Conn, and that returns no response with a malformed head. If t is
-// nil, a copy of http.DefaultTransport is used.
+// NewTransport returns a RoundTripper for HTTP/1 that makes requests with t, which it
+// changes to use connections of type Conn, and that returns no response with a malformed
+// head. If t is nil, a copy of http.DefaultTransport is used.
 func NewTransport(t *http.Transport) http.RoundTripper {
 	if t == nil {
 		t = http.DefaultTransport.(*http.Transport).Clone()
@@ -21,7 +22,13 @@
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
-	t.DialContext = Dial(dial)
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
 	return transport{t}
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -40,7 +40,7 @@
 
 type conn struct {
 	net.Conn
-	tcp     net.Conn // the same connection without the guard
+	raw     net.Conn // the same connection without its guard
 	reader  *bufio.Reader
 	head    *headLimiter
 	reused  bool
@@ -137,7 +137,7 @@
 		if idle == nil {
 			break
 		}
-		if time.Now().Before(idle.expires) && isReusable(idle.tcp) {
+		if time.Now().Before(idle.expires) && isReusable(idle.raw) {
 			idle.reused = true
 			return idle, nil
 		}
@@ -179,7 +179,7 @@
 	}
 	guarded := httpguard.NewConn(nc)
 	head := &headLimiter{Reader: guarded}
-	return &conn{Conn: guarded, tcp: nc, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
+	return &conn{Conn: guarded, raw: nc, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 func (c *Client) popIdle(addr string) *conn {
@@ -212,7 +212,7 @@
 // late sees that nobody waits for the response, and the kernel drops bytes that
 // are still to be sent.
 func (c *Client) discard(addr string, conn *conn) {
-	if tcp, ok := conn.tcp.(*net.TCPConn); ok {
+	if tcp, ok := conn.raw.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // on failure the connection is closed without a reset
 	}
 	_ = conn.Close() // the connection isn't used any more
