--- a/httpguard/conn.go
+++ b/httpguard/conn.go
@@ -21,7 +21,7 @@
 	lost    error      // guarded by writing
 }
 
-// NewConn wraps c. At most one goroutine may write to the result at a time, as in HTTP.
+// NewConn wraps c. Writes run one at a time.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
 // Write implements net.Conn.
