--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15. Run it after the build of the deploy file.
+# Builds the stand-ins of the cases from 11 on. Run it after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 go build -tags review3 -o target/review-3/ ./review/standin3
