forward: a request with an unknown API key is no anonymous one (ROUTE)

Cause: authorise looked the key up and refused a request without an organisation only where the route needs a key, so that an unknown key was handled like none. The line "Request ended" of such requests names the route and the only configuration ever written, and no organisation: neither a late configuration nor a wrong route had a part in it. Change: only a request without credentials is anonymous. An unknown key, another scheme and several Authorization headers are refused with 401 on every route, if the configuration has organisations. Why it works: the refusal depends on what the request carries, no longer on the route alone. Looked for elsewhere: pipeline.authenticate (own form) refuses unknown keys and two headers, agents refuse all but the execute token, explain-placement takes no key; deadlines and request IDs that can't be read are refused.

--- a/forward/filters.go
+++ b/forward/filters.go
@@ -66,19 +66,27 @@
 	// noConfigRetryAfter is the time in which a starting entry reads its
 	// configuration.
 	noConfigRetryAfter = 200 * time.Millisecond
-	bearer             = "Bearer "
+	// bearerScheme is the scheme of API keys. Schemes have no case (RFC 9110, section 11.1).
+	bearerScheme = "bearer"
 )
 
-// authorise finds the organisation that holds the caller's key.
+// authorise finds the organisation that holds the caller's key. Only a request without
+// credentials is anonymous: one whose key is unknown, or was removed, is refused on every
+// route.
 func (x *exchange) authorise() *api.Refusal {
-	value := x.r.Header.Get("Authorization")
-	if key, ok := strings.CutPrefix(value, bearer); ok {
-		x.organisation = x.config.Organisation(key)
+	credentials := x.r.Header.Values("Authorization")
+	anonymous := len(credentials) == 0 || len(credentials) == 1 && credentials[0] == ""
+	if len(credentials) == 1 { // of several, it isn't known which one counts
+		scheme, key, ok := strings.Cut(credentials[0], " ")
+		if ok && strings.EqualFold(scheme, bearerScheme) {
+			x.organisation = x.config.Organisation(strings.TrimLeft(key, " "))
+		}
 	}
-	if x.organisation == nil && x.config.NeedsKey(x.route) {
-		return api.NotRun(api.KindUnauthenticated, "the API key is missing or unknown", "send a key of the current configuration as a bearer token")
+	if x.organisation != nil || anonymous && !x.config.NeedsKey(x.route) || !x.config.HasKeys() {
+		return nil
 	}
-	return nil
+	return api.NotRun(api.KindUnauthenticated, "the API key is missing or unknown",
+		"send one key of the current configuration as a bearer token; a route that allows anonymous requests also takes those without an Authorization header")
 }
 
 // readBody reads the whole request body, so that it can be sent more than once.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -285,8 +285,11 @@
 // Organisation returns the holder of an API key, or nil.
 func (c *Config) Organisation(key string) *Organisation { return c.keys[key] }
 
+// HasKeys reports whether there are organisations, which requests name by their API keys.
+func (c *Config) HasKeys() bool { return c.keys != nil }
+
 // NeedsKey reports whether requests on the route must carry a known API key.
-func (c *Config) NeedsKey(r *Route) bool { return c.keys != nil && !r.AllowAnonymous }
+func (c *Config) NeedsKey(r *Route) bool { return c.HasKeys() && !r.AllowAnonymous }
 
 // Target returns the service for a request. The choice depends only on the request's ID,
 // so that retries under one configuration go to the same service.
