--- a/limits/connections.go
+++ b/limits/connections.go
@@ -34,6 +34,11 @@
 type Connections struct {
 	// WriteTimeout is DefaultWriteTimeout unless it is set before the first connection.
 	WriteTimeout time.Duration
+	// HeadLimits returns the limits on requests' heads that are in force, and is called for
+	// each read of a head; HeadLimitsChanged tells of a change. It must not block. If it is
+	// nil, an HTTP server's own limits apply. It is set before Server and the first
+	// connection.
+	HeadLimits func() HeadLimits
 
 	max    int
 	memory *Memory
@@ -69,6 +74,9 @@
 
 // Server prepares an HTTP server for connections of c.
 func (c *Connections) Server(s *http.Server) {
+	if c.HeadLimits != nil {
+		replaceLimits(s)
+	}
 	s.ConnState = func(nc net.Conn, state http.ConnState) {
 		conn, ok := nc.(*Conn)
 		switch {
@@ -122,7 +130,8 @@
 
 // admit returns nc as a bounded connection, or nil if there is no room for it.
 func (c *Connections) admit(nc net.Conn) *Conn {
-	conn := &Conn{Conn: nc, set: c, host: Host(nc.RemoteAddr().String()), waitsSince: c.now()}
+	now := c.now()
+	conn := &Conn{Conn: nc, set: c, host: Host(nc.RemoteAddr().String()), waitsSince: now, waitBegan: now}
 	c.mu.Lock()
 	var victim *Conn
 	if c.max > 0 && len(c.conns) >= c.max {
@@ -200,6 +209,10 @@
 	headRead  bool
 	headBytes int64
 	head      *Claim
+	// idle is set between two requests, until the first byte of the next one, waitBegan is
+	// when that wait or the one for the rest of a head began.
+	idle      bool
+	waitBegan time.Time
 }
 
 // waited returns how long the connection has waited for its peer, and whether it does.
@@ -219,6 +232,10 @@
 	c.set.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, ok := c.headLimits(); ok {
+		// interruptWait may have set a deadline after package http cleared the head's.
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	}
 	c.headRead = true
 	if c.head != nil {
 		c.head.EndWait()
@@ -243,16 +260,14 @@
 
 // Idle records that the connection waits for the next request.
 func (c *Conn) Idle() {
+	now := c.set.now()
 	c.set.mu.Lock()
-	c.busy, c.waitsSince = false, c.set.now()
+	c.busy, c.waitsSince = false, now
 	c.set.mu.Unlock()
-	c.releaseHead()
-}
-
-func (c *Conn) releaseHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endHead()
+	c.idle, c.waitBegan = true, now
 }
 
 // endHead releases what is claimed for a head. c.mu is held.
@@ -264,25 +279,41 @@
 	}
 }
 
-// Read implements net.Conn. It claims the memory of the head.
+// Read implements net.Conn. It bounds a head, and claims its memory.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		if claimErr := c.claimHead(int64(n)); claimErr != nil {
-			return 0, claimErr
+	for {
+		c.boundWait()
+		n, err := c.Conn.Read(p)
+		if n == 0 && c.waitsOn(err) {
+			continue
 		}
+		if n > 0 {
+			switch headErr := c.addHead(int64(n)); {
+			case headErr == errHeadTooLarge:
+				return 0, c.refuseHead()
+			case headErr != nil:
+				return 0, headErr
+			}
+		}
+		return n, err
 	}
-	return n, err
 }
 
-func (c *Conn) claimHead(n int64) error {
+// addHead adds n bytes to the head that is read, if they belong to one.
+func (c *Conn) addHead(n int64) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.headRead { // the bytes belong to a body
 		return nil
 	}
+	if c.idle {
+		c.idle, c.waitBegan = false, c.set.now()
+	}
 	over := max(0, c.headBytes+n-freeHeadBytes) - max(0, c.headBytes-freeHeadBytes)
 	c.headBytes += n
+	if l, ok := c.headLimits(); ok && l.Bytes > 0 && c.headBytes > l.Bytes+headSlackBytes {
+		return errHeadTooLarge
+	}
 	if over == 0 {
 		return nil
 	}
@@ -330,6 +361,8 @@
 	c.set.remove(c)
 	c.set.mu.Unlock()
 	err := c.Conn.Close()
-	c.releaseHead()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endHead()
 	return err
 }
--- a/limits/connections_test.go
+++ b/limits/connections_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +16,7 @@
 type pipeConn struct {
 	net.Conn
 	host   string
-	closed bool
+	closed atomic.Bool
 }
 
 func (c *pipeConn) RemoteAddr() net.Addr {
@@ -23,7 +24,7 @@
 }
 
 func (c *pipeConn) Close() error {
-	c.closed = true
+	c.closed.Store(true)
 	return c.Conn.Close()
 }
 
@@ -49,9 +50,9 @@
 		conns[1].Busy()
 		p, _ := newPipe("10.0.0.2")
 		is.True(c.admit(p) != nil)
-		is.True(!pipes[0].closed) // its address has only one
-		is.True(!pipes[1].closed) // it is busy
-		is.True(pipes[2].closed)
+		is.True(!pipes[0].closed.Load()) // its address has only one
+		is.True(!pipes[1].closed.Load()) // it is busy
+		is.True(pipes[2].closed.Load())
 		is.Equal(c.Open(), 4)
 		is.Equal(len(events), 1)
 		is.Equal(events[0].Host, "10.0.0.1")
@@ -133,7 +134,7 @@
 		is.Equal(m.Held(), int64((40*kib-freeHeadBytes)*headFactor))
 		time.Sleep(time.Second)
 		second, _ := read("10.0.0.1", 40*kib)
-		is.True(first.closed)
+		is.True(first.closed.Load())
 		is.Equal(m.Held(), int64((40*kib-freeHeadBytes)*headFactor))
 		second.headEnded()
 		second.Idle()
--- a/limits/memory.go
+++ b/limits/memory.go
@@ -287,11 +287,12 @@
 	LimitMemory      = "memory"
 	LimitConnections = "connections"
 	LimitWrite       = "write"
+	LimitHead        = "head"
 )
 
 // Event is a decision of a Memory or a Connections against a peer.
 type Event struct {
-	// Limit is one of LimitMemory, LimitConnections and LimitWrite.
+	// Limit is one of LimitMemory, LimitConnections, LimitWrite and LimitHead.
 	Limit string
 	// Host is the peer's address.
 	Host string
--- a/node/entry.go
+++ b/node/entry.go
@@ -20,6 +20,7 @@
 
 	"github.com/wasabinotch/wasabinotch/fleet"
 	"github.com/wasabinotch/wasabinotch/forward"
+	"github.com/wasabinotch/wasabinotch/limits"
 	"github.com/wasabinotch/wasabinotch/logs"
 	"github.com/wasabinotch/wasabinotch/pause"
 	"github.com/wasabinotch/wasabinotch/placement"
@@ -130,8 +131,10 @@
 	// limitedLog is log with a rate limit, for faults that can occur very often.
 	limitedLog logr.Logger
 	bounds     *bounds
-	health     *storeHealth
-	operator   *operatorFollower
+	// callers bounds the callers' connections, with the limits of the configuration in force.
+	callers  *limits.Connections
+	health   *storeHealth
+	operator *operatorFollower
 	// encodedState is the operator's state as it was last sent to other entries.
 	encodedState encodedState
 	endpoints    *endpointFollower
@@ -173,7 +176,9 @@
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
 		RetryWindow: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
 	})
-	e.operator = &operatorFollower{handler: e.handler, fleet: e.fleet, bounds: s.Bounds, outdated: outdatedKeys{window: reregisterGrace}, log: log.WithName("operator")}
+	e.callers = e.bounds.callers()
+	e.callers.HeadLimits = e.headLimits
+	e.operator = &operatorFollower{handler: e.handler, limitsChanged: e.callers.HeadLimitsChanged, fleet: e.fleet, bounds: s.Bounds, outdated: outdatedKeys{window: reregisterGrace}, log: log.WithName("operator")}
 	e.endpoints = newEndpointFollower(e.fleet, s.Bounds.Heartbeat(), e.health, log.WithName("endpoints"))
 	e.peers = newEntryFollower(e.fleet, share.Member{ID: platform.PrefixEntries + s.ID, Weight: e.record().weight()}, s.Bounds, e.health, log.WithName("entries"))
 	e.notices.heard = e.peers.heard
@@ -310,29 +315,36 @@
 	return d
 }
 
-// serveCallers starts the server for callers with the timeouts and bounds of the
-// current configuration.
+// serveCallers starts the server for callers.
 func (e *Entry) serveCallers() (*http.Server, error) {
 	ln, err := settings.Listen("callers_addr", e.cfg.CallersAddr)
 	if err != nil {
 		return nil, err
 	}
 	s := newServer(e.handler)
-	if c := e.handler.Config(); c != nil {
-		if c.Limits.HeaderTimeout > 0 {
-			s.ReadHeaderTimeout = c.Limits.HeaderTimeout
-		}
-		if c.Limits.IdleTimeout > 0 {
-			s.IdleTimeout = time.Duration(idleTimeoutFactor * float64(c.Limits.IdleTimeout))
-		}
-		if c.Limits.HeaderBytes > 0 {
-			s.MaxHeaderBytes = c.Limits.HeaderBytes
-		}
-	}
-	go serve(s, ln, e.bounds.callers(), e.log)
+	go serve(s, ln, e.callers, e.log)
 	return s, nil
 }
 
+// headLimits returns the limits on the heads of callers' requests that are in force.
+func (e *Entry) headLimits() limits.HeadLimits {
+	l := limits.HeadLimits{Bytes: http.DefaultMaxHeaderBytes, Timeout: defaultHeaderTimeout, Idle: defaultIdleTimeout}
+	c := e.handler.Config()
+	if c == nil {
+		return l
+	}
+	if c.Limits.HeaderBytes > 0 {
+		l.Bytes = int64(c.Limits.HeaderBytes)
+	}
+	if c.Limits.HeaderTimeout > 0 {
+		l.Timeout = c.Limits.HeaderTimeout
+	}
+	if c.Limits.IdleTimeout > 0 {
+		l.Idle = time.Duration(idleTimeoutFactor * float64(c.Limits.IdleTimeout))
+	}
+	return l
+}
+
 // serveInternal starts the servers for readiness, directory, peers and metrics.
 func (e *Entry) serveInternal() error {
 	// Callers reach the addresses of readiness and directory.
--- a/node/follow.go
+++ b/node/follow.go
@@ -95,9 +95,11 @@
 // availability zones that are out of service.
 type operatorFollower struct {
 	handler *forward.Handler
-	fleet   *fleet.Fleet
-	bounds  settings.Bounds
-	log     logr.Logger
+	// limitsChanged is called, if not nil, when other limits of requests are in force.
+	limitsChanged func()
+	fleet         *fleet.Fleet
+	bounds        settings.Bounds
+	log           logr.Logger
 	// outdated and returned, by zone, keep a restore of the store from changing the zones
 	// that are out of service before the operator has written again.
 	outdated outdatedKeys
@@ -284,10 +286,18 @@
 			QueuesByPriority: s.Engine != nil && c.Ranks(s.Name) > 1,
 		})
 	})
+	previous := o.handler.Config()
 	if !o.handler.SetConfig(c) {
 		return false
 	}
 	o.log.Info("Configuration in force.", "version", c.Version, "era", next.Era, "revision", next.Revision, "source", source)
+	if l := c.Limits; previous == nil || previous.Limits != l {
+		o.log.Info("Limits of requests in force.", "version", c.Version, "header_bytes", l.HeaderBytes, "body_bytes", l.BodyBytes,
+			"header_timeout_ms", l.HeaderTimeout.Milliseconds(), "idle_timeout_ms", l.IdleTimeout.Milliseconds())
+		if o.limitsChanged != nil {
+			o.limitsChanged()
+		}
+	}
 	return true
 }
 
