forward: a deadline of NaN is bad input

What callers saw: Deadline-Ms: NaN was refused with 503 ("no endpoint could take the request in time"), as if the deadline had passed, so that callers send the same again. Found while looking for values that can't be read and are handled like others. Cause: NaN compares false with both bounds, and its conversion to a duration differs between processors. Evidence: the new case of forward.TestBadInputIsRefused failed before ("503 != 400"). Change: the bounds are what a deadline must meet, not what it must miss. Other numbers in headers (platform: tokens, pauses, rate limits) exclude NaN already. Result: the test passes.

--- a/forward/filters.go
+++ b/forward/filters.go
@@ -45,7 +45,7 @@
 	x.deadline = x.arrived.Add(x.route.Timeout)
 	if v := x.r.Header.Get(names.Deadline); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
-		if err != nil || ms <= 0 || ms > maxDeadline.Seconds()*1000 {
+		if err != nil || !(ms > 0 && ms <= maxDeadline.Seconds()*1000) { // also NaN
 			return api.NotRun(api.KindBadRequest, names.Deadline+" is not a number of milliseconds", "send a positive number")
 		}
 		if d := x.arrived.Add(time.Duration(ms * float64(time.Millisecond))); d.Before(x.deadline) {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -185,6 +185,7 @@
 		"no id":        {func(r *http.Request) { r.Header.Del("Request-Id") }, http.StatusBadRequest},
 		"two ids":      {func(r *http.Request) { r.Header.Add("Request-Id", "id-2") }, http.StatusBadRequest},
 		"bad deadline": {func(r *http.Request) { r.Header.Set("Deadline-Ms", "soon") }, http.StatusBadRequest},
+		"deadline NaN": {func(r *http.Request) { r.Header.Set("Deadline-Ms", "NaN") }, http.StatusBadRequest},
 		"long body": {func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000))), 2000
 		}, http.StatusRequestEntityTooLarge},
