--- a/limits/connections.go
+++ b/limits/connections.go
@@ -30,7 +30,7 @@
 // of connections that stay idle, stop within a request or read nothing, up to the
 // descriptors of the VM: if there are as many as allowed, the one that has waited longest
 // for its peer is closed, of the address that has most of them. If none waits, the new one
-// is closed.
+// is closed. With HeadLimits, it also bounds each head and the time that it may take.
 type Connections struct {
 	// WriteTimeout is DefaultWriteTimeout unless it is set before the first connection.
 	WriteTimeout time.Duration
