--- a/forward/filters.go
+++ b/forward/filters.go
@@ -66,7 +66,7 @@
 	// noConfigRetryAfter is the time in which a starting entry reads its
 	// configuration.
 	noConfigRetryAfter = 200 * time.Millisecond
-	// bearerScheme is the scheme of API keys. Schemes have no case (RFC 9110, section 11.1).
+	// bearerScheme is the scheme of API keys. Schemes are case-insensitive (RFC 9110, section 11.1).
 	bearerScheme = "bearer"
 )
 
